--- /dev/null
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent process beside each backend server."""
--- /dev/null
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process and the operator commands."""
--- /dev/null
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load generator and experiments (not shipped)."""
--- /dev/null
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform, checked settings and telemetry."""
--- /dev/null
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of ragwortwing: admission, queueing, routing, limits, retries, orders, membership."""
--- /dev/null
+++ b/packages/ragwortwing-wire/src/ragwortwing_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and connections between entry and agent."""
