--- /dev/null
+++ b/packages/ragwortwing-wire/src/ragwortwing_wire/framing.py
@@ -0,0 +1,54 @@
+"""Frames with a length before each, cut out of a byte stream."""
+
+from __future__ import annotations
+
+from .codec import MAXIMUM_FRAME, MalformedFrame, MalformedReason
+
+LENGTH_BYTES = 4
+
+
+def with_length(frame: bytes) -> bytes:
+    """Return a frame with its length in front.
+
+    Example:
+        >>> with_length(b"ab").hex()
+        '000000026162'
+    """
+    return len(frame).to_bytes(LENGTH_BYTES, "big") + frame
+
+
+class FrameBuffer:
+    """Collects received bytes and gives whole frames.
+
+    Example:
+        >>> buffer = FrameBuffer()
+        >>> buffer.feed(with_length(b"one") + bytes(1))
+        >>> buffer.next_frame()
+        b'one'
+        >>> buffer.next_frame() is None
+        True
+    """
+
+    def __init__(self) -> None:
+        self._bytes = bytearray()
+        self._start = 0
+
+    def feed(self, data: bytes | bytearray) -> None:
+        """Add received bytes."""
+        del self._bytes[: self._start]
+        self._start = 0
+        self._bytes += data
+
+    def next_frame(self) -> bytes | MalformedFrame | None:
+        """Return the next whole frame, or None where more bytes are needed."""
+        body = self._start + LENGTH_BYTES
+        if len(self._bytes) < body:
+            return None
+        length = int.from_bytes(self._bytes[self._start : body], "big")
+        if length > MAXIMUM_FRAME:
+            return MalformedFrame(MalformedReason.TOO_LARGE)
+        end = body + length
+        if len(self._bytes) < end:
+            return None
+        self._start = end
+        return bytes(self._bytes[body:end])
