--- a/packages/ragwortwing-lab/src/ragwortwing_lab/__main__.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/__main__.py
@@ -4,11 +4,19 @@
 
 import click
 
+from .standins.log import log_command
+from .standins.membership import membership_command
+from .standins.weight_store import weights_command
+
 
 @click.group()
 def main() -> None:
     """Run and inspect the lab."""
 
 
+main.add_command(log_command)
+main.add_command(membership_command)
+main.add_command(weights_command)
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform's services, each a process with a control address for faults."""
--- /dev/null
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/serving.py
@@ -0,0 +1,76 @@
+"""Serves a stand-in's applications on loopback and tells the addresses."""
+
+from __future__ import annotations
+
+import signal
+from dataclasses import dataclass
+from functools import partial
+from typing import TYPE_CHECKING, Any
+
+import click
+import msgspec
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Mapping
+
+LOOPBACK = "127.0.0.1"
+GRACE_SECONDS = 0.2
+"""Time that open calls get when the stand-in is told to stop."""
+
+
+@dataclass(frozen=True, slots=True)
+class Addresses:
+    """Where a stand-in listens, as `ip:port`."""
+
+    http: str
+    control: str
+
+
+async def start_app(nursery: trio.Nursery, app: Any, port: int = 0) -> str:
+    """Serve an ASGI application on loopback in a nursery.
+
+    Returns:
+        The `ip:port` that the kernel gave.
+    """
+    config = Config()
+    config.bind = [f"{LOOPBACK}:{port}"]
+    config.graceful_timeout = GRACE_SECONDS
+    config.errorlog = None
+    config.accesslog = None
+    binds = await nursery.start(partial(serve, app, config, shutdown_trigger=trio.sleep_forever))
+    return str(binds[0]).removeprefix("http://")
+
+
+def print_ready(name: str, listen: Mapping[str, str]) -> None:
+    """Print the one line by which a process says that it is ready."""
+    line = msgspec.json.encode({"ready": True, "name": name, "listen": dict(listen)})
+    click.echo(line.decode())
+
+
+async def stop_on_signal(cancel: Callable[[], None]) -> None:
+    """Cancel the process's work when it is asked to end."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            cancel()
+            return
+
+
+async def run_standin(
+    name: str,
+    app: Any,
+    control: Any,
+    port: int,
+    control_port: int,
+    background: Callable[[], Awaitable[None]] | None = None,
+) -> None:
+    """Serve a stand-in until a signal ends it."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(stop_on_signal, nursery.cancel_scope.cancel)
+        http = await start_app(nursery, app, port)
+        control_address = await start_app(nursery, control, control_port)
+        if background is not None:
+            nursery.start_soon(background)
+        print_ready(name, {"http": http, "control": control_address})
