--- /dev/null
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/settings_reader.py
@@ -0,0 +1,361 @@
+"""Reads a TOML file into frozen data classes and lists every fault of the file at once."""
+
+from __future__ import annotations
+
+import ipaddress
+import tomllib
+from dataclasses import MISSING, dataclass, fields, is_dataclass
+from datetime import timedelta
+from enum import StrEnum
+from types import GenericAlias, UnionType
+from typing import TYPE_CHECKING, Annotated, Any, TypeVar, get_args, get_origin, get_type_hints
+from urllib.parse import urlsplit
+
+import cattrs
+from cattrs.errors import ClassValidationError, ForbiddenExtraKeysError, IterableValidationError
+
+from .durations import DURATION_FORM, DurationError, format_duration, parse_duration
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+    from pathlib import Path
+
+FAULTY_SETTINGS_EXIT_CODE = 2
+"""Exit code of a process whose settings have faults."""
+
+SettingsT = TypeVar("SettingsT")
+
+MISSING_VALUE = "(missing)"
+"""Shown as the value of a key that has to be given."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return the form that settings use.
+
+        Example:
+            >>> str(Address("::1", 80))
+            '[::1]:80'
+        """
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class HttpUrl:
+    """Base URL of a service that is reached by IP address over HTTP."""
+
+    address: Address
+
+    def __str__(self) -> str:
+        """Return the URL without a path."""
+        return f"http://{self.address}"
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsFault:
+    """One fault of a settings file."""
+
+    key: str
+    """Dotted path of the key."""
+    value: object
+    allowed: str
+    """What may stand there."""
+
+    def __str__(self) -> str:
+        """Return the fault as one line for the operator."""
+        return f"{self.key}: {self.value!r} is not allowed; allowed: {self.allowed}"
+
+
+@dataclass(frozen=True, slots=True)
+class FaultySettings:
+    """The file cannot be used; every fault is listed."""
+
+    faults: tuple[SettingsFault, ...]
+
+
+class NotAllowedError(ValueError):
+    """A value breaks its key's rule."""
+
+    def __init__(self, value: object, allowed: str) -> None:
+        super().__init__(f"{value!r}: {allowed}")
+        self.value = value
+        self.allowed = allowed
+
+
+@dataclass(frozen=True, slots=True)
+class Between:
+    """A number, or the length of a list, within bounds."""
+
+    low: float
+    high: float
+
+    allowed = property(lambda self: f"from {self.low:,} to {self.high:,}")
+
+    def holds(self, value: Any) -> bool:
+        """Return whether a value keeps the rule."""
+        return bool(self.low <= (len(value) if isinstance(value, tuple) else value) <= self.high)
+
+
+@dataclass(frozen=True, slots=True)
+class LongerThan:
+    """A duration above a bound."""
+
+    low: timedelta
+
+    allowed = property(lambda self: f"above {format_duration(self.low)}")
+
+    def holds(self, value: Any) -> bool:
+        """Return whether a value keeps the rule."""
+        return bool(value > self.low)
+
+
+@dataclass(frozen=True, slots=True)
+class Name:
+    """A name of printable characters without spaces."""
+
+    allowed = property(lambda self: "printable characters without spaces, at least one")
+
+    def holds(self, value: Any) -> bool:
+        """Return whether a value keeps the rule."""
+        return value.isprintable() and bool(value) and " " not in value
+
+
+Rule = Between | LongerThan | Name
+
+
+def read_settings(path: Path, settings_type: type[SettingsT]) -> SettingsT | FaultySettings:
+    """Read a settings file whole.
+
+    Args:
+        path: The TOML file.
+        settings_type: The frozen data class that the file describes.
+
+    Returns:
+        The settings, or every fault of the file.
+    """
+    try:
+        table = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        return FaultySettings((SettingsFault(str(path), error.strerror, "a readable file"),))
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        return FaultySettings((SettingsFault(str(path), str(error), "TOML in UTF-8"),))
+    return structure_settings(table, settings_type)
+
+
+def structure_settings(
+    table: dict[str, Any], settings_type: type[SettingsT]
+) -> SettingsT | FaultySettings:
+    """Check a parsed table against a settings class.
+
+    Args:
+        table: The parsed TOML.
+        settings_type: The frozen data class that the table describes.
+
+    Returns:
+        The settings, or every fault of the table.
+    """
+    try:
+        return _CONVERTER.structure(table, settings_type)
+    except (ClassValidationError, NotAllowedError) as error:
+        return FaultySettings(tuple(_faults(error, "")))
+
+
+def _faults(error: BaseException, key: str) -> Iterator[SettingsFault]:
+    if isinstance(error, ClassValidationError):
+        yield from _class_faults(error, key)
+    elif isinstance(error, IterableValidationError):
+        for item, note in error.group_exceptions()[0]:
+            yield from _faults(item, f"{key}[{note.index}]")
+    elif isinstance(error, NotAllowedError):
+        yield SettingsFault(key or "(file)", error.value, error.allowed)
+    else:
+        raise error
+
+
+def _class_faults(error: ClassValidationError, key: str) -> Iterator[SettingsFault]:
+    prefix = f"{key}." if key else ""
+    placed, others = error.group_exceptions()
+    for item, note in placed:
+        child = f"{prefix}{note.name}"
+        if isinstance(item, KeyError):
+            yield SettingsFault(child, MISSING_VALUE, _describe(note.type))
+        else:
+            yield from _faults(item, child)
+    for item in others:
+        if not isinstance(item, ForbiddenExtraKeysError):
+            yield from _faults(item, key)
+            continue
+        known = ", ".join(each.name for each in fields(item.cl))
+        for name in sorted(item.extra_fields):
+            yield SettingsFault(f"{prefix}{name}", "(unknown key)", f"one of {known}")
+
+
+def _describe(kind: Any) -> str:
+    if get_origin(kind) is Annotated:
+        base, *rules = get_args(kind)
+        return f"{_describe(base)}, {', '.join(rule.allowed for rule in rules)}"
+    if get_origin(kind) is UnionType:
+        return _describe(get_args(kind)[0])
+    if get_origin(kind) is tuple:
+        return f"a list, each {_describe(get_args(kind)[0])}"
+    if is_dataclass(kind) and kind not in (Address, HttpUrl):
+        return "a table"
+    if isinstance(kind, type) and issubclass(kind, StrEnum):
+        return "one of " + ", ".join(f'"{each}"' for each in kind)
+    return _FORMS_BY_TYPE.get(kind, str(kind))
+
+
+_FORMS_BY_TYPE: dict[Any, str] = {
+    str: "a string",
+    int: "a whole number",
+    float: "a number",
+    bool: "true or false",
+    timedelta: DURATION_FORM,
+    Address: 'an IP address with a port, such as "10.0.0.1:8080"',
+    HttpUrl: 'a URL by IP address, such as "http://10.0.0.1:8080"',
+}
+
+
+def _structure_exactly(value: Any, kind: type) -> Any:
+    if type(value) is not kind:
+        raise NotAllowedError(value, _describe(kind))
+    return value
+
+
+def _structure_float(value: Any, _: object) -> float:
+    if type(value) not in (int, float):
+        raise NotAllowedError(value, _describe(float))
+    return float(value)
+
+
+def _structure_duration(value: Any, _: object) -> timedelta:
+    try:
+        return parse_duration(value)
+    except (DurationError, TypeError):
+        raise NotAllowedError(value, DURATION_FORM) from None
+
+
+def _structure_address(value: Any, _: object) -> Address:
+    try:
+        parts = urlsplit(f"//{value}")
+        if parts.port is None or parts.netloc != value:
+            raise NotAllowedError(value, _describe(Address))
+        return Address(str(ipaddress.ip_address(parts.hostname or "")), parts.port)
+    except ValueError:
+        raise NotAllowedError(value, _describe(Address)) from None
+
+
+def _structure_url(value: Any, _: object) -> HttpUrl:
+    prefix = "http://"
+    if not isinstance(value, str) or not value.startswith(prefix):
+        raise NotAllowedError(value, _describe(HttpUrl))
+    try:
+        return HttpUrl(_structure_address(value.removeprefix(prefix).removesuffix("/"), Address))
+    except NotAllowedError:
+        raise NotAllowedError(value, _describe(HttpUrl)) from None
+
+
+def _structure_enum(value: Any, kind: Any) -> Any:
+    if not isinstance(value, str) or value not in set(kind):
+        raise NotAllowedError(value, _describe(kind))
+    return kind(value)
+
+
+def _annotated_hook(kind: Any) -> Callable[[Any, Any], Any]:
+    base, *rules = get_args(kind)
+
+    def structure(value: Any, _: object) -> Any:
+        structured = _CONVERTER.structure(value, base)
+        if not all(rule.holds(structured) for rule in rules):
+            raise NotAllowedError(value, _describe(kind))
+        return structured
+
+    return structure
+
+
+def _tuple_hook(kind: Any) -> Callable[[Any, Any], Any]:
+    list_kind = GenericAlias(list, get_args(kind)[:1])
+    list_hook = _CONVERTER.get_structure_hook(list_kind)
+
+    def structure(value: Any, _: object) -> Any:
+        if not isinstance(value, list):
+            raise NotAllowedError(value, _describe(kind))
+        return tuple(list_hook(value, list_kind))
+
+    return structure
+
+
+def _table_hook(kind: Any) -> Callable[[Any, Any], Any]:
+    # cattrs resolves annotations without their rules, so the fields get the whole types first.
+    hints = get_type_hints(kind, include_extras=True)
+    for each in fields(kind):
+        each.type = hints[each.name]
+    structure_table = cattrs.gen.make_dict_structure_fn(
+        kind, _CONVERTER, _cattrs_forbid_extra_keys=True, _cattrs_detailed_validation=True
+    )
+
+    def structure(value: Any, _: object) -> Any:
+        if not isinstance(value, dict):
+            raise NotAllowedError(value, "a table")
+        return structure_table(value, kind)
+
+    return structure
+
+
+def _is_tuple(kind: Any) -> bool:
+    return get_origin(kind) is tuple
+
+
+def _is_annotated(kind: Any) -> bool:
+    return get_origin(kind) is Annotated
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(detailed_validation=True, forbid_extra_keys=True)
+    converter.register_structure_hook_factory(is_dataclass, _table_hook)
+    converter.register_structure_hook_factory(_is_tuple, _tuple_hook)
+    converter.register_structure_hook_factory(_is_annotated, _annotated_hook)
+    for kind in (str, int, bool):
+        converter.register_structure_hook(kind, _structure_exactly)
+    converter.register_structure_hook(StrEnum, _structure_enum)
+    converter.register_structure_hook(float, _structure_float)
+    converter.register_structure_hook(timedelta, _structure_duration)
+    converter.register_structure_hook(Address, _structure_address)
+    converter.register_structure_hook(HttpUrl, _structure_url)
+    return converter
+
+
+_CONVERTER = _make_converter()
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsKey:
+    """One key of a settings class, for the reference page."""
+
+    key: str
+    allowed: str
+    default: object
+
+
+def settings_keys(settings_type: Any, prefix: str = "") -> Iterator[SettingsKey]:
+    """Return every key of a settings class, in the order of the class.
+
+    Args:
+        settings_type: A settings data class.
+        prefix: Path of the table that the class describes.
+    """
+    hints = get_type_hints(settings_type, include_extras=True)
+    for each in fields(settings_type):
+        kind = hints[each.name]
+        if is_dataclass(kind) and kind not in (Address, HttpUrl):
+            yield from settings_keys(kind, f"{prefix}{each.name}.")
+            continue
+        default = MISSING_VALUE if each.default is MISSING else each.default
+        yield SettingsKey(f"{prefix}{each.name}", _describe(kind), default)
