--- a/packages/ragwortwing-policy/src/ragwortwing_policy/outcomes.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/outcomes.py
@@ -75,6 +75,8 @@
     """A forced stop of the process cut the request."""
     DEADLINE = "deadline"
     """The request ran into its deadline."""
+    CALLER_GONE = "caller_gone"
+    """The caller went away while its answer was running."""
 
 
 @dataclass(frozen=True, slots=True)
