--- a/packages/ragwortwing-policy/src/ragwortwing_policy/chart.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/chart.py
@@ -64,7 +64,9 @@
             raise InvalidTransitionError(self.name, state, trigger)
         return destination
 
-    def _interpret(self, document: dict[str, list[dict[str, object]]]) -> dict[tuple[str, str], str]:
+    def _interpret(
+        self, document: dict[str, list[dict[str, object]]]
+    ) -> dict[tuple[str, str], str]:
         machine = Machine(
             model=None,
             states=list(self.descriptions_by_state),
@@ -75,9 +77,11 @@
         edges: dict[tuple[str, str], str] = {}
         for trigger, event in machine.events.items():
             for state, choices in event.transitions.items():
-                if len(choices) != 1:
+                destinations = {each.dest for each in choices}
+                destination = destinations.pop()
+                if destinations or destination is None:
                     raise ChartError(f"{self.name}: {trigger!r} from {state!r} is ambiguous")
-                edges[state, trigger] = choices[0].dest
+                edges[state, trigger] = destination
         return edges
 
 
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/dispatch.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/dispatch.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from .chart import load_chart
+from .clock import Instant
 from .outcomes import (
     Completed,
     Failed,
@@ -25,7 +26,8 @@
 from .routing import NO_BACKEND_RETRY_AFTER, BackendKind
 
 if TYPE_CHECKING:
-    from .clock import Instant
+    from collections.abc import Iterable
+
     from .retries import RetryBudget
     from .routing import RouteQuery, Router
 
@@ -300,7 +302,7 @@
         agent_ids, self._later = self._later, []
         return self._ask_agents(agent_ids, now) if agent_ids else self._ask(now)
 
-    def _ask_agents(self, agent_ids: tuple[str, ...] | list[str], now: Instant) -> list[DispatchDecision]:
+    def _ask_agents(self, agent_ids: Iterable[str], now: Instant) -> list[DispatchDecision]:
         for agent_id in agent_ids:
             self._pending[agent_id] = now
             self._asked.add(agent_id)
@@ -412,8 +414,10 @@
     Example:
         >>> draining = NotRun(NotRunReason.DRAINING, timedelta(seconds=1))
         >>> overloaded = NotRun(NotRunReason.OVERLOADED, timedelta(seconds=3))
-        >>> best_refusal([draining, overloaded])
-        NotRun(reason=<NotRunReason.OVERLOADED: 'overloaded'>, retry_after=datetime.timedelta(seconds=1))
+        >>> best_refusal([draining, overloaded]).reason
+        <NotRunReason.OVERLOADED: 'overloaded'>
+        >>> best_refusal([draining, overloaded]).retry_after
+        datetime.timedelta(seconds=1)
     """
     reasons = {each.reason for each in refusals}
     reason = next((each for each in REASONS_BY_RANK if each in reasons), NotRunReason.NO_BACKEND)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/ejection.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/ejection.py
@@ -13,12 +13,11 @@
 from typing import TYPE_CHECKING
 
 from .chart import load_chart
+from .clock import Instant
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from .clock import Instant
-
 SAMPLES_KEPT = 15
 """Latest latencies kept for each agent and kind of latency."""
 
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/retries.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/retries.py
@@ -5,14 +5,11 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from math import exp
-from typing import TYPE_CHECKING
 
+from .clock import Instant
 from .outcomes import Failed, FailedReason, NotRun, Outcome, Unknown, UnknownReason
 from .routing import BackendKind
 
-if TYPE_CHECKING:
-    from .clock import Instant
-
 MAXIMUM_RUNS = 3
 """Times one request may be started on a backend server; a request that brings engines down would
 otherwise visit them all."""
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/routing.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/routing.py
@@ -251,9 +251,7 @@
         sample_size = min(len(usable), SAMPLE_FACTOR * count)
         return sorted(self._random.sample(usable, sample_size), key=self._load_key)
 
-    def _rank_by_affinity(
-        self, usable: list[_Known], prefix_hash: int, count: int
-    ) -> list[_Known]:
+    def _rank_by_affinity(self, usable: list[_Known], prefix_hash: int, count: int) -> list[_Known]:
         """Order by rendezvous hash within the load bound, then by load.
 
         Every entry gives a prefix the same order, without agreeing on anything, and an agent that
@@ -276,4 +274,4 @@
 
 def affinity_score(prefix_hash: int, agent_id: str) -> int:
     """Return an agent's rank value for a prefix by rendezvous hash; the highest is preferred."""
-    return xxh64_intdigest(agent_id, prefix_hash & (2**64 - 1))
+    return xxh64_intdigest(agent_id.encode(), prefix_hash & (2**64 - 1))
