--- /dev/null
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/chat_request.py
@@ -0,0 +1,94 @@
+"""Checks the body of a chat completion; keys that the system does not use pass through unread."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from xxhash import xxh64_intdigest
+
+from .caller_faults import CallerFault, CallerFaultCode
+
+PREFIX_LENGTH = 512
+"""Characters of the prompt that make the affinity hash."""
+
+CHARACTERS_PER_TOKEN = 4
+"""Rough length of a token, for estimates before the engine has counted."""
+
+
+class ContentPart(msgspec.Struct, frozen=True):
+    """One part of a message's content."""
+
+    type: str
+    text: str = ""
+
+
+class ChatMessage(msgspec.Struct, frozen=True):
+    """One message of a conversation."""
+
+    role: str
+    content: str | list[ContentPart] | None = None
+
+    @property
+    def text(self) -> str:
+        """The text of the content."""
+        if isinstance(self.content, list):
+            return "".join(part.text for part in self.content)
+        return self.content or ""
+
+
+class ChatRequest(msgspec.Struct, frozen=True):
+    """What the system reads of a chat completion's body."""
+
+    model: str
+    messages: list[ChatMessage]
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    priority: Any = msgspec.UNSET
+    """Reserved: the system sets it from the request class."""
+    resume: Any = msgspec.UNSET
+    """Reserved: the system sets it where it resumes an answer."""
+
+    @property
+    def expected_tokens(self) -> int:
+        """Longest answer that the caller asked for, 0 where it did not say."""
+        return max(0, self.max_completion_tokens or self.max_tokens or 0)
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Estimated length of the prompt."""
+        return sum(len(message.text) for message in self.messages) // CHARACTERS_PER_TOKEN + 1
+
+    @property
+    def prefix_hash(self) -> int:
+        """Hash of the prompt's start, for cache affinity."""
+        prefix = ""
+        for message in self.messages:
+            prefix += f"{message.role}\n{message.text}\n"
+            if len(prefix) >= PREFIX_LENGTH:
+                break
+        return xxh64_intdigest(f"{self.model}\n{prefix[:PREFIX_LENGTH]}")
+
+
+_decoder = msgspec.json.Decoder(ChatRequest)
+
+
+def read_chat_request(body: bytes) -> ChatRequest | CallerFault:
+    """Check the body of a chat completion.
+
+    Args:
+        body: The whole body.
+    """
+    try:
+        request = _decoder.decode(body)
+    except msgspec.ValidationError as error:
+        return CallerFault(CallerFaultCode.INVALID_BODY, str(error))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return CallerFault(CallerFaultCode.MALFORMED_JSON, str(error))
+    if not request.messages:
+        return CallerFault(CallerFaultCode.INVALID_BODY, "messages is empty")
+    for key in ("priority", "resume"):
+        if getattr(request, key) is not msgspec.UNSET:
+            return CallerFault(CallerFaultCode.RESERVED_KEY, f"the key {key!r} may not be sent")
+    return request
