--- a/packages/ragwortwing-platform/src/ragwortwing_platform/system_clock.py
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/system_clock.py
@@ -2,21 +2,22 @@
 
 from __future__ import annotations
 
-import time
 from datetime import UTC, datetime
 from typing import TYPE_CHECKING
 
+import trio
+
 if TYPE_CHECKING:
     from ragwortwing_policy.clock import Instant
 
 
 class SystemClock:
-    """The operating system's clocks; the monotonic one goes on while the process is stopped."""
+    """Time of the trio loop, so that tests with an autojump clock move it too."""
 
     def monotonic(self) -> Instant:
-        """Return the monotonic time in seconds."""
-        return time.monotonic()
+        """Return the loop's time."""
+        return trio.current_time()
 
     def utc_now(self) -> datetime:
-        """Return the wall time in UTC."""
+        """Return the machine's wall time."""
         return datetime.now(UTC)
