--- a/packages/ragwortwing-lab/src/ragwortwing_lab/__main__.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/__main__.py
@@ -4,8 +4,10 @@
 
 import click
 
+from .standins.engine import engine_command
 from .standins.log import log_command
 from .standins.membership import membership_command
+from .standins.order_desk import order_desk_command
 from .standins.weight_store import weights_command
 
 
@@ -14,8 +16,10 @@
     """Run and inspect the lab."""
 
 
+main.add_command(engine_command)
 main.add_command(log_command)
 main.add_command(membership_command)
+main.add_command(order_desk_command)
 main.add_command(weights_command)
 
 if __name__ == "__main__":
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/faults.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/faults.py
@@ -36,6 +36,12 @@
     """Changes show `seconds` late."""
     RATE = "rate"
     """The rate falls to `per_second`."""
+    FREEZE = "freeze"
+    """Calls are taken and held, and work stands still, until the fault is cleared."""
+    CRASH = "crash"
+    """The process ends at once and its connections break."""
+    DROP_REPLIES = "drop_replies"
+    """Calls take effect and their connections are closed without a reply."""
     TRIM = "trim"
     """Records before `offset` of `stream` are dropped at once, as if their time had run out."""
 
@@ -48,6 +54,8 @@
     seconds: float = 0.0
     count: int = 1
     per_second: float = 0.0
+    factor: float = 1.0
+    """How many times slower an engine's steps become."""
     stream: str = ""
     offset: int = 0
 
@@ -58,6 +66,7 @@
     def __init__(self) -> None:
         self._by_kind: dict[FaultKind, Fault] = {}
         self._remaining_by_kind: dict[FaultKind, int] = {}
+        self._cleared = trio.Event()
 
     def set(self, fault: Fault) -> None:
         """Put a fault in force; it replaces an earlier one of its kind."""
@@ -68,6 +77,8 @@
         """Clear every fault."""
         self._by_kind.clear()
         self._remaining_by_kind.clear()
+        self._cleared.set()
+        self._cleared = trio.Event()
 
     def get(self, kind: FaultKind) -> Fault | None:
         """Return the fault of a kind, if it is in force."""
@@ -85,6 +96,11 @@
         self._remaining_by_kind[kind] = remaining - 1
         return True
 
+    async def wait_cleared(self, kind: FaultKind) -> None:
+        """Wait while a fault of a kind is in force."""
+        while self.active(kind):
+            await self._cleared.wait()
+
     async def hold(self) -> None:
         """Wait as long as the slow fault says."""
         slow = self.get(FaultKind.SLOW)
--- /dev/null
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/http_server.py
@@ -0,0 +1,179 @@
+"""A small HTTP/1.1 server on h11 for the stand-ins of backend servers.
+
+Their faults lie below HTTP (a connection that breaks in mid-answer, that takes bytes and never
+answers), and an engine's step has to leave for all its streams in one pass of the loop; so they
+write to the socket themselves. Everything else in the lab is served by hypercorn.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs, urlsplit
+
+import h11
+import msgspec
+import trio
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from .faults import Faults
+
+from .faults import FaultKind
+
+READ_SIZE = 65_536
+JSON_TYPE = (b"content-type", b"application/json")
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """One call as it came."""
+
+    method: str
+    path: str
+    query: dict[str, list[str]]
+    headers_by_name: dict[str, str]
+    body: bytes
+
+
+class ConnectionCutError(Exception):
+    """A handler wants the connection closed without a whole answer."""
+
+
+class Exchange:
+    """One call and the answer to it."""
+
+    def __init__(
+        self, request: HttpRequest, state: h11.Connection, stream: trio.SocketStream, faults: Faults
+    ) -> None:
+        self.request = request
+        self._state = state
+        self._stream = stream
+        self._faults = faults
+
+    async def respond(self, status: int, body: bytes, headers: Headers = (JSON_TYPE,)) -> None:
+        """Answer with a whole body."""
+        length = (b"content-length", str(len(body)).encode())
+        head = h11.Response(status_code=status, headers=[*headers, length])
+        await self._write(
+            self._bytes(head) + self._bytes(h11.Data(data=body)) + self._bytes(h11.EndOfMessage())
+        )
+
+    async def respond_json(self, status: int, value: object) -> None:
+        """Answer with an object in JSON."""
+        await self.respond(status, msgspec.json.encode(value))
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Begin an answer that is written in pieces."""
+        await self._write(self._bytes(h11.Response(status_code=status, headers=list(headers))))
+
+    async def write(self, data: bytes) -> None:
+        """Write one piece."""
+        await self._write(self._bytes(h11.Data(data=data)))
+
+    async def finish(self) -> None:
+        """End an answer that was written in pieces."""
+        await self._write(self._bytes(h11.EndOfMessage()))
+
+    def _bytes(self, event: h11.Event) -> bytes:
+        return self._state.send(event) or b""
+
+    async def _write(self, data: bytes) -> None:
+        await self._faults.wait_cleared(FaultKind.FREEZE)
+        await self._faults.wait_cleared(FaultKind.SILENT)
+        await self._stream.send_all(data)
+
+
+if TYPE_CHECKING:
+    Handler = Callable[[Exchange], Awaitable[None]]
+
+
+async def serve_http(
+    handler: Handler,
+    faults: Faults,
+    port: int,
+    task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve on loopback until cancelled; the `ip:port` is told once it listens."""
+
+    async def serve_one(stream: trio.SocketStream) -> None:
+        try:
+            await _serve_connection(stream, handler, faults)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, ConnectionCutError):
+            await trio.aclose_forcefully(stream)
+        except h11.RemoteProtocolError:
+            await trio.aclose_forcefully(stream)
+
+    listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
+    host, bound_port = listeners[0].socket.getsockname()[:2]
+    async with trio.open_nursery() as nursery:
+        await nursery.start(trio.serve_listeners, serve_one, listeners)
+        task_status.started(f"{host}:{bound_port}")
+
+
+async def _serve_connection(stream: trio.SocketStream, handler: Handler, faults: Faults) -> None:
+    state = h11.Connection(h11.SERVER)
+    while True:
+        request = await _read_request(stream, state)
+        if request is None:
+            return
+        await faults.wait_cleared(FaultKind.FREEZE)
+        exchange = Exchange(request, state, stream, faults)
+        await _handle_while_connected(exchange, handler, stream, state)
+        if state.our_state is not h11.DONE or state.their_state is not h11.DONE:
+            return
+        state.start_next_cycle()
+
+
+async def _handle_while_connected(
+    exchange: Exchange, handler: Handler, stream: trio.SocketStream, state: h11.Connection
+) -> None:
+    """Run the handler; a caller that closes the connection cancels it."""
+    failure: Exception | None = None
+
+    async def watch(scope: trio.CancelScope) -> None:
+        while True:
+            try:
+                data = await stream.receive_some(READ_SIZE)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+            if not data:
+                scope.cancel()
+                return
+            state.receive_data(data)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watch, nursery.cancel_scope)
+        try:
+            await handler(exchange)
+        except Exception as error:  # noqa: BLE001 - raised below, outside the nursery's group
+            failure = error
+        nursery.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+
+
+async def _read_request(stream: trio.SocketStream, state: h11.Connection) -> HttpRequest | None:
+    head: h11.Request | None = None
+    body = bytearray()
+    while True:
+        event = state.next_event()
+        if event is h11.NEED_DATA:
+            state.receive_data(await stream.receive_some(READ_SIZE))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            return _request_of(head, bytes(body))
+        else:
+            return None
+
+
+def _request_of(head: h11.Request, body: bytes) -> HttpRequest:
+    url = urlsplit(head.target.decode("latin-1"))
+    headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
+    return HttpRequest(head.method.decode(), url.path, parse_qs(url.query), headers, body)
