--- /dev/null
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/order_book.py
@@ -0,0 +1,422 @@
+"""The agent's side of orders at most once: claims keys on the log and says who may send.
+
+An order with a key is sent only after its own claim was read back as the winner, and only before
+its send deadline. Claims of one interval share a record (group commit). An append whose reply was
+lost is settled by reading; where it is repeated, it carries the same claims, never new ones.
+"""
+
+from __future__ import annotations
+
+import math
+import uuid
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import trio
+
+from ragwortwing_policy.clock import Instant
+from ragwortwing_policy.order_claims import (
+    DEFAULT_CLOCK_SKEW,
+    DEFAULT_KEY_LIMIT,
+    DEFAULT_WINDOW,
+    AlreadyClaimed,
+    AlreadySettled,
+    Claim,
+    ClaimBatch,
+    ClaimVerdict,
+    KeyReused,
+    OrderKey,
+    OrderLedger,
+    Settlement,
+    Won,
+    encode_batch,
+    settlement_of,
+)
+from ragwortwing_policy.outcomes import NotRun, NotRunReason, Outcome, Unknown, UnknownReason
+
+from .backoff import Backoff
+from .log_client import Appended, AppendUnknown, LogCause, LogPage, LogUnavailable, OffsetExpired
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from ragwortwing_policy.clock import Clock
+
+    from .log_client import Log
+
+ORDERS_STREAM = "orders"
+BATCH_LIMIT = 256
+"""Most claims in one record."""
+ABANDONED_LIMIT = 10_000
+"""Most given-up claims remembered in case they come to stand in the log late."""
+SETTLEMENT_LIMIT = 20_000
+"""Most outcomes that wait for the log; a key whose outcome is dropped stays unknown."""
+APPEND_PAUSE = timedelta(milliseconds=500)
+"""How long new claims are refused without an attempt after the log refused an append."""
+LOG_RETRY_AFTER = timedelta(seconds=2)
+"""When to come back while the log is down."""
+
+
+@dataclass(frozen=True, slots=True)
+class OrderBookSettings:
+    """Limits of an order book."""
+
+    window: timedelta = DEFAULT_WINDOW
+    clock_skew: timedelta = DEFAULT_CLOCK_SKEW
+    key_limit: int = DEFAULT_KEY_LIMIT
+    send_window: timedelta = timedelta(seconds=5)
+    """Longest time from the request to the write to the backend server."""
+    append_interval: timedelta = timedelta(milliseconds=10)
+    """Least time between two appends; with N agents, they share the log's rate by it."""
+    poll_wait: timedelta = timedelta(seconds=10)
+    """How long the log may hold a read while nothing is appended."""
+    stream: str = ORDERS_STREAM
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedOrder:
+    """An order with an idempotency key, as a caller submitted it."""
+
+    account: str
+    key: str
+    body_digest: bytes
+    order_time: float = 0.0
+    """When the caller says the order was made, in seconds since the epoch; 0 where it does not."""
+
+
+@dataclass(frozen=True, slots=True)
+class WonClaim:
+    """The right to send one order once, until a deadline."""
+
+    claim_id: str
+    order_key: OrderKey
+    send_deadline: Instant
+
+
+ClaimResult = WonClaim | AlreadySettled | NotRun | Unknown
+
+
+@dataclass(slots=True)
+class _Waiter:
+    """A submission that waits for its claim to be read back."""
+
+    claim: Claim
+    resolved: trio.Event = field(default_factory=trio.Event)
+    result: ClaimVerdict | NotRun | None = None
+
+    def resolve(self, result: ClaimVerdict | NotRun) -> None:
+        if self.result is None:
+            self.result = result
+            self.resolved.set()
+
+
+class OrderBook:
+    """Claims idempotency keys for one agent; `run` must be running."""
+
+    def __init__(
+        self,
+        log: Log,
+        clock: Clock,
+        random: Random,
+        agent_id: str,
+        settings: OrderBookSettings | None = None,
+    ) -> None:
+        """Create an order book.
+
+        Args:
+            log: The platform's log.
+            clock: The process's clock.
+            random: Source of jitter.
+            agent_id: Name and incarnation of the agent.
+            settings: Limits.
+        """
+        self._log = log
+        self._clock = clock
+        self._random = random
+        self._agent_id = agent_id
+        self._settings = settings or OrderBookSettings()
+        self._ledger = OrderLedger(
+            self._settings.window, self._settings.clock_skew, self._settings.key_limit
+        )
+        self._queue: deque[_Waiter] = deque()
+        self._settlements: deque[Settlement] = deque(maxlen=SETTLEMENT_LIMIT)
+        self._waiters_by_claim: dict[str, _Waiter] = {}
+        self._abandoned_by_claim: OrderedDict[str, OrderKey] = OrderedDict()
+        self._open_by_claim: dict[str, WonClaim] = {}
+        self._work = trio.Event()
+        self._page_read = trio.Event()
+        self._caught_up = False
+        self._next_append_at = -math.inf
+        self._reads_started = 0
+        self._reads_to_end = 0
+
+    @property
+    def available(self) -> bool:
+        """Return whether a new order could be claimed, as far as is known."""
+        return self._caught_up and self._clock.monotonic() >= self._next_append_at
+
+    @property
+    def ledger(self) -> OrderLedger:
+        """Return the keys as they are known here."""
+        return self._ledger
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Follow the stream and append claims until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._follow)
+            nursery.start_soon(self._commit)
+            task_status.started()
+
+    async def claim(self, order: KeyedOrder, deadline: Instant) -> ClaimResult:
+        """Claim an order's key.
+
+        Args:
+            order: The order.
+            deadline: When the caller no longer waits, on the monotonic clock.
+
+        Returns:
+            `WonClaim` if this submission, and no other, is to send the order. Else what to answer:
+            the recorded first outcome, `NotRun`, or `Unknown` where an earlier submission may have
+            been sent and its outcome is not recorded.
+        """
+        send_window = self._settings.send_window.total_seconds()
+        send_deadline = min(deadline, self._clock.monotonic() + send_window)
+        order_key = OrderKey(order.account, order.key)
+        while True:
+            claim = Claim(uuid.uuid4().hex, order_key, order.body_digest, order.order_time)
+            known = self._ledger.judge(claim)
+            verdict = known or await self._append_and_wait(claim, send_deadline)
+            match verdict:
+                case Won():
+                    won = WonClaim(claim.claim_id, order_key, send_deadline)
+                    self._open_by_claim[claim.claim_id] = won
+                    return won
+                case NotRun() | AlreadySettled():
+                    return verdict
+                case KeyReused():
+                    return NotRun(NotRunReason.KEY_REUSED)
+                case AlreadyClaimed():
+                    if not await self._wait_for_first(order_key, verdict.first_claim_id, deadline):
+                        return Unknown(UnknownReason.NO_RECORDED_OUTCOME)
+
+    def begin_send(self, won: WonClaim) -> NotRun | None:
+        """Say whether the order may be written now; called directly before the write, once.
+
+        Returns:
+            None if it may. From then on its outcome is never `NotRun`. Else the claim is released
+            and the order must not be written, now or later.
+        """
+        if self._open_by_claim.pop(won.claim_id, None) is None:
+            return NotRun(NotRunReason.WITHDRAWN)
+        # A holder that was paused (a stopped VM, a long collection) resumes here late: its caller
+        # has been told or given up. The monotonic clock went on meanwhile, so the check sees it.
+        # A pause after this check is harmless to the promise: no one else may send this order, and
+        # the entry says `Unknown` of an order whose body it has handed over.
+        if self._clock.monotonic() >= won.send_deadline:
+            self._queue_release(won.claim_id, won.order_key, NotRunReason.DEADLINE)
+            return NotRun(NotRunReason.DEADLINE, LOG_RETRY_AFTER)
+        return None
+
+    def release(self, won: WonClaim, reason: NotRunReason = NotRunReason.WITHDRAWN) -> bool:
+        """Give a won claim up before its order was sent, so that the key can be used again.
+
+        Returns:
+            Whether it was given up; False after `begin_send`, when it is too late.
+        """
+        if self._open_by_claim.pop(won.claim_id, None) is None:
+            return False
+        self._queue_release(won.claim_id, won.order_key, reason)
+        return True
+
+    def record(self, won: WonClaim, outcome: Outcome, status: int = 0, answer: bytes = b"") -> None:
+        """Record how a sent order ended; it is appended as soon as the log allows.
+
+        Args:
+            won: The claim under which the order was sent.
+            outcome: How it ended; `NotRun` only where the write certainly did not happen.
+            status: The backend server's status.
+            answer: The backend server's answer; kept where it is short.
+        """
+        self._queue_settlement(settlement_of(won.claim_id, won.order_key, outcome, status, answer))
+
+    async def _append_and_wait(
+        self, claim: Claim, send_deadline: Instant
+    ) -> ClaimVerdict | NotRun | None:
+        if not self.available:
+            return NotRun(NotRunReason.LOG_UNAVAILABLE, LOG_RETRY_AFTER)
+        refusal = self._ledger.admit(claim.order_time, self._clock.utc_now())
+        if refusal is not None:
+            return refusal
+        waiter = _Waiter(claim)
+        self._waiters_by_claim[claim.claim_id] = waiter
+        self._queue.append(waiter)
+        self._work.set()
+        try:
+            with trio.move_on_after(max(0.0, send_deadline - self._clock.monotonic())):
+                await waiter.resolved.wait()
+        except trio.Cancelled:
+            self._give_up(waiter)
+            raise
+        finally:
+            del self._waiters_by_claim[claim.claim_id]
+        if waiter.result is None:
+            self._give_up(waiter)
+        return waiter.result
+
+    async def _wait_for_first(
+        self, order_key: OrderKey, first_claim_id: str, deadline: Instant
+    ) -> bool:
+        """Wait until an earlier claim of the key is settled or released; return whether it was."""
+        with trio.move_on_after(max(0.0, deadline - self._clock.monotonic())):
+            while True:
+                record = self._ledger.get(order_key)
+                if record is None or record.claim_id != first_claim_id or record.recorded:
+                    return True
+                await self._page_read.wait()
+        return False
+
+    def _give_up(self, waiter: _Waiter) -> None:
+        """Make sure that a submission which no longer waits is never sent.
+
+        Its claim may stand in the log or come to stand there; it is released when it is read.
+        """
+        claim = waiter.claim
+        if isinstance(waiter.result, Won):
+            self._queue_release(claim.claim_id, claim.order_key, NotRunReason.WITHDRAWN)
+            return
+        waiter.resolve(NotRun(NotRunReason.DEADLINE, LOG_RETRY_AFTER))
+        self._abandoned_by_claim[claim.claim_id] = claim.order_key
+        if len(self._abandoned_by_claim) > ABANDONED_LIMIT:
+            self._abandoned_by_claim.popitem(last=False)
+
+    def _queue_release(self, claim_id: str, order_key: OrderKey, reason: NotRunReason) -> None:
+        self._queue_settlement(settlement_of(claim_id, order_key, NotRun(reason)))
+
+    def _queue_settlement(self, settlement: Settlement) -> None:
+        self._settlements.append(settlement)
+        self._work.set()
+
+    async def _follow(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Read the stream for ever and resolve own claims as they are read back."""
+        backoff = Backoff(self._random)
+        while await self._read(timedelta(0)) and not self._caught_up:
+            pass
+        task_status.started()
+        while True:
+            if await self._read(self._settings.poll_wait):
+                backoff.reset()
+            else:
+                await trio.sleep(backoff.next_wait().total_seconds())
+
+    async def _read(self, wait: timedelta) -> bool:
+        """Read one page; return whether the log gave it."""
+        self._reads_started += 1
+        started = self._reads_started
+        result = await self._log.read(self._settings.stream, self._ledger.position, wait=wait)
+        match result:
+            case LogUnavailable():
+                self._caught_up = False
+            case OffsetExpired(first_offset=first_offset):
+                self._ledger.forget_before(first_offset)
+            case LogPage(next_offset=next_offset):
+                self._take_page(result)
+                if self._ledger.position >= next_offset:
+                    self._caught_up = True
+                    self._reads_to_end = started
+        read, self._page_read = self._page_read, trio.Event()
+        read.set()
+        return not isinstance(result, LogUnavailable)
+
+    def _take_page(self, page: LogPage) -> None:
+        for record in page.records:
+            batch = self._ledger.apply(record.offset, record.payload)
+            if batch is not None and batch.holder == self._agent_id:
+                for claim in batch.claims:
+                    self._take_own_claim(claim)
+        self._ledger.forget_before(page.first_offset)
+
+    def _take_own_claim(self, claim: Claim) -> None:
+        verdict = self._ledger.judge(claim)
+        waiter = self._waiters_by_claim.get(claim.claim_id)
+        if waiter is not None and verdict is not None:
+            waiter.resolve(verdict)
+        elif claim.claim_id in self._abandoned_by_claim and isinstance(verdict, Won):
+            # The record took effect after its submission was answered `NotRun`: without the
+            # release, the key would answer `Unknown` until it runs out of the log.
+            self._queue_release(claim.claim_id, claim.order_key, NotRunReason.DEADLINE)
+
+    async def _commit(self) -> None:
+        """Append what is queued, one record at a time."""
+        backoff = Backoff(self._random)
+        while True:
+            await self._work.wait()
+            self._work = trio.Event()
+            while self._queue or self._settlements:
+                started = self._clock.monotonic()
+                if await self._append_batch():
+                    backoff.reset()
+                    interval = self._settings.append_interval.total_seconds()
+                    pause = started + interval - self._clock.monotonic()
+                    await trio.sleep(max(0.0, pause))
+                else:
+                    await trio.sleep(backoff.next_wait().total_seconds())
+
+    def _next_batch(self) -> tuple[list[_Waiter], list[Settlement]]:
+        waiters: list[_Waiter] = []
+        while self._queue and len(waiters) < BATCH_LIMIT:
+            waiter = self._queue.popleft()
+            if waiter.result is None:
+                waiters.append(waiter)
+        count = min(BATCH_LIMIT, len(self._settlements))
+        return waiters, [self._settlements.popleft() for _ in range(count)]
+
+    async def _append_batch(self) -> bool:
+        """Append one record of what is queued; return whether the log took it."""
+        waiters, settlements = self._next_batch()
+        if not waiters and not settlements:
+            return True
+        batch = ClaimBatch(
+            self._agent_id,
+            self._clock.utc_now().timestamp(),
+            tuple(each.claim for each in waiters),
+            tuple(settlements),
+        )
+        reads_before = self._reads_started
+        result = await self._log.append(self._settings.stream, encode_batch(batch))
+        match result:
+            case Appended():
+                return True
+            case AppendUnknown():
+                await self._settle_by_reading(reads_before)
+                self._requeue(waiters, settlements)
+                return False
+            case LogUnavailable(cause=LogCause.RATE):
+                self._requeue(waiters, settlements)
+                return False
+            case LogUnavailable():
+                # Claims are refused at once until then; the first one after it tries the log.
+                self._next_append_at = self._clock.monotonic() + APPEND_PAUSE.total_seconds()
+                self._settlements.extendleft(reversed(settlements))
+                self._refuse([*waiters, *self._queue])
+                self._queue.clear()
+                return False
+
+    async def _settle_by_reading(self, reads_before: int) -> None:
+        """Wait until a read that began after the lost append has come to the end of the stream."""
+        with trio.move_on_after(self._settings.send_window.total_seconds()):
+            while self._reads_to_end <= reads_before + 1 and self._caught_up:
+                await self._page_read.wait()
+
+    def _requeue(self, waiters: list[_Waiter], settlements: list[Settlement]) -> None:
+        """Queue again what was not read back, under the same claim ids."""
+        unresolved = [each for each in waiters if each.result is None]
+        self._queue.extendleft(reversed(unresolved))
+        self._settlements.extendleft(reversed(settlements))
+
+    def _refuse(self, waiters: list[_Waiter]) -> None:
+        for waiter in waiters:
+            waiter.resolve(NotRun(NotRunReason.LOG_UNAVAILABLE, LOG_RETRY_AFTER))
--- /dev/null
+++ b/packages/ragwortwing-platform/tests/test_log_client.py
@@ -0,0 +1,91 @@
+"""Contract of the log: each fault gives the one typed result that is true of it."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+import trio
+
+from ragwortwing_lab.standins.faults import Fault, FaultKind
+from ragwortwing_lab.standins.in_process import running_log
+from ragwortwing_platform._http import Timeouts
+from ragwortwing_platform.log_client import (
+    Appended,
+    AppendUnknown,
+    LogCause,
+    LogClient,
+    LogPage,
+    LogRecord,
+    LogUnavailable,
+    OffsetExpired,
+)
+
+SHORT = Timeouts(timedelta(seconds=2), timedelta(milliseconds=300))
+
+FAULT_CASES = [
+    pytest.param(Fault(FaultKind.OUTAGE), LogUnavailable(LogCause.OUTAGE), 0, id="outage"),
+    pytest.param(
+        Fault(FaultKind.RATE, per_second=0.0), LogUnavailable(LogCause.RATE), 0, id="rate"
+    ),
+    pytest.param(
+        Fault(FaultKind.LOSE_REPLY), AppendUnknown(LogCause.NO_ANSWER), 1, id="lost reply"
+    ),
+    pytest.param(
+        Fault(FaultKind.SILENT), AppendUnknown(LogCause.NO_ANSWER), 1, id="reply never comes"
+    ),
+]
+
+
+@pytest.mark.parametrize(("fault", "expected", "records"), FAULT_CASES)
+async def test_append_under_fault(fault: Fault, expected: object, records: int) -> None:
+    async with running_log() as (standin, address):
+        client = LogClient(address, SHORT)
+        if fault.kind is FaultKind.RATE:
+            while standin.log.admit():
+                pass
+        standin.faults.set(fault)
+        assert await client.append("s", b"a") == expected
+        assert standin.log.stream("s").next_offset == records
+        standin.faults.clear()
+        with trio.fail_after(5):
+            while isinstance(result := await client.append("s", b"b"), LogUnavailable):
+                assert result.cause is LogCause.RATE
+        assert result == Appended(records)
+        await client.aclose()
+
+
+async def test_append_to_nobody_took_no_effect() -> None:
+    async with running_log() as (_, address):
+        pass
+    assert await LogClient(address).append("s", b"a") == LogUnavailable(LogCause.UNREACHABLE)
+
+
+async def test_slow_append_is_unknown_and_takes_effect_later() -> None:
+    """A slow log answers after the client's timeout, and the record stands in the log after all.
+
+    Told as not appended, the caller would append again, and one claim would stand as two.
+    """
+    async with running_log() as (standin, address):
+        client = LogClient(address, SHORT)
+        standin.faults.set(Fault(FaultKind.SLOW, seconds=0.6))
+        assert await client.append("s", b"a") == AppendUnknown(LogCause.NO_ANSWER)
+        standin.faults.clear()
+        # The stand-in is told to go on whether the caller is there or not; the read waits for it.
+        await client.read("s", 0, wait=timedelta(seconds=5))
+        assert standin.log.stream("s").next_offset in (0, 1)
+        await client.aclose()
+
+
+async def test_read_pages_and_expired_offsets() -> None:
+    async with running_log() as (standin, address):
+        client = LogClient(address)
+        for payload in (b"a", b"b", b"c"):
+            standin.log.append("s", payload)
+        assert await client.read("s", 1, limit=1) == LogPage(0, 3, (LogRecord(1, b"b"),))
+        assert await client.read("s", 3) == LogPage(0, 3, ())
+        standin.log.stream("s").trim_before(2)
+        assert await client.read("s", 0) == OffsetExpired(2)
+        standin.faults.set(Fault(FaultKind.OUTAGE))
+        assert await client.read("s", 2) == LogUnavailable(LogCause.OUTAGE)
+        await client.aclose()
--- /dev/null
+++ b/packages/ragwortwing-platform/tests/test_order_book.py
@@ -0,0 +1,177 @@
+"""Orders are sent at most once, whatever the log and the holders do."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from datetime import timedelta
+from random import Random
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+
+from ragwortwing_lab.standins.faults import Fault, FaultKind
+from ragwortwing_lab.standins.in_process import running_log
+from ragwortwing_platform._http import Timeouts
+from ragwortwing_platform.log_client import LogClient
+from ragwortwing_platform.order_book import (
+    AlreadySettled,
+    KeyedOrder,
+    OrderBook,
+    OrderBookSettings,
+    WonClaim,
+)
+from ragwortwing_platform.system_clock import SystemClock
+from ragwortwing_policy.order_claims import RecordedAnswer
+from ragwortwing_policy.outcomes import Completed, NotRun, NotRunReason, Unknown, UnknownReason
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+ORDER = KeyedOrder("suva-cakes", "wedding-1", b"digest")
+SHORT = Timeouts(timedelta(seconds=2), timedelta(milliseconds=300))
+
+
+class PausableClock(SystemClock):
+    """A clock whose monotonic time can be moved on, as a stopped process sees it."""
+
+    def __init__(self) -> None:
+        self.pause = 0.0
+
+    def monotonic(self) -> float:
+        return super().monotonic() + self.pause
+
+
+def soon(seconds: float = 5.0) -> float:
+    return SystemClock().monotonic() + seconds
+
+
+@asynccontextmanager
+async def running_book(
+    address: str, agent: str = "desk-1", clock: SystemClock | None = None
+) -> AsyncIterator[OrderBook]:
+    client = LogClient(address, SHORT)
+    settings = OrderBookSettings(send_window=timedelta(seconds=4))
+    book = OrderBook(client, clock or SystemClock(), Random(1), agent, settings)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(book.run)
+        yield book
+        nursery.cancel_scope.cancel()
+    await client.aclose()
+
+
+async def until_settled(book: OrderBook) -> None:
+    with trio.fail_after(5):
+        while not isinstance(await book.claim(ORDER, soon(0.05)), AlreadySettled):
+            await trio.lowlevel.checkpoint()
+
+
+async def test_first_claim_wins_and_a_repeat_elsewhere_gets_the_first_outcome() -> None:
+    async with (
+        running_log() as (_, address),
+        running_book(address) as first,
+        running_book(address, "desk-2") as second,
+    ):
+        won = await first.claim(ORDER, soon())
+        assert isinstance(won, WonClaim)
+        assert first.begin_send(won) is None
+        first.record(won, Completed(), 201, b"cake 7")
+        repeat = await second.claim(ORDER, soon())
+        assert repeat == AlreadySettled(RecordedAnswer(Completed(), 201, b"cake 7"))
+        other_body = KeyedOrder(ORDER.account, ORDER.key, b"other")
+        assert await second.claim(other_body, soon()) == NotRun(NotRunReason.KEY_REUSED)
+        other_account = KeyedOrder("nadi-cakes", ORDER.key, b"digest")
+        assert isinstance(await second.claim(other_account, soon()), WonClaim)
+
+
+async def test_a_repeat_while_no_outcome_is_recorded_is_unknown() -> None:
+    """A holder sends the order and dies; the family's app repeats the key at another agent.
+
+    Nobody knows whether the cake is being baked, so the repeat must neither run nor be told that
+    the order did not run.
+    """
+    async with running_log() as (_, address), running_book(address, "desk-2") as second:
+        async with running_book(address) as first:
+            won = await first.claim(ORDER, soon())
+            assert isinstance(won, WonClaim)
+            assert first.begin_send(won) is None
+        repeat = await second.claim(ORDER, soon(0.3))
+        assert repeat == Unknown(UnknownReason.NO_RECORDED_OUTCOME)
+
+
+@pytest.mark.parametrize("kind", [FaultKind.LOSE_REPLY, FaultKind.SILENT])
+async def test_a_lost_append_reply_is_settled_by_reading(kind: FaultKind) -> None:
+    async with running_log() as (standin, address), running_book(address) as book:
+        standin.faults.set(Fault(kind))
+        assert isinstance(await book.claim(ORDER, soon()), WonClaim)
+        assert standin.counts["lost_replies"] == 1
+        assert len(book.ledger) == 1
+
+
+async def test_with_the_log_down_an_order_is_not_run_at_once() -> None:
+    async with running_log() as (standin, address), running_book(address) as book:
+        standin.faults.set(Fault(FaultKind.OUTAGE))
+        refused = await book.claim(ORDER, soon(60))
+        assert isinstance(refused, NotRun)
+        assert refused.reason is NotRunReason.LOG_UNAVAILABLE
+        assert refused.retry_after is not None
+        standin.faults.clear()
+        with trio.fail_after(10):
+            while not isinstance(await book.claim(ORDER, soon()), WonClaim):
+                await trio.lowlevel.checkpoint()
+
+
+async def test_a_holder_paused_past_its_deadline_sends_nothing_and_frees_the_key() -> None:
+    """The VM is stopped between winning the claim and the write, and goes on a minute later.
+
+    The caller has given up by then. The write would order a cake that nobody waits for; the check
+    on the monotonic clock stops it, and the release lets a repeat through another agent run.
+    """
+    clock = PausableClock()
+    async with (
+        running_log() as (_, address),
+        running_book(address, clock=clock) as paused,
+        running_book(address, "desk-2") as other,
+    ):
+        won = await paused.claim(ORDER, soon())
+        assert isinstance(won, WonClaim)
+        clock.pause = 60.0
+        refused = paused.begin_send(won)
+        assert refused is not None
+        assert refused.reason is NotRunReason.DEADLINE
+        assert isinstance(await other.claim(ORDER, soon()), WonClaim)
+        assert paused.begin_send(won) == NotRun(NotRunReason.WITHDRAWN)
+
+
+async def test_a_withdrawn_order_frees_its_key_only_before_it_is_sent() -> None:
+    async with running_log() as (_, address), running_book(address) as book:
+        won = await book.claim(ORDER, soon())
+        assert isinstance(won, WonClaim)
+        assert book.release(won)
+        again = await book.claim(ORDER, soon())
+        assert isinstance(again, WonClaim)
+        assert book.begin_send(again) is None
+        assert not book.release(again)
+        assert book.begin_send(again) == NotRun(NotRunReason.WITHDRAWN)
+
+
+async def test_a_restarted_agent_reads_the_first_outcome() -> None:
+    async with running_log() as (_, address):
+        async with running_book(address, "desk-1.a") as book:
+            won = await book.claim(ORDER, soon())
+            assert isinstance(won, WonClaim)
+            assert book.begin_send(won) is None
+            book.record(won, Completed(), 201)
+            await until_settled(book)
+        async with running_book(address, "desk-1.b") as book:
+            again = await book.claim(ORDER, soon())
+            assert again == AlreadySettled(RecordedAnswer(Completed(), 201))
+
+
+@pytest.mark.parametrize("hours", [-7, 1])
+async def test_a_key_whose_time_is_out_of_the_window_is_refused(hours: int) -> None:
+    at = (SystemClock().utc_now() + timedelta(hours=hours)).timestamp()
+    async with running_log() as (standin, address), running_book(address) as book:
+        order = KeyedOrder("suva-cakes", "k", b"d", at)
+        assert await book.claim(order, soon()) == NotRun(NotRunReason.KEY_OUT_OF_WINDOW)
+        assert standin.counts["appended"] == 0
--- /dev/null
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/configuration_checks.py
@@ -0,0 +1,178 @@
+"""What a configuration must satisfy beyond its form; each check is one registered function."""
+
+from __future__ import annotations
+
+import re
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from .configuration import HIGHEST_TIER, LOWEST_TIER
+
+if TYPE_CHECKING:
+    from .configuration import Configuration
+
+_NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"})
+_MODEL_PREFIX = "/v1"
+"""Path prefix of the model calls, which no service may take."""
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault of a document and where it stands."""
+
+    path: str
+    """Path of the key, its parts joined by dots."""
+    message: str
+    refers_to: tuple[str, ...] = ()
+    """Table and name of the entry that the faulty key refers to, where it refers to one."""
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.message}"
+
+
+Check = Callable[["Configuration"], Iterator[Fault]]
+
+_checks: list[Check] = []
+
+
+def _registered(function: Check) -> Check:
+    _checks.append(function)
+    return function
+
+
+def check(configuration: Configuration) -> tuple[Fault, ...]:
+    """Return every fault of a configuration."""
+    return tuple(fault for function in _checks for fault in function(configuration))
+
+
+@_registered
+def _check_names(configuration: Configuration) -> Iterator[Fault]:
+    tables = {
+        "classes": configuration.classes_by_name,
+        "accounts": configuration.accounts_by_name,
+        "models": configuration.models_by_name,
+        "services": configuration.services_by_name,
+        "presets": configuration.presets_by_name,
+    }
+    for table, entries in tables.items():
+        for name in entries:
+            if not _NAME.fullmatch(name):
+                yield Fault(f"{table}.{name}", "must be of lower-case letters, digits and ._-")
+
+
+@_registered
+def _check_classes(configuration: Configuration) -> Iterator[Fault]:
+    if not configuration.classes_by_name:
+        yield Fault("classes", "at least one request class is needed")
+    for name, each in configuration.classes_by_name.items():
+        path = f"classes.{name}"
+        yield from _check_tier(each.tier, path)
+        yield from _check_positive(each.weight, f"{path}.weight")
+        for key in ("first_token_target", "between_token_target", "deadline", "aging_bound"):
+            yield from _check_duration(getattr(each, key), f"{path}.{key}")
+        yield from _check_duration(each.queue_limit, f"{path}.queue_limit")
+        if each.deadline < each.first_token_target:
+            yield Fault(f"{path}.deadline", "is shorter than first_token_target")
+
+
+@_registered
+def _check_accounts(configuration: Configuration) -> Iterator[Fault]:
+    digests = Counter(d for a in configuration.accounts_by_name.values() for d in a.key_digests)
+    for name, each in configuration.accounts_by_name.items():
+        path = f"accounts.{name}"
+        if not each.classes:
+            yield Fault(f"{path}.classes", "at least one request class is needed")
+        for index, class_name in enumerate(each.classes):
+            yield from _check_class(configuration, class_name, f"{path}.classes[{index}]")
+        for index, digest in enumerate(each.key_digests):
+            if not _DIGEST.fullmatch(digest):
+                yield Fault(f"{path}.key_digests[{index}]", "is no SHA-256 digest in hexadecimal")
+            elif digests[digest] > 1:
+                yield Fault(f"{path}.key_digests[{index}]", "stands more than once")
+        yield from _check_positive(each.weight, f"{path}.weight")
+        if each.requests_per_second is not None:
+            yield from _check_positive(each.requests_per_second, f"{path}.requests_per_second")
+        yield from _check_positive(each.burst, f"{path}.burst")
+        if each.concurrency is not None:
+            yield from _check_positive(each.concurrency, f"{path}.concurrency")
+
+
+@_registered
+def _check_models(configuration: Configuration) -> Iterator[Fault]:
+    for name, each in configuration.models_by_name.items():
+        yield from _check_positive(each.context_tokens, f"models.{name}.context_tokens")
+        if not each.version:
+            yield Fault(f"models.{name}.version", "is empty")
+        if name in configuration.services_by_name:
+            yield Fault(f"services.{name}", "has the name of a model")
+
+
+@_registered
+def _check_services(configuration: Configuration) -> Iterator[Fault]:
+    prefixes = Counter(each.prefix for each in configuration.services_by_name.values())
+    for name, each in configuration.services_by_name.items():
+        path = f"services.{name}"
+        if not each.prefix.startswith("/") or each.prefix.endswith("/"):
+            yield Fault(f"{path}.prefix", "must start with '/' and not end with it")
+        if f"{each.prefix}/".startswith(f"{_MODEL_PREFIX}/"):
+            yield Fault(f"{path}.prefix", f"{_MODEL_PREFIX} belongs to the model calls")
+        if prefixes[each.prefix] > 1:
+            yield Fault(f"{path}.prefix", "is the prefix of another service too")
+        calls = Counter((route.method, route.path) for route in each.routes)
+        for index, route in enumerate(each.routes):
+            route_path = f"{path}.routes[{index}]"
+            if route.method not in _METHODS:
+                yield Fault(f"{route_path}.method", f"must be one of {', '.join(sorted(_METHODS))}")
+            if not route.path.startswith("/"):
+                yield Fault(f"{route_path}.path", "must start with '/'")
+            if calls[(route.method, route.path)] > 1:
+                yield Fault(f"{route_path}", "the same method and path stand more than once")
+            yield from _check_class(
+                configuration, route.request_class, f"{route_path}.request_class"
+            )
+
+
+@_registered
+def _check_presets(configuration: Configuration) -> Iterator[Fault]:
+    if not configuration.presets_by_name:
+        yield Fault("presets", "at least one preset is needed")
+    for name, each in configuration.presets_by_name.items():
+        path = f"presets.{name}"
+        yield from _check_positive(each.account_limit_factor, f"{path}.account_limit_factor")
+        for class_name, changed in each.overrides_by_class.items():
+            class_path = f"{path}.classes.{class_name}"
+            yield from _check_class(configuration, class_name, class_path)
+            if changed.tier is not None:
+                yield from _check_tier(changed.tier, class_path)
+            if changed.weight is not None:
+                yield from _check_positive(changed.weight, f"{class_path}.weight")
+            if changed.first_token_target is not None:
+                target_path = f"{class_path}.first_token_target"
+                yield from _check_duration(changed.first_token_target, target_path)
+            if changed.queue_limit is not None:
+                yield from _check_duration(changed.queue_limit, f"{class_path}.queue_limit")
+
+
+def _check_class(configuration: Configuration, name: str, path: str) -> Iterator[Fault]:
+    if name not in configuration.classes_by_name:
+        yield Fault(path, f"no request class is named {name!r}", ("classes", name))
+
+
+def _check_tier(tier: int, path: str) -> Iterator[Fault]:
+    if not HIGHEST_TIER <= tier <= LOWEST_TIER:
+        yield Fault(f"{path}.tier", f"must be from {HIGHEST_TIER} to {LOWEST_TIER}")
+
+
+def _check_positive(value: float, path: str) -> Iterator[Fault]:
+    if not 0 < value < float("inf"):
+        yield Fault(path, "must be more than 0 and finite")
+
+
+def _check_duration(value: timedelta, path: str) -> Iterator[Fault]:
+    if value <= timedelta(0):
+        yield Fault(path, "must be more than 0")
