Schedule by tier and fair share, with early refusal, preemption and aging

The scheduler was a thin FIFO queue without refusal. It now has strict tiers, start-time fair queueing between classes and accounts, learned answer lengths, predicted waits, early refusal with a jittered Retry-After, just-in-time preemption, aging, and a concurrency limit learned from between-token and first-token time. Public signatures are unchanged; the constructor takes an optional random.Random for the jitter.

Nothing is measured yet.

--- /dev/null
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/admission.py
@@ -0,0 +1,104 @@
+"""Early refusal: which reservations cannot start in time, and when to come back."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from .outcomes import NotRunReason
+from .reservations import Refuse
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from .clock import Instant
+    from .engine_state import EngineState
+    from .fair_queue import QueuedRequest
+
+SWEEP_SECONDS = 0.25
+"""Shortest time between two looks through the queue for requests that turned hopeless."""
+
+HOPELESS_FACTOR = 1.2
+"""A queued request is given up when its predicted wait passes the time left by this factor, so
+that the noise of the prediction does not undo an admission a moment later."""
+
+MINIMUM_RETRY_SECONDS = 1.0
+"""Least time after which a refused caller is asked to come back."""
+
+MAXIMUM_RETRY_SECONDS = 300.0
+"""Most time after which a refused caller is asked to come back."""
+
+RETRY_JITTER = 0.5
+"""Largest share added to the time, so that refused callers do not return together."""
+
+
+class Admission:
+    """Decides whether a reservation is queued, and which queued ones are given up."""
+
+    def __init__(self, state: EngineState, random: Random) -> None:
+        self._state = state
+        self._random = random
+        self._swept_at: Instant | None = None
+
+    def predicted_wait(self, request: QueuedRequest, now: Instant) -> float:
+        """Return the predicted wait of a reservation that just came."""
+        ahead = self._state.queue.count_ahead(
+            request.request_class, request.reservation.account, request.account_weight
+        )
+        return self._state.wait_in_tier(request.tier, ahead, now)
+
+    def refusal(self, request: QueuedRequest, now: Instant) -> Refuse | None:
+        """Return the refusal of a reservation that just came; None where it is queued.
+
+        One that has begun is not refused: its caller has part of the answer.
+        """
+        if request.begun:
+            return None
+        if request.reservation.deadline <= now:
+            return Refuse(request.request_id, NotRunReason.DEADLINE)
+        wait = self.predicted_wait(request, now)
+        if wait <= request.latest_start - now:
+            return None
+        return self._overloaded(request, wait)
+
+    def hopeless(self, now: Instant) -> list[Refuse]:
+        """Return the refusals of queued reservations that can no longer start in time."""
+        if self._swept_at is not None and now - self._swept_at < SWEEP_SECONDS:
+            return []
+        self._swept_at = now
+        refusals: list[Refuse] = []
+        for tier in self._state.queue.tiers:
+            refusals += self._hopeless_in_tier(tier, now)
+        return refusals
+
+    def _hopeless_in_tier(self, tier: int, now: Instant) -> list[Refuse]:
+        state = self._state
+        load = state.waits.tier_load(tier, now)
+        above = state.queue.count_above(tier)
+        refusals: list[Refuse] = []
+        for position, requests in state.queue.flows(tier):
+            place = 0
+            for request in requests:
+                ahead = above + position.ahead_in_tier(place)
+                wait = state.waits.wait(load, ahead, state.limit.value)
+                refusal = self._given_up(request, wait, now)
+                if refusal is None:
+                    place += 1
+                else:
+                    refusals.append(refusal)
+        return refusals
+
+    def _given_up(self, request: QueuedRequest, wait: float, now: Instant) -> Refuse | None:
+        if request.reservation.deadline <= now:
+            return Refuse(request.request_id, NotRunReason.DEADLINE)
+        left = request.latest_start - now
+        if wait <= 0.0 or wait <= left * HOPELESS_FACTOR:
+            return None
+        return self._overloaded(request, wait)
+
+    def _overloaded(self, request: QueuedRequest, wait: float) -> Refuse:
+        limit = request.request_class.queue_limit.total_seconds()
+        seconds = max(MINIMUM_RETRY_SECONDS, wait - limit)
+        seconds *= 1.0 + RETRY_JITTER * self._random.random()
+        retry_after = timedelta(seconds=min(MAXIMUM_RETRY_SECONDS, seconds))
+        return Refuse(request.request_id, NotRunReason.OVERLOADED, retry_after)
--- /dev/null
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/engine_state.py
@@ -0,0 +1,80 @@
+"""What the decisions about one backend server share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .concurrency_limit import ConcurrencyLimit
+from .engine_pace import EnginePace
+from .fair_queue import FairQueue, QueuedRequest
+from .running_requests import RunningRequests
+from .wait_model import WaitModel
+from .work_estimate import WorkEstimates
+
+if TYPE_CHECKING:
+    from .clock import Instant
+    from .configuration import Configuration
+    from .reservations import Reservation
+
+STALL_SECONDS = 1.0
+"""Silence of all streams after which the backend server counts as stalled."""
+
+STALL_STREAMS = 2
+"""Streams that must be silent together; one alone may be silent for a reason of its own."""
+
+
+class EngineState:
+    """Queue, slots, limit and what was learned of one backend server."""
+
+    def __init__(self, configuration: Configuration, initial_limit: int, maximum: int) -> None:
+        self.configuration = configuration
+        self.queue = FairQueue()
+        self.slots = RunningRequests()
+        self.limit = ConcurrencyLimit(initial_limit, maximum)
+        self.estimates = WorkEstimates()
+        self.pace = EnginePace()
+        self.waits = WaitModel(self.queue, self.slots, self.estimates, self.pace)
+
+    def admits(self, name: str) -> bool:
+        """Return whether a request class is known and served by the preset in force."""
+        configuration = self.configuration
+        return name in configuration.classes_by_name and configuration.admits(name)
+
+    def queued_request(self, reservation: Reservation, now: Instant) -> QueuedRequest:
+        """Return a reservation as it is queued under the preset in force."""
+        account = self.configuration.accounts_by_name.get(reservation.account)
+        return QueuedRequest(
+            reservation=reservation,
+            request_class=self.configuration.class_in_force(reservation.request_class),
+            account_weight=1.0 if account is None else account.weight,
+            enqueued_at=now,
+            work=self.estimates.expected_remaining(
+                reservation.request_class,
+                reservation.account,
+                reservation.resumed_tokens,
+                reservation.expected_tokens,
+            ),
+            begun=reservation.resumed_tokens > 0,
+        )
+
+    def wait_in_tier(self, tier: int, ahead: float, now: Instant) -> float:
+        """Return the predicted wait of a request of a tier with so many ahead of it."""
+        return self.waits.wait(self.waits.tier_load(tier, now), ahead, self.limit.value)
+
+    def slack(self, request: QueuedRequest, now: Instant) -> float:
+        """Return the seconds in which a request must get its slot to meet its target."""
+        start = self.pace.first_token(request.request_class.name)
+        target = request.request_class.first_token_target.total_seconds()
+        return request.enqueued_at + target - start - now
+
+    def silence(self, now: Instant) -> float:
+        """Return how long all streams have been silent; 0 where that says nothing."""
+        running = self.slots.running_by_id.values()
+        last = [each.last_token_at for each in running if each.tokens]
+        if len(last) < STALL_STREAMS:
+            return 0.0
+        return now - max(last)
+
+    def is_stalled(self, now: Instant) -> bool:
+        """Return whether the backend server gives no stream anything."""
+        return self.silence(now) > STALL_SECONDS
--- /dev/null
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/fair_queue.py
@@ -0,0 +1,329 @@
+"""The queue of one backend server: strict tiers, weighted fair sharing inside a tier.
+
+Sharing is start-time fair queueing on expected work, first between the classes of a tier, then
+between the accounts of a class. Requests leave a flow in order of arrival. Adding, removing and
+taking cost O(log n) in the number of flows that have requests.
+"""
+
+from __future__ import annotations
+
+from bisect import insort
+from collections import OrderedDict
+from dataclasses import dataclass
+from heapq import heappop, heappush
+from typing import TYPE_CHECKING
+
+from .clock import Instant
+from .configuration import RequestClass
+from .reservations import Reservation
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+MINIMUM_WEIGHT = 1e-3
+"""Weight below which a flow is not allowed to fall, so that no share is zero."""
+
+MAXIMUM_IDLE_TAGS = 4_096
+"""Finish tags kept of flows that have nothing queued, before those in the past are dropped."""
+
+
+@dataclass(slots=True, eq=False)
+class QueuedRequest:
+    """A reservation that waits for a slot."""
+
+    reservation: Reservation
+    request_class: RequestClass
+    account_weight: float
+    enqueued_at: Instant
+    work: float
+    """Expected tokens still to generate."""
+    begun: bool = False
+    """Whether part of the answer was generated, so that it must end and is not refused."""
+    protected: bool = False
+    """Whether its next run may not be preempted before it made real progress."""
+
+    @property
+    def request_id(self) -> str:
+        """Id of the request."""
+        return self.reservation.request_id
+
+    @property
+    def tier(self) -> int:
+        """Tier in force when it was queued."""
+        return self.request_class.tier
+
+    @property
+    def latest_start(self) -> Instant:
+        """When its class's queue limit, or its deadline, is used up."""
+        limit = self.enqueued_at + self.request_class.queue_limit.total_seconds()
+        return min(limit, self.reservation.deadline)
+
+
+class _FairShare:
+    """Start-time fair queueing between named members."""
+
+    def __init__(self) -> None:
+        self._virtual_time = 0.0
+        self._heap: list[tuple[float, str]] = []
+        self._start_by_name: dict[str, float] = {}
+        self._finish_by_name: dict[str, float] = {}
+        self._weight_by_active_name: dict[str, float] = {}
+        self._active_weight = 0.0
+
+    def activate(self, name: str, weight: float) -> None:
+        """Let a member that has requests take part."""
+        if name in self._weight_by_active_name:
+            return
+        weight = max(weight, MINIMUM_WEIGHT)
+        self._weight_by_active_name[name] = weight
+        self._active_weight += weight
+        self._push(name, max(self._virtual_time, self._finish_by_name.get(name, 0.0)))
+
+    def deactivate(self, name: str) -> None:
+        """Take a member out that has nothing left; its place in the heap is dropped when met."""
+        self._active_weight -= self._weight_by_active_name.pop(name)
+        if not self._weight_by_active_name:
+            self._heap.clear()
+            self._start_by_name.clear()
+            self._active_weight = 0.0
+        if len(self._finish_by_name) > MAXIMUM_IDLE_TAGS:
+            self._forget_past_tags()
+
+    def first(self) -> str:
+        """Return the member whose turn it is; ties go by name."""
+        while self._is_stale(*self._heap[0]):
+            start, name = heappop(self._heap)
+            if self._start_by_name.get(name) == start:
+                del self._start_by_name[name]
+        return self._heap[0][1]
+
+    def charge(self, name: str, work: float) -> None:
+        """Account work that an active member was given."""
+        start = self._start_by_name.get(name, self._virtual_time)
+        self._virtual_time = max(self._virtual_time, min(start, self._heap[0][0]))
+        self._finish_by_name[name] = start + work / self._weight_by_active_name[name]
+        self._push(name, self._finish_by_name[name])
+
+    def share_ratio(self, name: str, weight: float) -> float:
+        """Return the weight of all members, this one included, over the member's own."""
+        own = max(weight, MINIMUM_WEIGHT)
+        others = self._active_weight - self._weight_by_active_name.get(name, 0.0)
+        return (others + own) / own
+
+    def _push(self, name: str, start: float) -> None:
+        if self._start_by_name.get(name) == start:
+            return
+        self._start_by_name[name] = start
+        heappush(self._heap, (start, name))
+
+    def _is_stale(self, start: float, name: str) -> bool:
+        return name not in self._weight_by_active_name or self._start_by_name.get(name) != start
+
+    def _forget_past_tags(self) -> None:
+        for name, tag in list(self._finish_by_name.items()):
+            if tag <= self._virtual_time and name not in self._weight_by_active_name:
+                del self._finish_by_name[name]
+
+
+class _ClassQueue:
+    """Requests of one class: begun ones first, then the accounts in fair turns."""
+
+    def __init__(self) -> None:
+        self.share = _FairShare()
+        self.begun_by_id: OrderedDict[str, QueuedRequest] = OrderedDict()
+        self.flow_by_account: dict[str, OrderedDict[str, QueuedRequest]] = {}
+        self.count = 0
+
+    def add(self, request: QueuedRequest) -> None:
+        """Queue a request."""
+        self.count += 1
+        if request.begun:
+            self.begun_by_id[request.request_id] = request
+            return
+        account = request.reservation.account
+        flow = self.flow_by_account.setdefault(account, OrderedDict())
+        flow[request.request_id] = request
+        self.share.activate(account, request.account_weight)
+
+    def remove(self, request: QueuedRequest) -> None:
+        """Take a request out without accounting its work."""
+        self.count -= 1
+        if self.begun_by_id.pop(request.request_id, None) is not None:
+            return
+        account = request.reservation.account
+        flow = self.flow_by_account[account]
+        del flow[request.request_id]
+        if not flow:
+            del self.flow_by_account[account]
+            self.share.deactivate(account)
+
+    def first(self) -> QueuedRequest:
+        """Return the request whose turn it is."""
+        if self.begun_by_id:
+            return next(iter(self.begun_by_id.values()))
+        return next(iter(self.flow_by_account[self.share.first()].values()))
+
+
+class _TierQueue:
+    """Classes of one tier in fair turns."""
+
+    def __init__(self) -> None:
+        self.share = _FairShare()
+        self.queue_by_class: dict[str, _ClassQueue] = {}
+        self.count = 0
+        self.work = 0.0
+
+    def add(self, request: QueuedRequest) -> None:
+        """Queue a request."""
+        name = request.request_class.name
+        self.queue_by_class.setdefault(name, _ClassQueue()).add(request)
+        self.share.activate(name, request.request_class.weight)
+        self.count += 1
+        self.work += request.work
+
+    def remove(self, request: QueuedRequest) -> None:
+        """Take a request out without accounting its work."""
+        name = request.request_class.name
+        queue = self.queue_by_class[name]
+        queue.remove(request)
+        self.count -= 1
+        self.work = self.work - request.work if self.count else 0.0
+        if not queue.count:
+            self.share.deactivate(name)
+
+    def take(self, request: QueuedRequest) -> None:
+        """Take a request out for a slot and account its work to its class and account."""
+        queue = self.queue_by_class[request.request_class.name]
+        if not request.begun:
+            queue.share.charge(request.reservation.account, request.work + 1.0)
+        self.share.charge(request.request_class.name, request.work + 1.0)
+        self.remove(request)
+
+    def first(self) -> QueuedRequest:
+        """Return the request whose turn it is."""
+        return self.queue_by_class[self.share.first()].first()
+
+
+class FairQueue:
+    """Requests that wait for a slot, in strict tiers and fair shares."""
+
+    def __init__(self) -> None:
+        self._by_id: dict[str, QueuedRequest] = {}
+        self._queue_by_tier: dict[int, _TierQueue] = {}
+        self._tiers: list[int] = []
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def __contains__(self, request_id: object) -> bool:
+        return request_id in self._by_id
+
+    def __iter__(self) -> Iterator[QueuedRequest]:
+        return iter(self._by_id.values())
+
+    def holds(self, request: QueuedRequest) -> bool:
+        """Return whether this very queueing of a request still waits."""
+        return self._by_id.get(request.request_id) is request
+
+    def classes(self, tier: int) -> list[RequestClass]:
+        """Return the classes of a tier that have queued requests."""
+        queues = self._queue_by_tier[tier].queue_by_class.values()
+        return [each.first().request_class for each in queues if each.count]
+
+    def add(self, request: QueuedRequest) -> None:
+        """Queue a request; one that has begun goes ahead of its class."""
+        self._by_id[request.request_id] = request
+        if request.tier not in self._queue_by_tier:
+            self._queue_by_tier[request.tier] = _TierQueue()
+            insort(self._tiers, request.tier)
+        self._queue_by_tier[request.tier].add(request)
+
+    def remove(self, request_id: str) -> QueuedRequest | None:
+        """Take a request out that will not get a slot from here."""
+        request = self._by_id.pop(request_id, None)
+        if request is not None:
+            self._queue_by_tier[request.tier].remove(request)
+        return request
+
+    def first(self) -> QueuedRequest | None:
+        """Return the request whose turn it is."""
+        for tier in self._tiers:
+            queue = self._queue_by_tier[tier]
+            if queue.count:
+                return queue.first()
+        return None
+
+    def take(self, request: QueuedRequest) -> None:
+        """Take a request out for a slot; its work counts against its class and account."""
+        del self._by_id[request.request_id]
+        self._queue_by_tier[request.tier].take(request)
+
+    def count_through(self, tier: int) -> int:
+        """Return how many requests of this tier and more urgent ones wait."""
+        return sum(self._queue_by_tier[each].count for each in self._tiers if each <= tier)
+
+    def count_above(self, tier: int) -> int:
+        """Return how many requests more urgent than a tier wait."""
+        return self.count_through(tier - 1)
+
+    def work_through(self, tier: int) -> float:
+        """Return the expected tokens of the requests of this tier and more urgent ones."""
+        return sum(self._queue_by_tier[each].work for each in self._tiers if each <= tier)
+
+    def count_ahead(self, request_class: RequestClass, account: str, weight: float) -> float:
+        """Return about how many requests are served before a new one of an account.
+
+        A flow gets its share whatever others have queued, so an account that floods its class
+        lengthens its own wait rather than that of the others.
+        """
+        urgent = self.count_above(request_class.tier)
+        tier_queue = self._queue_by_tier.get(request_class.tier)
+        if tier_queue is None or not tier_queue.count:
+            return urgent
+        queue = tier_queue.queue_by_class.get(request_class.name)
+        in_class = 0.0 if queue is None else _ahead_in_class(queue, account, weight)
+        class_ratio = tier_queue.share.share_ratio(request_class.name, request_class.weight)
+        return urgent + min(tier_queue.count, (in_class + 0.5) * class_ratio)
+
+    def flows(self, tier: int) -> Iterator[tuple[_FlowPosition, list[QueuedRequest]]]:
+        """Yield the flows of a tier with what their place in the tier follows from."""
+        queue = self._queue_by_tier[tier]
+        for name, class_queue in queue.queue_by_class.items():
+            for account, flow in list(class_queue.flow_by_account.items()):
+                first = next(iter(flow.values()))
+                position = _FlowPosition(
+                    begun=len(class_queue.begun_by_id),
+                    class_count=class_queue.count,
+                    tier_count=queue.count,
+                    account_ratio=class_queue.share.share_ratio(account, first.account_weight),
+                    class_ratio=queue.share.share_ratio(name, first.request_class.weight),
+                )
+                yield position, list(flow.values())
+
+    @property
+    def tiers(self) -> tuple[int, ...]:
+        """Tiers with queued requests, the most urgent first."""
+        return tuple(each for each in self._tiers if self._queue_by_tier[each].count)
+
+
+@dataclass(frozen=True, slots=True)
+class _FlowPosition:
+    """Counts and shares that turn a place in a flow into a place in its tier."""
+
+    begun: int
+    class_count: int
+    tier_count: int
+    account_ratio: float
+    class_ratio: float
+
+    def ahead_in_tier(self, place: int) -> float:
+        """Return about how many requests of the tier are served before a place in the flow."""
+        in_class = self.begun + min(self.class_count, (place + 0.5) * self.account_ratio - 0.5)
+        return min(self.tier_count, (in_class + 0.5) * self.class_ratio - 0.5)
+
+
+def _ahead_in_class(queue: _ClassQueue, account: str, weight: float) -> float:
+    flow = queue.flow_by_account.get(account)
+    place = 0 if flow is None else len(flow)
+    ratio = queue.share.share_ratio(account, weight)
+    return min(queue.count, len(queue.begun_by_id) + (place + 0.5) * ratio)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/scheduler.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/scheduler.py
@@ -2,17 +2,24 @@
 
 from __future__ import annotations
 
-from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
+from random import Random
 from typing import TYPE_CHECKING
 
+from .admission import Admission
+from .aging import Aging
+from .engine_state import EngineState
 from .outcomes import NotRunReason
-from .reservations import Grant, LoadReport, Refuse, Reservation, SchedulerDecision
+from .preemption import Preemption
+from .reservations import Grant, LoadReport, Refuse, Requeued
+from .running_requests import HeldSlot, RunningRequest
 
 if TYPE_CHECKING:
     from .clock import Instant
     from .configuration import Configuration
+    from .fair_queue import QueuedRequest
+    from .reservations import Reservation, SchedulerDecision
 
 GRANT_LIFETIME = timedelta(seconds=1)
 """How long a slot is held for a body that does not come."""
@@ -31,88 +38,235 @@
     """Queue, slots and limit of one backend server; it does no input or output.
 
     Every method takes the present instant and returns the decisions that follow from the event.
+    The same events at the same instants give the same decisions. `tick` is wanted about ten times
+    a second.
     """
 
-    def __init__(self, settings: SchedulerSettings, configuration: Configuration) -> None:
-        self._settings = settings
-        self._configuration = configuration
-        self._queue: deque[Reservation] = deque()
-        self._granted_by_id: dict[str, Instant] = {}
-        self._running_by_id: dict[str, Reservation] = {}
+    def __init__(
+        self,
+        settings: SchedulerSettings,
+        configuration: Configuration,
+        random: Random | None = None,
+    ) -> None:
+        self._state = EngineState(configuration, settings.initial_limit, settings.maximum_limit)
+        self._queue = self._state.queue
+        self._slots = self._state.slots
+        self._admission = Admission(self._state, random or Random(0))
+        self._preemption = Preemption(self._state)
+        self._aging = Aging(self._state, self._preemption)
         self._draining = False
 
     def configure(self, configuration: Configuration, now: Instant) -> list[SchedulerDecision]:
-        """Take a newer configuration into force."""
-        self._configuration = configuration
-        return self._grant_free_slots(now)
+        """Take a newer configuration into force; the queue is sorted anew by it."""
+        self._state.configuration = configuration
+        decisions: list[SchedulerDecision] = []
+        for request in list(self._queue):
+            self._dequeue(request.request_id)
+            if self._state.admits(request.reservation.request_class):
+                self._enqueue(self._reclassified(request), now)
+            elif request.begun:
+                self._enqueue(request, now)
+            else:
+                decisions.append(_shed(request.reservation))
+        self._reclassify_running()
+        return decisions + self._dispatch(now)
 
     def offer(self, reservation: Reservation, now: Instant) -> list[SchedulerDecision]:
         """Queue a reservation, or refuse it at once."""
+        if reservation.request_id in self._queue or reservation.request_id in self._slots:
+            return []
         if self._draining:
             return [Refuse(reservation.request_id, NotRunReason.DRAINING)]
-        self._queue.append(reservation)
-        return self._grant_free_slots(now)
+        if not self._state.admits(reservation.request_class):
+            return [_shed(reservation)]
+        request = self._state.queued_request(reservation, now)
+        refusal = self._admission.refusal(request, now)
+        if refusal is not None:
+            return [*self._make_way(refusal, request.tier, now), refusal]
+        self._enqueue(request, now)
+        return self._dispatch(now)
 
     def withdraw(self, request_id: str, now: Instant) -> list[SchedulerDecision]:
         """Forget a reservation that is queued or granted; a running one is left to `finished`."""
-        self._queue = deque(each for each in self._queue if each.request_id != request_id)
-        self._granted_by_id.pop(request_id, None)
-        return self._grant_free_slots(now)
+        if self._dequeue(request_id) is not None:
+            self._state.waits.left_queue(with_slot=False)
+        if self._slots.held_by_id.pop(request_id, None) is not None:
+            self._state.waits.forget_running()
+        return self._dispatch(now)
 
     def started(self, reservation: Reservation, now: Instant) -> bool:
         """Turn a grant into a running request; False where the grant had expired."""
-        if self._granted_by_id.pop(reservation.request_id, None) is None:
+        slot = self._slots.held_by_id.pop(reservation.request_id, None)
+        if slot is None:
             return False
-        self._running_by_id[reservation.request_id] = reservation
+        self._slots.running_by_id[reservation.request_id] = RunningRequest(
+            reservation=reservation,
+            request_class=slot.request.request_class,
+            started_at=now,
+            last_token_at=now,
+            protected=slot.request.protected,
+        )
+        self._state.waits.forget_running()
         return True
 
     def progressed(self, request_id: str, tokens: int, now: Instant) -> None:
         """Record tokens that the engine gave to a running request."""
+        running = self._slots.running_by_id.get(request_id)
+        if running is None or tokens < 1:
+            return
+        elapsed = now - running.last_token_at
+        if running.tokens:
+            self._state.pace.observe_between_tokens(elapsed / tokens)
+            self._state.limit.observe_between_tokens(elapsed / tokens)
+        else:
+            self._state.pace.observe_first_token(running.request_class.name, elapsed)
+            self._state.limit.observe_first_token(elapsed)
+        running.tokens += tokens
+        running.last_token_at = now
 
     def preempted(self, request_id: str, now: Instant) -> list[SchedulerDecision]:
         """Record that the engine has let go of a preempted request, which is queued again."""
-        reservation = self._running_by_id.pop(request_id)
-        self._queue.appendleft(reservation)
-        return self._grant_free_slots(now)
+        running = self._slots.running_by_id.pop(request_id, None)
+        if running is None:
+            return []
+        self._state.waits.forget_running()
+        resumed = replace(running.reservation, resumed_tokens=running.age)
+        request = self._state.queued_request(resumed, now)
+        request.begun = True
+        request.protected = True
+        self._enqueue(request, now)
+        return [Requeued(request_id), *self._dispatch(now)]
 
     def finished(self, request_id: str, now: Instant) -> list[SchedulerDecision]:
         """Free the slot of a request that ended in any way."""
-        self._running_by_id.pop(request_id, None)
-        return self._grant_free_slots(now)
+        running = self._slots.running_by_id.pop(request_id, None)
+        if running is not None:
+            self._learn(running, now)
+        self._slots.held_by_id.pop(request_id, None)
+        self._dequeue(request_id)
+        self._state.waits.forget_running()
+        return self._dispatch(now)
 
     def tick(self, now: Instant) -> list[SchedulerDecision]:
         """Expire grants, refuse what can no longer meet its deadline, adapt the limit."""
-        expired = [each for each, until in self._granted_by_id.items() if until <= now]
-        for request_id in expired:
-            del self._granted_by_id[request_id]
-        return self._grant_free_slots(now)
+        for slot in self._slots.expire(now):
+            self._expired(slot, now)
+        self._state.waits.observe_occupancy(self._state.limit.value, now)
+        self._state.limit.adapt(self._slots.strictest_targets(), len(self._slots), now)
+        decisions = self._refuse_hopeless(now)
+        decisions += self._dispatch(now)
+        return decisions + list(self._preemption.above_limit(now))
 
     def drain(self, now: Instant) -> list[SchedulerDecision]:
-        """Hand back everything queued and take nothing new; what runs goes on."""
+        """Hand back everything queued and take nothing new; what has begun goes on."""
         self._draining = True
-        refused = [Refuse(each.request_id, NotRunReason.DRAINING) for each in self._queue]
-        self._queue.clear()
-        return list(refused)
+        waiting = [each.request_id for each in self._queue if not each.begun]
+        for request_id in waiting:
+            self._dequeue(request_id)
+        return [Refuse(each, NotRunReason.DRAINING) for each in waiting]
 
     def load(self, now: Instant) -> LoadReport:
         """Return the agent's own counts."""
+        configuration = self._state.configuration
+        classes = [configuration.class_in_force(each) for each in configuration.classes_by_name]
+        tier = min((each.tier for each in classes), default=0)
+        wait = self._state.wait_in_tier(tier, self._queue.count_through(tier), now)
+        if self._state.is_stalled(now):
+            wait = max(wait, self._state.silence(now))
         return LoadReport(
-            running=len(self._running_by_id),
+            running=len(self._slots),
             queued=len(self._queue),
-            limit=self._settings.initial_limit,
-            predicted_wait=timedelta(0),
+            limit=self._state.limit.value,
+            predicted_wait=timedelta(seconds=wait),
             draining=self._draining,
         )
 
-    def _grant_free_slots(self, now: Instant) -> list[SchedulerDecision]:
+    def _dispatch(self, now: Instant) -> list[SchedulerDecision]:
         decisions: list[SchedulerDecision] = []
+        while len(self._slots) < self._state.limit.value and not self._state.is_stalled(now):
+            request = self._next(now)
+            if request is None:
+                break
+            decisions.append(self._grant(request, now))
+        self._state.limit.observe_used(len(self._slots))
+        decisions += self._preemption.due(now)
+        return decisions
+
+    def _next(self, now: Instant) -> QueuedRequest | None:
+        first = self._queue.first()
+        if first is None:
+            return None
+        aged = self._aging.next(first, now)
+        if aged is None:
+            return first
+        aged.protected = True
+        return aged
+
+    def _grant(self, request: QueuedRequest, now: Instant) -> Grant:
+        self._queue.take(request)
+        self._left(request)
         expires_at = now + GRANT_LIFETIME.total_seconds()
-        while self._queue and self._used_slots < self._settings.initial_limit:
-            reservation = self._queue.popleft()
-            self._granted_by_id[reservation.request_id] = expires_at
-            decisions.append(Grant(reservation.request_id, expires_at))
+        self._slots.held_by_id[request.request_id] = HeldSlot(request, expires_at)
+        self._state.waits.left_queue(with_slot=True)
+        self._state.waits.forget_running()
+        return Grant(request.request_id, expires_at)
+
+    def _enqueue(self, request: QueuedRequest, now: Instant) -> None:
+        self._queue.add(request)
+        self._preemption.queued(request, now)
+        self._aging.queued(request)
+
+    def _dequeue(self, request_id: str) -> QueuedRequest | None:
+        request = self._queue.remove(request_id)
+        if request is not None:
+            self._left(request)
+        return request
+
+    def _left(self, request: QueuedRequest) -> None:
+        self._preemption.left(request)
+        self._aging.left(request)
+
+    def _expired(self, slot: HeldSlot, now: Instant) -> None:
+        self._state.waits.forget_running()
+        if slot.request.begun:
+            self._enqueue(slot.request, now)
+
+    def _refuse_hopeless(self, now: Instant) -> list[SchedulerDecision]:
+        decisions: list[SchedulerDecision] = []
+        for refusal in self._admission.hopeless(now):
+            request = self._dequeue(refusal.request_id)
+            if request is not None:
+                decisions += self._make_way(refusal, request.tier, now)
+            decisions.append(refusal)
         return decisions
 
-    @property
-    def _used_slots(self) -> int:
-        return len(self._running_by_id) + len(self._granted_by_id)
+    def _make_way(self, refusal: Refuse, tier: int, now: Instant) -> list[SchedulerDecision]:
+        if refusal.reason is not NotRunReason.OVERLOADED:
+            return []
+        self._aging.refused(tier, now)
+        return list(self._preemption.for_refusal(tier, now))
+
+    def _learn(self, running: RunningRequest, now: Instant) -> None:
+        name = running.request_class.name
+        if running.tokens:
+            self._state.estimates.observe(name, running.reservation.account, running.age)
+            return
+        elapsed = now - running.started_at
+        self._state.pace.observe_first_token(name, elapsed)
+        self._state.limit.observe_first_token(elapsed)
+
+    def _reclassified(self, request: QueuedRequest) -> QueuedRequest:
+        name = request.reservation.request_class
+        return replace(request, request_class=self._state.configuration.class_in_force(name))
+
+    def _reclassify_running(self) -> None:
+        configuration = self._state.configuration
+        for running in self._slots.running_by_id.values():
+            name = running.reservation.request_class
+            if name in configuration.classes_by_name:
+                running.request_class = configuration.class_in_force(name)
+        self._state.waits.forget_running()
+
+
+def _shed(reservation: Reservation) -> Refuse:
+    return Refuse(reservation.request_id, NotRunReason.SHED_BY_PRESET)
