Limit accounts by rate and concurrency with a part for each entry

Each entry enforces its own part; the parts are equal until reports of what agents see of an account arrive, then each is the entry's own use and an equal part of the unused rest, so that they add up to the limit.

--- /dev/null
+++ b/packages/ragwortwing-policy/tests/test_account_limits.py
@@ -0,0 +1,126 @@
+from __future__ import annotations
+
+from dataclasses import replace
+from datetime import timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ragwortwing_policy.account_limits import AccountLimiter, AccountUsage
+from ragwortwing_policy.configuration import ClientAccount, Configuration, Preset
+from ragwortwing_policy.outcomes import NotRunReason
+
+REPORT_INTERVAL = 1.0
+STEPS_PER_REPORT = 10
+
+
+def configuration(rate: float | None = None, burst: int = 20, concurrency: int | None = None):
+    account = ClientAccount("a", requests_per_second=rate, burst=burst, concurrency=concurrency)
+    return Configuration(
+        revision=1,
+        preset="ordinary",
+        accounts_by_name={"a": account},
+        presets_by_name={
+            "ordinary": Preset("ordinary"),
+            "peak": Preset("peak", account_limit_factor=0.5),
+        },
+    )
+
+
+def admitted(limiter: AccountLimiter, attempts: int, now: float) -> int:
+    return sum(limiter.admit("a", now) is None for _ in range(attempts))
+
+
+def test_burst_then_rate_with_the_time_of_the_next_token() -> None:
+    limiter = AccountLimiter(configuration(rate=2.0, burst=5))
+    assert admitted(limiter, 10, 0.0) == 5
+    refusal = limiter.admit("a", 0.0)
+    assert refusal is not None
+    assert refusal.reason is NotRunReason.RATE_LIMITED
+    assert refusal.retry_after == timedelta(seconds=0.5)
+    assert admitted(limiter, 10, 1.0) == 2
+
+
+def test_concurrency_is_freed_by_release() -> None:
+    limiter = AccountLimiter(configuration(concurrency=2))
+    assert admitted(limiter, 3, 0.0) == 2
+    refusal = limiter.admit("a", 0.0)
+    assert refusal is not None
+    assert refusal.reason is NotRunReason.CONCURRENCY_LIMITED
+    limiter.release("a", 0.1)
+    assert admitted(limiter, 3, 0.1) == 1
+
+
+def test_limits_split_over_entries_and_no_token_appears_by_a_change() -> None:
+    limiter = AccountLimiter(configuration(rate=10.0, burst=20, concurrency=8), entries=4)
+    assert admitted(limiter, 10, 0.0) == 2
+    limiter.entries_changed(1, 0.0)
+    assert admitted(limiter, 10, 0.0) == 3
+
+
+def test_preset_factor_applies_at_once() -> None:
+    limiter = AccountLimiter(configuration(concurrency=8))
+    assert admitted(limiter, 3, 0.0) == 3
+    limiter.configure(replace(configuration(concurrency=8), preset="peak"), 1.0)
+    assert admitted(limiter, 8, 1.0) == 1
+
+
+def test_part_follows_use_when_the_balancer_favours_one_entry() -> None:
+    """An account's calls all reach one of four entries. It gets a quarter of its limit at first;
+    with the agents' reports the entry's part grows to nearly the whole of it.
+    """
+    limiter = AccountLimiter(configuration(concurrency=40), entries=4)
+    assert admitted(limiter, 40, 0.0) == 10
+    for second in range(1, 20):
+        limiter.observed(AccountUsage("a", limiter_use(limiter), 0.0), float(second))
+        admitted(limiter, 40, float(second))
+    assert limiter_use(limiter) >= 30
+
+
+def test_part_falls_back_to_an_equal_one_when_reports_stop() -> None:
+    limiter = AccountLimiter(configuration(concurrency=40), entries=4)
+    for second in range(1, 20):
+        limiter.observed(AccountUsage("a", limiter_use(limiter), 0.0), float(second))
+        admitted(limiter, 40, float(second))
+    for _ in range(limiter_use(limiter)):
+        limiter.release("a", 30.0)
+    assert admitted(limiter, 40, 30.0) == 10
+
+
+def limiter_use(limiter: AccountLimiter) -> int:
+    return limiter._share_by_account["a"].own.in_flight if limiter._share_by_account else 0
+
+
+demand = st.lists(st.lists(st.integers(0, 12), min_size=3, max_size=3), min_size=5, max_size=40)
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(demand)
+def test_overshoot_is_bounded_while_demand_moves_between_entries(demand) -> None:
+    """Demand jumps between three entries while the agents' reports are one interval old. The
+    requests of the whole site stay below twice the limit's rate and its bursts at any time.
+    """
+    rate, burst, entries = 9.0, 9, 3
+    limiters = [AccountLimiter(configuration(rate, burst), entries) for _ in range(entries)]
+    counts = [0]
+    for second, attempts in enumerate(demand):
+        count = 0
+        for limiter, each in zip(limiters, attempts, strict=True):
+            if second > 1:
+                usage = AccountUsage("a", 0, float(counts[-2]))
+                limiter.observed(usage, second * REPORT_INTERVAL)
+            for step in range(STEPS_PER_REPORT):
+                now = second * REPORT_INTERVAL + step / STEPS_PER_REPORT
+                count += admitted(limiter, each, now)
+        counts.append(count)
+    total = len(demand) * REPORT_INTERVAL * 2 * rate + burst + 2 * entries
+    assert sum(counts) <= total
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(st.integers(1, 8), st.integers(1, 60))
+def test_equal_parts_never_exceed_the_limit_but_for_one_request_an_entry(entries, limit) -> None:
+    limiters = [AccountLimiter(configuration(concurrency=limit), entries) for _ in range(entries)]
+    total = sum(admitted(each, limit + 1, 0.0) for each in limiters)
+    assert total <= max(limit, entries)
+    assert total > limit - entries
