Add the site of real processes that the demo and the failure tests run on

Cause: the demo, the failure tests and the fault runner need the same set of processes, so that it is written once.

--- /dev/null
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/site.py
@@ -0,0 +1,270 @@
+"""A small site of real processes on this machine, with stand-ins around the product."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from importlib import resources
+from typing import TYPE_CHECKING, Any
+
+import httpcore
+import msgspec
+import tomli_w
+import trio
+
+from .processes import Process, python_command, start_process
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from pathlib import Path
+
+CONFIGURATION_FILE = "demo_configuration.toml"
+"""Configuration that the demo and the failure tests publish, beside this module."""
+
+MODEL = "menu-writer"
+SERVICE = "order-desk"
+ZONES = ("suva", "nadi", "lautoka")
+
+_JSON_HEADERS = [(b"content-type", b"application/json")]
+
+
+class SiteNotReadyError(Exception):
+    """A part of the site did not come up in time."""
+
+
+@dataclass(frozen=True, slots=True)
+class SiteShape:
+    """How many processes of each kind a site has, and how they are set."""
+
+    entries: int = 2
+    engines: int = 3
+    desks: int = 2
+    engine_arguments: tuple[str, ...] = ()
+    log_arguments: tuple[str, ...] = ()
+    proxied: bool = False
+    """Whether a fault-injecting proxy stands between the entries and each agent."""
+    entry_settings: Mapping[str, Any] = field(default_factory=dict)
+    """Tables that are merged into every entry's settings."""
+    agent_settings: Mapping[str, Any] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """An answer to one of the lab's own HTTP calls."""
+
+    status: int
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the decoded body."""
+        return msgspec.json.decode(self.body)
+
+
+class Site:
+    """Starts and stops the processes of a site and speaks to their control addresses."""
+
+    def __init__(self, shape: SiteShape, directory: Path) -> None:
+        self.shape = shape
+        self.directory = directory
+        self.process_by_name: dict[str, Process] = {}
+        self._http = httpcore.AsyncConnectionPool(max_connections=64)
+        self._settings_by_name: dict[str, Path] = {}
+
+    async def start(self) -> None:
+        """Start everything in the order of who needs whom, then publish the configuration."""
+        await self._start_lab("log", "log", *self.shape.log_arguments)
+        await self._start_lab("membership", "membership")
+        await self._start_lab("weights", "weights")
+        async with trio.open_nursery() as nursery:
+            for index in range(self.shape.engines):
+                nursery.start_soon(self._start_runner, index, "engine")
+            for index in range(self.shape.desks):
+                nursery.start_soon(self._start_runner, index, "desk")
+        async with trio.open_nursery() as nursery:
+            for index in range(self.shape.entries):
+                nursery.start_soon(self.start_entry, index)
+        await self.publish(resources.files(__package__) / CONFIGURATION_FILE)
+        await self.wait_ready()
+
+    async def stop(self) -> dict[str, int | None]:
+        """Stop gracefully, entries first, and return each process's exit code."""
+        codes: dict[str, int | None] = {}
+
+        async def stop_one(process: Process) -> None:
+            codes[process.name] = await process.stop()
+
+        for prefixes in (("entry",), ("agent",), ("",)):
+            async with trio.open_nursery() as nursery:
+                for name, process in self.process_by_name.items():
+                    if name.startswith(prefixes) and name not in codes:
+                        nursery.start_soon(stop_one, process)
+        await self._http.aclose()
+        return codes
+
+    def kill_all(self) -> None:
+        """End whatever still runs; only processes of this site are touched."""
+        for process in self.process_by_name.values():
+            if process.handle.poll() is None:
+                process.kill()
+
+    async def start_entry(self, index: int) -> Process:
+        """Start, or start anew, an entry."""
+        name = f"entry-{index}"
+        settings = self._common_settings(name, index) | {"listen": {"http": "127.0.0.1:0"}}
+        process = await self._start_product(
+            name,
+            "ragwortwing_entry",
+            ("entry", "run"),
+            _merged(settings, self.shape.entry_settings),
+        )
+        await self._register(name, process.listen["http"], index, "entry")
+        return process
+
+    async def start_agent(self, kind: str, index: int) -> Process:
+        """Start, or start anew, the agent beside a backend server that runs already."""
+        name = f"agent-{kind}-{index}"
+        backend = self.process_by_name[f"{kind}-{index}"].listen["http"]
+        is_engine = kind == "engine"
+        settings = self._common_settings(name, index) | {
+            "listen": {"wire": "127.0.0.1:0", "http": "127.0.0.1:0"},
+            "backend": {
+                "address": backend,
+                "kind": "engine" if is_engine else "service",
+                "targets": [MODEL if is_engine else SERVICE],
+            },
+        }
+        process = await self._start_product(
+            name, "ragwortwing_agent", ("run",), _merged(settings, self.shape.agent_settings)
+        )
+        address = process.listen["wire"]
+        if self.shape.proxied:
+            address = await self._start_proxy(name, address)
+        await self._register(name, address, index, "agent")
+        return process
+
+    async def start_backend(self, kind: str, index: int, port: int = 0) -> Process:
+        """Start a backend server; a given port makes it come back where it was."""
+        command = "engine" if kind == "engine" else "order-desk"
+        arguments = ("--model", MODEL, *self.shape.engine_arguments) if kind == "engine" else ()
+        return await self._start_lab(f"{kind}-{index}", command, "--port", str(port), *arguments)
+
+    async def fault(self, process_name: str, kind: str, **fields: Any) -> Reply:
+        """Set a fault at a stand-in's control address."""
+        body = msgspec.json.encode({"kind": kind, **fields})
+        return await self.call("POST", self._control(process_name, "/fault"), body)
+
+    async def clear(self, process_name: str) -> Reply:
+        """Clear a stand-in's faults."""
+        return await self.call("DELETE", self._control(process_name, "/fault"))
+
+    async def state(self, process_name: str) -> Any:
+        """Return what a stand-in counted."""
+        return (await self.call("GET", self._control(process_name, "/state"))).json()
+
+    async def call(self, method: str, url: str, body: bytes = b"") -> Reply:
+        """Make one HTTP call."""
+        headers = _JSON_HEADERS if body else []
+        response = await self._http.request(method, url, headers=headers, content=body)
+        return Reply(response.status, response.content)
+
+    def entry_url(self, index: int) -> str:
+        """Return an entry's base URL."""
+        return "http://" + self.process_by_name[f"entry-{index}"].listen["http"]
+
+    @property
+    def log_url(self) -> str:
+        """Base URL of the log's stand-in."""
+        return "http://" + self.process_by_name["log"].listen["http"]
+
+    async def operator(self, *arguments: str) -> tuple[int, str]:
+        """Run one of the operator's commands; return its exit code and output."""
+        command = python_command("ragwortwing_entry", *arguments)
+        result = await trio.run_process(
+            command, capture_stdout=True, capture_stderr=True, check=False
+        )
+        return result.returncode, (result.stdout + result.stderr).decode()
+
+    async def publish(self, configuration: Any) -> None:
+        """Publish a configuration file with the operator's command."""
+        with resources.as_file(configuration) as path:
+            code, output = await self.operator(
+                "config", "publish", str(path), "--log", self.log_url, "--preset", "ordinary"
+            )
+        if code != 0:
+            raise SiteNotReadyError(output)
+
+    async def wait_ready(self, timeout: float = 30.0) -> None:
+        """Wait until every entry takes requests."""
+        with trio.move_on_after(timeout) as scope:
+            for index in range(self.shape.entries):
+                await self._wait_entry(index)
+        if scope.cancelled_caught:
+            raise SiteNotReadyError("an entry is not ready")
+
+    async def _wait_entry(self, index: int) -> None:
+        while (await self.call("GET", self.entry_url(index) + "/readyz")).status != 200:
+            await trio.sleep(0.05)
+
+    async def _start_runner(self, index: int, kind: str) -> None:
+        await self.start_backend(kind, index)
+        await self.start_agent(kind, index)
+
+    async def _start_lab(self, name: str, *arguments: str) -> Process:
+        return await self._started(name, python_command("ragwortwing_lab", *arguments))
+
+    async def _start_proxy(self, name: str, target: str) -> str:
+        proxy = await self._start_lab(f"proxy-{name}", "proxy", "--target", target)
+        return proxy.listen["tcp"]
+
+    async def _start_product(
+        self, name: str, module: str, command: tuple[str, ...], settings: Mapping[str, Any]
+    ) -> Process:
+        path = self.directory / f"{name}.toml"
+        path.write_text(tomli_w.dumps(settings))
+        return await self._started(name, python_command(module, *command, "--settings", str(path)))
+
+    async def _started(self, name: str, command: list[str]) -> Process:
+        process = await start_process(name, command, self.directory / f"{name}.log")
+        self.process_by_name[name] = process
+        return process
+
+    async def _register(self, name: str, address: str, index: int, role: str) -> None:
+        fields = {"address": address, "zone": ZONES[index % len(ZONES)], "role": role}
+        url = self._control("membership", f"/members/{name}")
+        reply = await self.call("PUT", url, msgspec.json.encode(fields))
+        if reply.status != 200:
+            raise SiteNotReadyError(reply.body.decode())
+
+    def _common_settings(self, name: str, index: int) -> dict[str, Any]:
+        platform = {
+            key: "http://" + self.process_by_name[process].listen["http"]
+            for key, process in (
+                ("log", "log"),
+                ("membership", "membership"),
+                ("weight_store", "weights"),
+            )
+        }
+        return {"name": name, "zone": ZONES[index % len(ZONES)], "platform": platform}
+
+    def _control(self, process_name: str, path: str) -> str:
+        return f"http://{self.process_by_name[process_name].listen['control']}{path}"
+
+
+@asynccontextmanager
+async def running_site(shape: SiteShape, directory: Path) -> AsyncIterator[Site]:
+    """Start a site and end every process of it on the way out, whatever happens."""
+    site = Site(shape, directory)
+    try:
+        await site.start()
+        yield site
+    finally:
+        site.kill_all()
+
+
+def _merged(base: dict[str, Any], extra: Mapping[str, Any]) -> dict[str, Any]:
+    merged = dict(base)
+    for key, value in extra.items():
+        inner = merged.get(key)
+        merged[key] = _merged(inner, value) if isinstance(inner, dict) else value
+    return merged
