--- /dev/null
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/agent_app.py
@@ -0,0 +1,322 @@
+"""The agent process: listens for entries and is the one gate of its backend server."""
+
+from __future__ import annotations
+
+import secrets
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import logbook
+import trio
+
+from ragwortwing_platform.app import App, Phase
+from ragwortwing_platform.membership_feed import MemberState
+from ragwortwing_platform.message_handlers import MessageHandlers, on
+from ragwortwing_platform.telemetry import Telemetry
+from ragwortwing_wire.connection import (
+    Connection,
+    ConnectionClosed,
+    ConnectionSettings,
+    open_connection,
+)
+from ragwortwing_wire.messages import (
+    AgentHello,
+    ConfigurationRecords,
+    ConfigurationRequest,
+    EntryHello,
+    Heartbeat,
+)
+
+from .backend_client import BackendClient
+from .entry_peer import EntryPeer
+from .request_gate import RequestGate
+from .status_server import start_status_server
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from ragwortwing_platform.configuration_feed import ConfigurationFeed
+    from ragwortwing_platform.membership_feed import MembershipFeed
+    from ragwortwing_platform.order_book import OrderBook
+    from ragwortwing_platform.settings import AgentSettings
+    from ragwortwing_policy.clock import Clock
+    from ragwortwing_policy.reservations import LoadReport
+    from ragwortwing_wire.messages import ConfigurationRecord
+
+log = logbook.Logger("agent")
+
+TICK_SECONDS = 0.1
+"""Time between two looks of the scheduler at the clock."""
+
+PAUSE = timedelta(seconds=1)
+"""A tick that comes this late shows that the process stood still."""
+
+RECORDS_BYTES = 1_048_576
+"""Bytes of configuration records sent to a peer in one frame."""
+
+
+class AgentApp(App):
+    """One agent."""
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        source: ConfigurationFeed,
+        members: MembershipFeed | None,
+        orders: OrderBook | None,
+        agent_id: str,
+        clock: Clock | None = None,
+    ) -> None:
+        """Create an agent.
+
+        Args:
+            settings: The process's settings.
+            source: The configuration in force.
+            members: The membership list.
+            orders: Claims the keys of orders; only beside a plain service.
+            agent_id: Name and incarnation, see `new_agent_id`.
+            clock: The process's clock.
+        """
+        super().__init__(settings.name, settings.shutdown, clock)
+        self.settings = settings
+        self.agent_id = agent_id
+        self.telemetry = Telemetry(
+            "ragwortwing-agent", settings.name, settings.zone, settings.telemetry
+        )
+        self._source = source
+        self._members = members
+        self._orders = orders
+        self._backend = BackendClient(settings.backend)
+        self.gate = RequestGate(settings, self._backend, orders, self.telemetry, self.clock)
+        self._peers: set[EntryPeer] = set()
+        self._last_load: LoadReport | None = None
+        self._stop_asked = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new work is taken."""
+        return self.phase is Phase.SERVING and self._source.current is not None
+
+    async def mount(self) -> Mapping[str, str]:
+        """Follow the platform's services and listen for entries."""
+        self.nursery.start_soon(self.telemetry.send_spans)
+        await self.nursery.start(self.gate.run)
+        await self.nursery.start(self._source.run)
+        if self._orders is not None:
+            await self.nursery.start(self._orders.run)
+        if self._members is not None:
+            await self.nursery.start(self._members.run)
+            self.nursery.start_soon(self._follow_members, self._members)
+        self.nursery.start_soon(self._follow_configuration)
+        self.nursery.start_soon(self._tick)
+        wire = await self._listen()
+        http = await start_status_server(self.nursery, self, self.settings.listen.http)
+        return {"wire": wire, "http": http}
+
+    def begin_drain(self) -> None:
+        """Ask for a planned stop; asked again, nothing changes."""
+        if not self._stop_asked:
+            self._stop_asked = True
+            self.stop()
+
+    async def drain(self) -> None:
+        """Hand back what is queued, grant nothing, and wait for what runs."""
+        self._stop_asked = True
+        self.gate.drain()
+        for peer in self._peers:
+            peer.connection.beat()
+        await self.gate.wait_finished()
+        for peer in list(self._peers):
+            await peer.wait_idle()
+
+    def unfinished(self) -> tuple[str, ...]:
+        """Return the ids of the requests in flight."""
+        requests = self.gate.requests_by_id.values()
+        return tuple(each.request_id for each in requests if each.is_unfinished)
+
+    async def unmount(self) -> None:
+        """Send the last spans and close the connections to the backend server."""
+        await self.telemetry.flush()
+        await self._backend.aclose()
+
+    def status(self) -> dict[str, object]:
+        """Return what the agent does now."""
+        load = self.gate.load()
+        requests = self.gate.requests_by_id.values()
+        return {
+            "agent_id": self.agent_id,
+            "phase": self.phase,
+            "zone": self.settings.zone,
+            "backend": str(self.settings.backend.address),
+            "targets": list(self.settings.backend.targets),
+            "revision": self._source.revision,
+            "entries": [peer.name for peer in self._peers],
+            "running": load.running,
+            "queued": load.queued,
+            "limit": load.limit,
+            "predicted_wait_ms": round(load.predicted_wait / timedelta(milliseconds=1), 3),
+            "held_bytes": sum(each.held_bytes for each in requests),
+            "requests": [
+                {
+                    "id": each.request_id,
+                    "class": each.reserve.request_class,
+                    "account": each.reserve.account,
+                    "state": each.state,
+                    "tokens": each.tokens,
+                }
+                for each in requests
+            ],
+        }
+
+    def metrics_text(self) -> bytes:
+        """Return the metrics in Prometheus text form."""
+        return self.telemetry.metrics_text()
+
+    async def _listen(self) -> str:
+        address = self.settings.listen.wire
+        listeners = await trio.open_tcp_listeners(address.port, host=address.host)
+        host, port = listeners[0].socket.getsockname()[:2]
+        self.nursery.start_soon(trio.serve_listeners, self._serve_entry, listeners)
+        return f"{host}:{port}"
+
+    async def _serve_entry(self, stream: trio.SocketStream) -> None:
+        connections = self.settings.connections
+        wire = ConnectionSettings(connections.heartbeat_interval, connections.heartbeat_timeout)
+        try:
+            async with open_connection(
+                stream, self.clock, self._hello(), wire, self._heartbeat
+            ) as connection:
+                if isinstance(connection.peer, EntryHello):
+                    await self._serve_peer(connection)
+        except ConnectionClosed as error:
+            log.warning("Connection refused", reason=error.reason)
+
+    async def _serve_peer(self, connection: Connection) -> None:
+        peer = EntryPeer(connection)
+        session = EntrySession(self, peer)
+        self._peers.add(peer)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(peer.pump)
+                session.greet()
+                async for message in connection:
+                    session.receive(message)
+                nursery.cancel_scope.cancel()
+        finally:
+            log.info("Entry disconnected", entry=peer.name, reason=connection.closed)
+            self._peers.discard(peer)
+            self.gate.connection_lost(peer)
+
+    def _hello(self) -> AgentHello:
+        backend = self.settings.backend
+        return AgentHello(
+            agent_id=self.agent_id,
+            zone=self.settings.zone,
+            kind=backend.kind,
+            targets=backend.targets,
+            revision=self._source.revision,
+        )
+
+    def _heartbeat(self, sequence: int) -> Heartbeat:
+        leaving = self.phase is not Phase.SERVING
+        return Heartbeat(sequence, self._source.revision, self.gate.load(), leaving)
+
+    async def _follow_configuration(self) -> None:
+        configuration = await self._source.ready()
+        while True:
+            self.gate.configure(configuration)
+            log.info("Configuration in force", revision=configuration.revision)
+            configuration = await self._source.changed()
+
+    async def _follow_members(self, members: MembershipFeed) -> None:
+        # The list lags: a VM that was replaced under its old name may still be shown as leaving
+        # for its predecessor. So only a change from live to leaving counts as the list's word.
+        was_live = False
+        while True:
+            member = members.current.by_name.get(self.name)
+            if member is not None and member.state is MemberState.LIVE:
+                was_live = True
+            elif member is not None and was_live:
+                log.info("The membership list says that this VM leaves")
+                self.begin_drain()
+                return
+            await members.changed()
+
+    async def _tick(self) -> None:
+        ticked_at = self.clock.monotonic()
+        while True:
+            await trio.sleep(TICK_SECONDS)
+            now = self.clock.monotonic()
+            if now - ticked_at > PAUSE.total_seconds():
+                # Everything this process held (grants, claims, connections) may have run out while
+                # it stood still; each is checked against the clock before it is used.
+                log.warning("The process stood still", seconds=round(now - ticked_at, 3))
+            ticked_at = now
+            self.gate.tick()
+            self._tell_load()
+
+    def _tell_load(self) -> None:
+        load = self.gate.load()
+        if load == self._last_load:
+            return
+        self._last_load = load
+        for peer in self._peers:
+            peer.connection.beat()
+
+
+class EntrySession(MessageHandlers):
+    """Takes one entry's messages: about requests at the gate, about configuration here."""
+
+    def __init__(self, app: AgentApp, peer: EntryPeer) -> None:
+        self._app = app
+        self._peer = peer
+
+    def greet(self) -> None:
+        """Ask for what the entry is ahead with, and tell the load."""
+        peer_hello = self._peer.connection.peer
+        assert peer_hello is not None
+        self._peer.connection.beat()
+        self._catch_up(peer_hello.revision)
+
+    def receive(self, message: object) -> None:
+        """Handle one message."""
+        if type(message) in self.handlers_by_type:
+            self.handle(message)
+        elif type(message) in self._app.gate.handlers_by_type:
+            self._app.gate.handle(message, self._peer)
+        else:
+            log.warning("Message of no use here", kind=type(message).__name__)
+
+    @on(Heartbeat)
+    def on_heartbeat(self, message: Heartbeat) -> None:
+        """Catch up with an entry that is ahead."""
+        self._catch_up(message.revision)
+
+    @on(ConfigurationRequest)
+    def on_configuration_request(self, message: ConfigurationRequest) -> None:
+        """Send the records that an entry lacks."""
+        batch: list[ConfigurationRecord] = []
+        size = 0
+        for record in self._app._source.records_from(message.offset):
+            batch.append(record)
+            size += len(record.payload)
+            if size >= RECORDS_BYTES:
+                self._peer.post(ConfigurationRecords(tuple(batch)))
+                batch, size = [], 0
+        if batch:
+            self._peer.post(ConfigurationRecords(tuple(batch)))
+
+    @on(ConfigurationRecords)
+    def on_configuration_records(self, message: ConfigurationRecords) -> None:
+        """Fold records that this agent asked for."""
+        self._app._source.take_peer_records(message.records)
+
+    def _catch_up(self, revision: int) -> None:
+        source = self._app._source
+        if revision > source.revision:
+            self._peer.post(ConfigurationRequest(source.state.position))
+
+
+def new_agent_id(name: str) -> str:
+    """Return a name with an incarnation, so that no two processes share it."""
+    return f"{name}/{secrets.token_hex(4)}"
--- /dev/null
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/backend_client.py
@@ -0,0 +1,137 @@
+"""Calls to the one backend server beside the agent, with every way to fail told apart."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import httpcore
+
+from ragwortwing_wire.messages import Header
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+    from datetime import timedelta
+
+    from ragwortwing_platform.settings import BackendSettings
+
+MAXIMUM_CONNECTIONS = 10_000
+"""Above any concurrency limit; the scheduler alone decides how many requests run."""
+
+HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"host",
+        b"content-length",
+    }
+)
+"""Headers of one connection, which are not passed on; the length is set anew."""
+
+SEND_STARTED = "http11.send_request_headers.started"
+"""Event of the HTTP library directly before the first byte of a request is written."""
+
+
+class CallFailure(StrEnum):
+    """Why a call gave no whole answer."""
+
+    NOT_SENT = "not_sent"
+    """No connection could be made, so no byte reached the backend server."""
+    LOST = "lost"
+    """The connection broke after the call may have been sent."""
+    SILENT = "silent"
+    """No byte came for the timeout after the call may have been sent."""
+
+
+class BackendCallError(Exception):
+    """A call gave no whole answer."""
+
+    def __init__(self, failure: CallFailure) -> None:
+        super().__init__(failure)
+        self.failure = failure
+
+
+class BackendClient:
+    """Makes each call on a connection of its own.
+
+    A kept connection that the server closes at the moment of the call would leave open whether an
+    order had run; and cancelling an answer closes its connection anyway.
+    """
+
+    def __init__(self, settings: BackendSettings) -> None:
+        self._url = f"http://{settings.address}"
+        self._connect_seconds = settings.connect_timeout.total_seconds()
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=MAXIMUM_CONNECTIONS, max_keepalive_connections=0
+        )
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        await self._pool.aclose()
+
+    @asynccontextmanager
+    async def call(
+        self,
+        method: str,
+        path: str,
+        headers: tuple[Header, ...],
+        body: bytes,
+        silence: timedelta,
+        on_send: Callable[[], None] | None = None,
+    ) -> AsyncIterator[httpcore.Response]:
+        """Make one call, once, and give its answer; leaving early closes the connection.
+
+        Args:
+            method: The HTTP method.
+            path: Path and query.
+            headers: End-to-end headers.
+            body: The whole body.
+            silence: How long the server may give no byte.
+            on_send: Called directly before the first byte is written; what it raises stops the call
+                before that.
+
+        Raises:
+            BackendCallError: No whole answer came.
+        """
+
+        async def trace(event: str, info: object) -> None:
+            if event == SEND_STARTED and on_send is not None:
+                on_send()
+
+        seconds = silence.total_seconds()
+        timeout = {"connect": self._connect_seconds, "read": seconds, "write": seconds}
+        extensions: dict[str, object] = {"timeout": timeout}
+        if on_send is not None:
+            extensions["trace"] = trace
+        try:
+            async with self._pool.stream(
+                method,
+                self._url + path,
+                headers=[(each.name, each.value) for each in end_to_end(headers)],
+                content=body,
+                extensions=extensions,
+            ) as response:
+                yield response
+        except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
+            raise BackendCallError(CallFailure.NOT_SENT) from error
+        except httpcore.TimeoutException as error:
+            raise BackendCallError(CallFailure.SILENT) from error
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            raise BackendCallError(CallFailure.LOST) from error
+
+
+def end_to_end(headers: tuple[Header, ...]) -> tuple[Header, ...]:
+    """Return the headers that are passed on."""
+    return tuple(each for each in headers if each.name.lower() not in HOP_HEADERS)
+
+
+def response_headers(response: httpcore.Response) -> tuple[Header, ...]:
+    """Return the headers of an answer that are passed on."""
+    return end_to_end(tuple(Header(name.lower(), value) for name, value in response.headers))
--- /dev/null
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/request_gate.py
@@ -0,0 +1,355 @@
+"""The gate of the backend server: every request passes it, and the scheduler decides when."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import logbook
+import trio
+from opentelemetry.trace import SpanKind
+
+from ragwortwing_platform.logs import LogContext, set_log_context
+from ragwortwing_platform.message_handlers import MessageHandlers, on
+from ragwortwing_platform.telemetry import trace_id_of, traceparent_of
+from ragwortwing_policy.outcomes import NotRun, NotRunReason
+from ragwortwing_policy.reservations import (
+    Grant,
+    LoadReport,
+    Preempt,
+    Refuse,
+    Requeued,
+    Reservation,
+)
+from ragwortwing_policy.scheduler import Scheduler, SchedulerSettings
+from ragwortwing_wire.messages import (
+    Attach,
+    Credit,
+    Detached,
+    End,
+    Granted,
+    Refused,
+    Reserve,
+    Submit,
+    Withdraw,
+)
+
+from . import engine_call, service_call  # noqa: F401
+from .agent_request import AgentRequest
+from .calls import CallResult, CallTools, calls_by_kind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ragwortwing_platform.order_book import OrderBook
+    from ragwortwing_platform.settings import AgentSettings
+    from ragwortwing_platform.telemetry import Telemetry
+    from ragwortwing_policy.clock import Clock, Instant
+    from ragwortwing_policy.configuration import Configuration
+    from ragwortwing_policy.reservations import SchedulerDecision
+    from ragwortwing_wire.messages import Message
+
+    from .backend_client import BackendClient
+    from .entry_peer import EntryPeer
+
+log = logbook.Logger("gate")
+
+UNCONFIGURED_RETRY_AFTER = timedelta(seconds=1)
+LOWEST_PRIORITY = 15
+
+
+class RequestGate(MessageHandlers):
+    """Holds the requests of one backend server and carries out what the scheduler decides."""
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        backend: BackendClient,
+        orders: OrderBook | None,
+        telemetry: Telemetry,
+        clock: Clock,
+    ) -> None:
+        self.requests_by_id: dict[str, AgentRequest] = {}
+        self.draining = False
+        self._settings = settings
+        self._backend = backend
+        self._orders = orders
+        self._telemetry = telemetry
+        self._clock = clock
+        self._configuration: Configuration | None = None
+        self._scheduler: Scheduler | None = None
+        self._nursery: trio.Nursery | None = None
+        self._settled = trio.Event()
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Own the calls to the backend server until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            await trio.sleep_forever()
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take a configuration into force."""
+        self._configuration = configuration
+        if self._scheduler is not None:
+            self._execute(self._scheduler.configure(configuration, self._now))
+            return
+        backend = self._settings.backend
+        limits = SchedulerSettings(backend.initial_concurrency, backend.maximum_concurrency)
+        self._scheduler = Scheduler(limits, configuration)
+
+    def load(self) -> LoadReport:
+        """Return the gate's own counts."""
+        if self._scheduler is None:
+            limit = self._settings.backend.initial_concurrency
+            return LoadReport(0, 0, limit, timedelta(0), self.draining)
+        return self._scheduler.load(self._now)
+
+    def tick(self) -> None:
+        """Let the scheduler act on time passed, and forget answers that nobody fetches."""
+        if self._scheduler is not None:
+            self._execute(self._scheduler.tick(self._now))
+        keep_since = self._now - self._settings.connections.reattach_limit.total_seconds()
+        for request in list(self.requests_by_id.values()):
+            if request.state == "ended" and (request.ended_at or 0.0) <= keep_since:
+                self._drop(request)
+            elif request.lost_at is not None and request.lost_at <= keep_since:
+                self._abandon(request)
+        self._announce_settled()
+
+    def drain(self) -> None:
+        """Hand back what is queued and grant nothing new."""
+        self.draining = True
+        if self._scheduler is not None:
+            self._execute(self._scheduler.drain(self._now))
+
+    async def wait_finished(self) -> None:
+        """Wait until nothing runs and every outcome was sent."""
+        while any(each.is_unfinished for each in self.requests_by_id.values()):
+            await self._settled.wait()
+
+    def connection_lost(self, peer: EntryPeer) -> None:
+        """Forget what waits for a lost connection; keep what runs, to be fetched on a new one."""
+        for request in list(self.requests_by_id.values()):
+            if request.peer is not peer:
+                continue
+            request.peer = None
+            request.lost_at = self._now
+            if request.state in ("queued", "granted"):
+                self._abandon(request)
+        self._announce_settled()
+
+    @on(Reserve)
+    def on_reserve(self, message: Reserve, peer: EntryPeer) -> None:
+        """Queue a reservation, or refuse it."""
+        known = self.requests_by_id.get(message.request_id)
+        if known is not None and known.state != "ended":
+            if known.peer is not peer:
+                peer.post(Refused(message.request_id, NotRun(NotRunReason.IN_PROGRESS)))
+            return
+        if self._scheduler is None:
+            outcome = NotRun(NotRunReason.UNCONFIGURED, UNCONFIGURED_RETRY_AFTER)
+            peer.post(Refused(message.request_id, outcome))
+            return
+        request = AgentRequest(message, self._reservation(message), peer)
+        self.requests_by_id[message.request_id] = request
+        self._execute(self._scheduler.offer(request.reservation, self._now))
+
+    @on(Withdraw)
+    def on_withdraw(self, message: Withdraw, peer: EntryPeer) -> None:
+        """Forget a reservation, or stop the work at once."""
+        request = self._request_of(message.request_id, peer)
+        if request is not None:
+            self._abandon(request)
+
+    @on(Submit)
+    def on_submit(self, message: Submit, peer: EntryPeer) -> None:
+        """Start a request whose slot is held."""
+        request = self._request_of(message.request_id, peer)
+        if request is not None and request.state not in ("queued", "granted"):
+            return
+        if request is None or not self._take_slot(request):
+            # The grant expired, or was lost with an earlier connection; the body is thrown away
+            # here, so the request has truly not run.
+            if request is not None:
+                self._abandon(request)
+            peer.post(End(message.request_id, 0, NotRun(NotRunReason.OVERLOADED)))
+            return
+        request.take_body(message)
+        request.advance("submit")
+        self._start(request)
+
+    @on(Credit)
+    def on_credit(self, message: Credit, peer: EntryPeer) -> None:
+        """Let a request send more."""
+        request = self._request_of(message.request_id, peer)
+        if request is not None:
+            request.confirm(message.sequence, message.window)
+
+    @on(Attach)
+    def on_attach(self, message: Attach, peer: EntryPeer) -> None:
+        """Go on with a request on a new connection, for the account that asked for it."""
+        request = self.requests_by_id.get(message.request_id)
+        # A request id that is guessed, or confused, must not give one account another's answer; to
+        # any other account the request does not exist.
+        if request is None or request.reserve.account != message.account:
+            peer.post(Detached(message.request_id))
+            return
+        if not request.attach(peer, message.sequence, message.window):
+            peer.post(Detached(message.request_id))
+
+    def _request_of(self, request_id: str, peer: EntryPeer) -> AgentRequest | None:
+        request = self.requests_by_id.get(request_id)
+        # What a connection that was given up still delivers late must not touch a request that
+        # goes on at another.
+        return request if request is not None and request.peer is peer else None
+
+    def _reservation(self, message: Reserve) -> Reservation:
+        return Reservation(
+            request_id=message.request_id,
+            request_class=message.request_class,
+            account=message.account,
+            model=message.target,
+            deadline=self._now + message.remaining.total_seconds(),
+            prompt_tokens=message.prompt_tokens,
+            expected_tokens=message.expected_tokens,
+            prefix_hash=message.prefix_hash,
+            resumed_tokens=message.resumed_tokens,
+            idempotent=message.idempotent,
+        )
+
+    def _take_slot(self, request: AgentRequest) -> bool:
+        return (
+            request.state == "granted"
+            and self._scheduler is not None
+            and self._scheduler.started(request.reservation, self._now)
+        )
+
+    def _execute(self, decisions: Iterable[SchedulerDecision]) -> None:
+        for decision in decisions:
+            request = self.requests_by_id.get(decision.request_id)
+            if request is None:
+                continue
+            match decision:
+                case Grant(_, expires_at):
+                    self._grant(request, expires_at)
+                case Refuse(_, reason, retry_after):
+                    self._refuse(request, NotRun(reason, retry_after))
+                case Preempt():
+                    self._preempt(request)
+                case Requeued():
+                    log.debug("Requeued", request_id=request.request_id)
+
+    def _grant(self, request: AgentRequest, expires_at: Instant) -> None:
+        if request.state == "requeued":
+            assert self._scheduler is not None
+            if self._scheduler.started(request.reservation, self._now):
+                request.advance("grant")
+                self._start(request)
+            return
+        if request.state == "queued":
+            request.advance("grant")
+        lifetime = timedelta(seconds=expires_at - self._now)
+        self._post(request, Granted(request.request_id, lifetime))
+
+    def _refuse(self, request: AgentRequest, outcome: NotRun) -> None:
+        if request.submit is not None:
+            request.end(outcome, self._now)
+            return
+        self._post(request, Refused(request.request_id, outcome))
+        self._drop(request)
+
+    def _preempt(self, request: AgentRequest) -> None:
+        if request.state == "running" and request.scope is not None:
+            request.advance("preempt")
+            request.scope.cancel()
+
+    def _abandon(self, request: AgentRequest) -> None:
+        """Stop what nobody waits for any more."""
+        if self._must_run_on(request):
+            return
+        running = request.state in ("running", "preempting")
+        self._drop(request)
+        if running and request.scope is not None:
+            request.scope.cancel()
+        elif self._scheduler is not None:
+            self._execute(self._scheduler.withdraw(request.request_id, self._now))
+
+    def _must_run_on(self, request: AgentRequest) -> bool:
+        # An order that was sent cannot be called back, and its outcome is still to be recorded.
+        return request.has_begun and request.sent_to_backend and not request.reserve.idempotent
+
+    def _drop(self, request: AgentRequest) -> None:
+        request.advance("drop")
+        if self.requests_by_id.get(request.request_id) is request:
+            del self.requests_by_id[request.request_id]
+
+    def _start(self, request: AgentRequest) -> None:
+        assert self._nursery is not None
+        self._nursery.start_soon(self._run_call, request)
+
+    async def _run_call(self, request: AgentRequest) -> None:
+        assert request.submit is not None
+        with self._telemetry.span(
+            "backend call", SpanKind.CLIENT, request.submit.traceparent
+        ) as span:
+            set_log_context(LogContext(request.request_id, trace_id_of(span)))
+            span.set_attribute("request.id", request.request_id)
+            result = await self._call(request, traceparent_of(span))
+            if result is not None:
+                span.set_attribute("outcome", result.outcome.kind)
+        self._call_returned(request, result)
+
+    async def _call(self, request: AgentRequest, traceparent: str) -> CallResult | None:
+        """Make the call; None where it was cancelled."""
+        tools = CallTools(
+            backend=self._backend,
+            clock=self._clock,
+            orders=self._orders,
+            progressed=self._progressed,
+            tier_of=self._tier_of,
+            traceparent=traceparent,
+        )
+        with trio.CancelScope() as scope:
+            request.scope = scope
+            if request.state != "running":
+                scope.cancel()
+            return await calls_by_kind[self._settings.backend.kind](request, tools)
+        return None
+
+    def _call_returned(self, request: AgentRequest, result: CallResult | None) -> None:
+        assert self._scheduler is not None
+        now = self._now
+        request.scope = None
+        if result is None and request.state == "preempting":
+            request.advance("let_go")
+            log.info("Preempted", tokens=request.tokens)
+            self._execute(self._scheduler.preempted(request.request_id, now))
+            return
+        if result is not None and request.state != "dropped":
+            request.end(result.outcome, now, result.prompt_tokens, result.cached_tokens)
+            log.info("Request ended", outcome=result.outcome.kind, tokens=request.tokens)
+        self._execute(self._scheduler.finished(request.request_id, now))
+
+    def _progressed(self, request: AgentRequest, tokens: int) -> None:
+        if self._scheduler is not None and tokens:
+            self._scheduler.progressed(request.request_id, tokens, self._now)
+
+    def _tier_of(self, request: AgentRequest) -> int:
+        name = request.reserve.request_class
+        configuration = self._configuration
+        if configuration is None or name not in configuration.classes_by_name:
+            return LOWEST_PRIORITY
+        return configuration.class_in_force(name).tier
+
+    def _post(self, request: AgentRequest, message: Message) -> None:
+        if request.peer is not None:
+            request.peer.post(message)
+
+    def _announce_settled(self) -> None:
+        self._settled.set()
+        self._settled = trio.Event()
+
+    @property
+    def _now(self) -> Instant:
+        return self._clock.monotonic()
--- /dev/null
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/service_call.py
@@ -0,0 +1,149 @@
+"""Calls to a plain service: one call each, and an order with a key only under its own claim."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import trio
+
+from ragwortwing_platform.order_book import KeyedOrder, WonClaim
+from ragwortwing_policy.order_claims import ANSWER_LIMIT_BYTES, AlreadySettled
+from ragwortwing_policy.outcomes import (
+    Completed,
+    Failed,
+    FailedReason,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    UnknownReason,
+)
+from ragwortwing_policy.routing import BackendKind
+from ragwortwing_wire.messages import Header
+
+from .backend_client import BackendCallError, CallFailure, response_headers
+from .calls import CallResult, calls
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ragwortwing_platform.order_book import OrderBook
+
+    from .agent_request import AgentRequest
+    from .calls import CallTools
+
+ANSWER_SILENCE = timedelta(seconds=60)
+"""Time without a byte after which a service is not waited for; its outcome is then unknown."""
+
+SERVER_ERROR = 500
+
+
+class SendForbiddenError(Exception):
+    """The claim of an order no longer allows to write it."""
+
+    def __init__(self, refusal: NotRun) -> None:
+        super().__init__(refusal.reason)
+        self.refusal = refusal
+
+
+@dataclass(slots=True)
+class _Answer:
+    """What is kept of an answer, to be recorded with its outcome."""
+
+    status: int = 0
+    body: bytes = b""
+
+
+@calls(BackendKind.SERVICE)
+async def call_service(request: AgentRequest, tools: CallTools) -> CallResult:
+    """Make the call; where it is an order, at most once."""
+    if not request.reserve.order_key:
+        return CallResult(await _send(request, tools, _Answer(), lambda: None))
+    if tools.orders is None:
+        return CallResult(NotRun(NotRunReason.LOG_UNAVAILABLE))
+    return CallResult(await _send_claimed(request, tools, tools.orders))
+
+
+async def _send_claimed(request: AgentRequest, tools: CallTools, orders: OrderBook) -> Outcome:
+    reserve = request.reserve
+    order = KeyedOrder(reserve.account, reserve.order_key, reserve.body_digest, reserve.order_time)
+    claim = await orders.claim(order, request.reservation.deadline)
+    match claim:
+        case WonClaim():
+            return await _send_won(request, tools, orders, claim)
+        case AlreadySettled(recorded):
+            if recorded.status:
+                request.add_head(recorded.status, ())
+                request.add_piece(recorded.answer)
+            return recorded.outcome
+        case _:
+            return claim
+
+
+async def _send_won(
+    request: AgentRequest, tools: CallTools, orders: OrderBook, won: WonClaim
+) -> Outcome:
+    answer = _Answer()
+
+    def begin_send() -> None:
+        refusal = orders.begin_send(won)
+        if refusal is not None:
+            raise SendForbiddenError(refusal)
+
+    try:
+        outcome = await _send(request, tools, answer, begin_send)
+    except SendForbiddenError as error:
+        return error.refusal
+    except trio.Cancelled:
+        # Withdrawn, or the process is stopped: before the write the key is free again, after it
+        # nobody can say whether the order ran.
+        if not orders.release(won):
+            orders.record(won, Unknown(UnknownReason.BACKEND_LOST))
+        raise
+    if request.sent_to_backend:
+        orders.record(won, outcome, answer.status, answer.body)
+    else:
+        orders.release(won, NotRunReason.NO_BACKEND)
+    return outcome
+
+
+async def _send(
+    request: AgentRequest, tools: CallTools, answer: _Answer, before_write: Callable[[], None]
+) -> Outcome:
+    submit = request.submit
+    assert submit is not None
+    headers = (
+        *submit.headers,
+        Header(b"x-request-id", request.request_id.encode()),
+        Header(b"traceparent", tools.traceparent.encode()),
+    )
+
+    def on_send() -> None:
+        before_write()
+        request.sent_to_backend = True
+
+    try:
+        async with tools.backend.call(
+            submit.method, submit.path, headers, submit.body, ANSWER_SILENCE, on_send
+        ) as response:
+            answer.status = response.status
+            request.add_head(response.status, response_headers(response))
+            async for data in response.aiter_stream():
+                request.add_piece(data)
+                answer.body = (answer.body + data)[: ANSWER_LIMIT_BYTES + 1]
+                await request.wait_room()
+    except BackendCallError as error:
+        return _outcome_of(error.failure, request)
+    if answer.status >= SERVER_ERROR:
+        return Failed(FailedReason.BACKEND_ERROR, answer.status)
+    return Completed()
+
+
+def _outcome_of(failure: CallFailure, request: AgentRequest) -> Outcome:
+    if not request.sent_to_backend:
+        return NotRun(NotRunReason.NO_BACKEND)
+    if failure is CallFailure.SILENT:
+        return Unknown(UnknownReason.TIMEOUT)
+    return Unknown(UnknownReason.BACKEND_LOST)
--- /dev/null
+++ b/packages/ragwortwing-wire/src/ragwortwing_wire/delivered_text.py
@@ -0,0 +1,66 @@
+"""The text of a streamed answer that the caller already has, for an engine to go on after."""
+
+from __future__ import annotations
+
+import msgspec
+
+COMPACT_AT = 16_384
+"""Bytes of events kept before they are reduced to their text, which bounds a stream's memory."""
+
+_DATA = b"data: "
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta = msgspec.field(default_factory=_Delta)
+
+
+class _Event(msgspec.Struct):
+    choices: list[_Choice] = []
+
+
+_decoder = msgspec.json.Decoder(_Event)
+
+
+class DeliveredText:
+    r"""Keeps the events as they were sent, and reads their text only where it is asked for.
+
+    Example:
+        >>> delivered = DeliveredText()
+        >>> delivered.add(b'data: {"choices":[{"delta":{"content":"Bula"}}]}\n\n')
+        >>> delivered.text()
+        'Bula'
+    """
+
+    def __init__(self) -> None:
+        self._texts: list[str] = []
+        self._events = bytearray()
+
+    def add(self, events: bytes) -> None:
+        """Keep whole events that were sent to the caller."""
+        self._events += events
+        if len(self._events) >= COMPACT_AT:
+            self._compact()
+
+    def text(self) -> str:
+        """Return the text that the caller has."""
+        self._compact()
+        return self._texts[0] if self._texts else ""
+
+    def _compact(self) -> None:
+        for line in bytes(self._events).splitlines():
+            if line.startswith(_DATA):
+                self._texts.append(_text_of(line[len(_DATA) :]))
+        self._events.clear()
+        self._texts = ["".join(self._texts)]
+
+
+def _text_of(data: bytes) -> str:
+    try:
+        event = _decoder.decode(data)
+    except msgspec.DecodeError:
+        return ""
+    return "".join(choice.delta.content or "" for choice in event.choices)
