--- a/packages/ragwortwing-lab/src/ragwortwing_lab/__main__.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/__main__.py
@@ -4,6 +4,7 @@
 
 import click
 
+from .fault_proxy import proxy_command
 from .standins.engine import engine_command
 from .standins.log import log_command
 from .standins.membership import membership_command
@@ -20,6 +21,7 @@
 main.add_command(log_command)
 main.add_command(membership_command)
 main.add_command(order_desk_command)
+main.add_command(proxy_command)
 main.add_command(weights_command)
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/fault_proxy.py
@@ -0,0 +1,148 @@
+"""A TCP proxy that breaks connections in the ways that networks do.
+
+Kinds of faults: `cut` resets what is open; `silent` goes on taking bytes and forwards none, for
+good on the connections it befell; `slow` holds each piece for `seconds`; `refuse` resets new ones.
+"""
+
+from __future__ import annotations
+
+import socket
+import struct
+from dataclasses import dataclass, field
+
+import click
+import trio
+
+from .standins.faults import Direction, Fault, FaultKind, Faults, control_app
+from .standins.serving import print_ready, start_app, stop_on_signal
+
+READ_SIZE = 65_536
+LINGER_NONE = struct.pack("ii", 1, 0)
+"""Socket option by which closing resets the connection."""
+
+
+@dataclass(eq=False, slots=True)
+class Link:
+    """One connection through the proxy."""
+
+    client: trio.SocketStream
+    target: trio.SocketStream
+    silent_ways: set[Direction] = field(default_factory=set)
+
+    def reset(self) -> None:
+        """Reset both ends."""
+        _reset(self.client)
+        _reset(self.target)
+
+
+class FaultProxy:
+    """Forwards TCP connections to one target."""
+
+    def __init__(self, target: str) -> None:
+        self.faults = Faults()
+        self.links: set[Link] = set()
+        self.accepted = 0
+        self.control = control_app(self.faults, self.state, self.on_fault)
+        self._host, port = target.rsplit(":", 1)
+        self._port = int(port)
+
+    def state(self) -> dict[str, object]:
+        """Return the counts."""
+        silent = sum(1 for each in self.links if each.silent_ways)
+        return {"open": len(self.links), "silent": silent, "accepted": self.accepted}
+
+    def on_fault(self, fault: Fault) -> None:
+        """Apply a fault to the open connections."""
+        for link in list(self.links):
+            if fault.kind is FaultKind.CUT:
+                link.reset()
+            elif fault.kind is FaultKind.SILENT:
+                link.silent_ways |= _ways_of(fault)
+
+    def set_fault(self, fault: Fault) -> None:
+        """Set a fault, as the control address would."""
+        self.faults.set(fault)
+        self.on_fault(fault)
+
+    async def serve(
+        self, port: int = 0, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Forward until cancelled; the `ip:port` is told once it listens."""
+        listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
+        host, bound_port = listeners[0].socket.getsockname()[:2]
+        async with trio.open_nursery() as nursery:
+            await nursery.start(trio.serve_listeners, self._serve_client, listeners)
+            task_status.started(f"{host}:{bound_port}")
+
+    async def _serve_client(self, client: trio.SocketStream) -> None:
+        self.accepted += 1
+        if self.faults.active(FaultKind.REFUSE):
+            _reset(client)
+            return
+        try:
+            target = await trio.open_tcp_stream(self._host, self._port)
+        except OSError:
+            _reset(client)
+            return
+        link = Link(client, target)
+        silent = self.faults.get(FaultKind.SILENT)
+        if silent is not None and not silent.existing_only:
+            link.silent_ways |= _ways_of(silent)
+        self.links.add(link)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._forward, link, client, target, Direction.TO_TARGET)
+                nursery.start_soon(self._forward, link, target, client, Direction.TO_CLIENT)
+        finally:
+            self.links.discard(link)
+            link.reset()
+
+    async def _forward(
+        self, link: Link, source: trio.SocketStream, sink: trio.SocketStream, way: Direction
+    ) -> None:
+        try:
+            while data := await source.receive_some(READ_SIZE):
+                await self._delay(way)
+                if way not in link.silent_ways:
+                    await sink.send_all(data)
+            if way not in link.silent_ways:
+                await sink.send_eof()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # An end that is gone is not told to the other where the fault is that nothing comes
+            # through; everywhere else a reset goes on as a reset.
+            if not link.silent_ways:
+                link.reset()
+
+    async def _delay(self, way: Direction) -> None:
+        slow = self.faults.get(FaultKind.SLOW)
+        if slow is not None and slow.direction.covers(way):
+            await trio.sleep(slow.seconds)
+
+
+def _ways_of(fault: Fault) -> set[Direction]:
+    ways = (Direction.TO_TARGET, Direction.TO_CLIENT)
+    return {way for way in ways if fault.direction.covers(way)}
+
+
+def _reset(stream: trio.SocketStream) -> None:
+    if stream.socket.fileno() >= 0:
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+        stream.socket.close()
+
+
+async def _run(proxy: FaultProxy, name: str, port: int, control_port: int) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(stop_on_signal, nursery.cancel_scope.cancel)
+        tcp = await nursery.start(proxy.serve, port)
+        control = await start_app(nursery, proxy.control, control_port)
+        print_ready(name, {"tcp": tcp, "control": control})
+
+
+@click.command("proxy")
+@click.option("--name", default="proxy", show_default=True)
+@click.option("--target", required=True, help="Where to forward to, as `ip:port`.")
+@click.option("--port", default=0, help="Port to listen on; 0 lets the kernel choose.")
+@click.option("--control-port", default=0, help="Port of the control address.")
+def proxy_command(name: str, target: str, port: int, control_port: int) -> None:
+    """Run a fault-injecting TCP proxy."""
+    trio.run(_run, FaultProxy(target), name, port, control_port)
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/faults.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/faults.py
@@ -42,10 +42,26 @@
     """The process ends at once and its connections break."""
     DROP_REPLIES = "drop_replies"
     """Calls take effect and their connections are closed without a reply."""
+    CUT = "cut"
+    """A proxy resets its connections at once."""
+    REFUSE = "refuse"
+    """A proxy resets every new connection."""
     TRIM = "trim"
     """Records before `offset` of `stream` are dropped at once, as if their time had run out."""
 
 
+class Direction(StrEnum):
+    """Which way of a proxy's connections a fault concerns."""
+
+    BOTH = "both"
+    TO_TARGET = "to_target"
+    TO_CLIENT = "to_client"
+
+    def covers(self, other: Direction) -> bool:
+        """Return whether a fault this way concerns bytes that go the other given way."""
+        return self in (Direction.BOTH, other)
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     """One fault in force."""
@@ -58,6 +74,9 @@
     """How many times slower an engine's steps become."""
     stream: str = ""
     offset: int = 0
+    direction: Direction = Direction.BOTH
+    existing_only: bool = False
+    """Whether connections made after the fault are spared."""
 
 
 class Faults:
