--- /dev/null
+++ b/packages/ragwortwing-agent/tests/test_service_call.py
@@ -0,0 +1,136 @@
+"""Calls of plain services: what is told of each way to fail, and that an order is sent once."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from random import Random
+
+import pytest
+from agent_harness import agent_bench
+
+from ragwortwing_lab.standins.faults import Fault, FaultKind
+from ragwortwing_lab.standins.in_process import running_log
+from ragwortwing_platform.log_client import LogClient
+from ragwortwing_platform.order_book import OrderBook
+from ragwortwing_platform.system_clock import SystemClock
+from ragwortwing_policy.outcomes import (
+    Completed,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    UnknownReason,
+)
+
+KEYED = {"order_key": "wedding-1", "body_digest": b"digest"}
+
+
+@asynccontextmanager
+async def order_bench():
+    async with running_log() as (log, address):
+        client = LogClient(address)
+        book = OrderBook(client, SystemClock(), Random(1), "agent-1/0")
+        async with agent_bench("service", orders=book) as bench:
+            yield bench, log
+        await client.aclose()
+
+
+@pytest.mark.parametrize(
+    ("fault", "method", "outcome", "executions"),
+    [
+        (None, "POST", Completed(), 1),
+        (None, "GET", Completed(), 0),
+        (FaultKind.DROP_REPLIES, "POST", Unknown(UnknownReason.BACKEND_LOST), 1),
+        (FaultKind.DROP_REPLIES, "GET", Unknown(UnknownReason.BACKEND_LOST), 0),
+        (FaultKind.CRASH, "POST", NotRun(NotRunReason.NO_BACKEND), 0),
+        (FaultKind.CRASH, "GET", NotRun(NotRunReason.NO_BACKEND), 0),
+    ],
+)
+async def test_outcome_of_each_failure(
+    fault: FaultKind | None, method: str, outcome: Outcome, executions: int
+) -> None:
+    async with agent_bench("service") as bench, bench.entry() as entry:
+        if fault is FaultKind.CRASH:
+            bench.crash_backend()
+        elif fault is not None:
+            bench.desk.faults.set(Fault(fault))
+        path = "/orders" if method == "POST" else "/orders/o1"
+        await entry.order("r1", method, path)
+        answer = await entry.ended("r1")
+    assert answer.end.outcome == outcome
+    assert bench.desk.state()["executions"] == executions
+
+
+async def test_withdrawn_order_that_was_sent_runs_on() -> None:
+    """A caller hangs up while its order runs. The order cannot be called back, so it ends."""
+    async with agent_bench("service") as bench, bench.entry() as entry:
+        bench.desk.faults.set(Fault(FaultKind.FREEZE))
+        await entry.order("r1")
+        await bench.until(lambda: bench.app.gate.requests_by_id["r1"].sent_to_backend)
+        await entry.withdraw("r1")
+        bench.desk.faults.clear()
+        await bench.until(lambda: bench.app.gate.load().running == 0)
+    assert bench.desk.state()["executions_by_id"] == {"r1": 1}
+
+
+async def test_repeated_key_gets_the_first_answer() -> None:
+    async with order_bench() as (bench, _), bench.entry() as entry:
+        await entry.order("r1", **KEYED)
+        first = await entry.ended("r1")
+        await entry.order("r2", **KEYED)
+        second = await entry.ended("r2")
+        await entry.order("r3", order_key="wedding-1", body_digest=b"another")
+        third = await entry.ended("r3")
+    assert first.end.outcome == second.end.outcome == Completed()
+    assert second.body == first.body
+    assert second.head.status == first.head.status == 201
+    assert third.end.outcome == NotRun(NotRunReason.KEY_REUSED)
+    assert bench.desk.state()["executions_by_id"] == {"r1": 1}
+
+
+async def test_order_that_could_not_be_sent_leaves_its_key_free() -> None:
+    async with order_bench() as (bench, _), bench.entry() as entry:
+        bench.crash_backend()
+        await entry.order("r1", **KEYED)
+        answer = await entry.ended("r1")
+        assert answer.end.outcome == NotRun(NotRunReason.NO_BACKEND)
+        await entry.order("r2", **KEYED)
+        again = await entry.ended("r2")
+    assert again.end.outcome == NotRun(NotRunReason.NO_BACKEND)
+
+
+async def test_order_with_a_lost_reply_is_never_sent_again() -> None:
+    """The desk runs the order and its reply is lost; the family's app repeats it with its key."""
+    async with order_bench() as (bench, _), bench.entry() as entry:
+        bench.desk.faults.set(Fault(FaultKind.DROP_REPLIES))
+        await entry.order("r1", **KEYED)
+        assert (await entry.ended("r1")).end.outcome == Unknown(UnknownReason.BACKEND_LOST)
+        bench.desk.faults.clear()
+        await entry.order("r2", **KEYED)
+        again = await entry.ended("r2")
+    assert again.end.outcome == Unknown(UnknownReason.BACKEND_LOST)
+    assert bench.desk.state()["executions_by_id"] == {"r1": 1}
+
+
+async def test_withdrawn_before_the_claim_is_read_back_is_not_sent() -> None:
+    async with order_bench() as (bench, log), bench.entry() as entry:
+        log.faults.set(Fault(FaultKind.SLOW, seconds=0.2))
+        await entry.order("r1", **KEYED)
+        await bench.until(lambda: bench.app.gate.load().running == 1)
+        await entry.withdraw("r1")
+        await bench.until(lambda: bench.app.gate.load().running == 0)
+        log.faults.clear()
+        await entry.order("r2", **KEYED)
+        answer = await entry.ended("r2")
+    assert answer.end.outcome == Completed()
+    assert bench.desk.state()["executions_by_id"] == {"r2": 1}
+
+
+async def test_order_is_not_run_while_the_log_is_down() -> None:
+    async with order_bench() as (bench, log), bench.entry() as entry:
+        log.faults.set(Fault(FaultKind.OUTAGE))
+        await entry.order("r1", **KEYED)
+        answer = await entry.ended("r1")
+    assert isinstance(answer.end.outcome, NotRun)
+    assert answer.end.outcome.reason is NotRunReason.LOG_UNAVAILABLE
+    assert bench.desk.state()["executions"] == 0
--- a/tests/agent_harness.py
+++ b/tests/agent_harness.py
@@ -33,6 +33,7 @@
     Reserve,
     ResponseHead,
     Submit,
+    Withdraw,
 )
 
 if TYPE_CHECKING:
@@ -176,6 +177,11 @@
         window = fields.pop("window", WINDOW)
         resume_text = fields.pop("resume_text", "")
         await self.granted(request_id, **fields)
+        await self.submit_chat(request_id, prompt, window, resume_text)
+
+    async def submit_chat(
+        self, request_id: str, prompt: str, window: int = WINDOW, resume_text: str = ""
+    ) -> None:
         body = {
             "model": MODEL,
             "stream": True,
@@ -193,6 +199,9 @@
             )
         )
 
+    async def withdraw(self, request_id: str) -> None:
+        await self.connection.send(Withdraw(request_id))
+
     async def order(self, request_id: str, method: str = "POST", path: str = "/orders", **fields):
         """Reserve, wait for the grant, and send a call of the order desk."""
         await self.granted(request_id, **({"idempotent": method == "GET"} | fields))
@@ -217,6 +226,7 @@
     backend_scope: trio.CancelScope
     engine: EngineStandIn
     desk: OrderDeskStandIn
+    exit_code: int | None = None
 
     @asynccontextmanager
     async def entry(
@@ -249,6 +259,7 @@
         "platform": {"log": "http://127.0.0.1:1", "membership": "http://127.0.0.1:1"},
         "backend": {"address": backend, "kind": kind, "targets": [MODEL]},
     }
+    table["backend"] |= tables.pop("backend_limits", {})
     for name, extra in tables.items():
         table[name] = table.get(name, {}) | extra
     settings = structure_settings(table, AgentSettings)
@@ -284,6 +295,12 @@
             return wire[0]
 
         app._listen = noted_listen
-        await nursery.start(app.run)
-        yield Bench(app, wire[0], nursery, scope, engine_standin, desk)
+        bench = Bench(app, "", nursery, scope, engine_standin, desk)
+
+        async def run(task_status: trio.TaskStatus[None]) -> None:
+            bench.exit_code = await app.run(task_status)
+
+        await nursery.start(run)
+        bench.wire = wire[0]
+        yield bench
         nursery.cancel_scope.cancel()
