--- a/packages/ragwortwing-agent/src/ragwortwing_agent/agent_request.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/agent_request.py
@@ -73,6 +73,11 @@
         """Bytes of the answer kept here."""
         return self._buffer.held_bytes
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the backend server must not be read further for now."""
+        return self._buffer.is_full
+
     def advance(self, trigger: str) -> None:
         """Go on to the next state.
 
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/backend_client.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/backend_client.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import math
 from contextlib import asynccontextmanager
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
 import httpcore
+import trio
 
 from ragwortwing_wire.messages import Header
 
+from .direct_network import DirectBackend
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
     from datetime import timedelta
@@ -35,6 +39,9 @@
 )
 """Headers of one connection, which are not passed on; the length is set anew."""
 
+RENEWAL_SHARE = 0.5
+"""Share of the silence allowed after which the deadline is moved on."""
+
 SEND_STARTED = "http11.send_request_headers.started"
 """Event of the HTTP library directly before the first byte of a request is written."""
 
@@ -58,6 +65,39 @@
         self.failure = failure
 
 
+class BackendAnswer:
+    """An answer as it comes in, with a watch over the server's silence."""
+
+    def __init__(
+        self, response: httpcore.Response, scope: trio.CancelScope, silence: timedelta
+    ) -> None:
+        self.status = response.status
+        self.headers = _passed_on(response)
+        self._response = response
+        self._scope = scope
+        self._seconds = silence.total_seconds()
+        self._renew_at = 0.0
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """Give the body's pieces as they come."""
+        async for data in self._response.aiter_stream():
+            # Moving a deadline costs as much as reading a token, so it is moved now and then: a
+            # silent server is given up after one to one and a half times the silence allowed.
+            if trio.current_time() >= self._renew_at:
+                self.expect_more()
+            yield data
+
+    def expect_nothing(self) -> None:
+        """Let any time pass, because it is this side that does not read."""
+        self._scope.deadline = math.inf
+
+    def expect_more(self) -> None:
+        """Count the server's silence from now on."""
+        now = trio.current_time()
+        self._scope.deadline = now + self._seconds * (1 + RENEWAL_SHARE)
+        self._renew_at = now + self._seconds * RENEWAL_SHARE
+
+
 class BackendClient:
     """Makes each call on a connection of its own.
 
@@ -69,7 +109,9 @@
         self._url = f"http://{settings.address}"
         self._connect_seconds = settings.connect_timeout.total_seconds()
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAXIMUM_CONNECTIONS, max_keepalive_connections=0
+            max_connections=MAXIMUM_CONNECTIONS,
+            max_keepalive_connections=0,
+            network_backend=DirectBackend(),
         )
 
     async def aclose(self) -> None:
@@ -84,8 +126,8 @@
         headers: tuple[Header, ...],
         body: bytes,
         silence: timedelta,
-        on_send: Callable[[], None] | None = None,
-    ) -> AsyncIterator[httpcore.Response]:
+        on_send: Callable[[], None],
+    ) -> AsyncIterator[BackendAnswer]:
         """Make one call, once, and give its answer; leaving early closes the connection.
 
         Args:
@@ -102,29 +144,27 @@
         """
 
         async def trace(event: str, info: object) -> None:
-            if event == SEND_STARTED and on_send is not None:
+            if event == SEND_STARTED:
                 on_send()
 
-        seconds = silence.total_seconds()
-        timeout = {"connect": self._connect_seconds, "read": seconds, "write": seconds}
-        extensions: dict[str, object] = {"timeout": timeout}
-        if on_send is not None:
-            extensions["trace"] = trace
+        extensions = {"timeout": {"connect": self._connect_seconds}, "trace": trace}
+        deadline = trio.current_time() + self._connect_seconds + silence.total_seconds()
         try:
-            async with self._pool.stream(
-                method,
-                self._url + path,
-                headers=[(each.name, each.value) for each in end_to_end(headers)],
-                content=body,
-                extensions=extensions,
-            ) as response:
-                yield response
-        except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
+            with trio.CancelScope(deadline=deadline) as scope:
+                async with self._pool.stream(
+                    method,
+                    self._url + path,
+                    headers=[(each.name, each.value) for each in end_to_end(headers)],
+                    content=body,
+                    extensions=extensions,
+                ) as response:
+                    yield BackendAnswer(response, scope, silence)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             raise BackendCallError(CallFailure.NOT_SENT) from error
-        except httpcore.TimeoutException as error:
-            raise BackendCallError(CallFailure.SILENT) from error
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             raise BackendCallError(CallFailure.LOST) from error
+        if scope.cancelled_caught:
+            raise BackendCallError(CallFailure.SILENT)
 
 
 def end_to_end(headers: tuple[Header, ...]) -> tuple[Header, ...]:
@@ -132,6 +172,5 @@
     return tuple(each for each in headers if each.name.lower() not in HOP_HEADERS)
 
 
-def response_headers(response: httpcore.Response) -> tuple[Header, ...]:
-    """Return the headers of an answer that are passed on."""
+def _passed_on(response: httpcore.Response) -> tuple[Header, ...]:
     return end_to_end(tuple(Header(name.lower(), value) for name, value in response.headers))
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/calls.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/calls.py
@@ -11,7 +11,7 @@
 from ragwortwing_policy.outcomes import Outcome
 
 from .agent_request import AgentRequest
-from .backend_client import BackendClient
+from .backend_client import BackendAnswer, BackendClient
 
 if TYPE_CHECKING:
     from ragwortwing_policy.routing import BackendKind
@@ -55,3 +55,10 @@
         return function
 
     return register
+
+
+async def wait_room(request: AgentRequest, answer: BackendAnswer) -> None:
+    """Stop to read an answer until its entry has taken enough of it."""
+    answer.expect_nothing()
+    await request.wait_room()
+    answer.expect_more()
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/engine_call.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/engine_call.py
@@ -18,13 +18,11 @@
 from ragwortwing_policy.routing import BackendKind
 from ragwortwing_wire.messages import Header
 
-from .backend_client import BackendCallError, CallFailure, response_headers
-from .calls import CallResult, calls
+from .backend_client import BackendAnswer, BackendCallError, CallFailure
+from .calls import CallResult, calls, wait_room
 from .event_stream import EventSplitter, Usage, count_tokens, read_usage
 
 if TYPE_CHECKING:
-    import httpcore
-
     from .agent_request import AgentRequest
     from .calls import CallTools
 
@@ -59,8 +57,8 @@
     try:
         async with tools.backend.call(
             submit.method, submit.path, headers, msgspec.json.encode(body), silence, note_sent
-        ) as response:
-            return await _relay(response, request, tools)
+        ) as answer:
+            return await _relay(answer, request, tools)
     except BackendCallError as error:
         return CallResult(_outcome_of(error.failure, request))
 
@@ -82,24 +80,22 @@
     return body
 
 
-async def _relay(
-    response: httpcore.Response, request: AgentRequest, tools: CallTools
-) -> CallResult:
-    headers = response_headers(response)
-    request.add_head(response.status, headers)
+async def _relay(answer: BackendAnswer, request: AgentRequest, tools: CallTools) -> CallResult:
+    request.add_head(answer.status, answer.headers)
     is_stream = any(
-        each.name == b"content-type" and each.value.startswith(EVENT_STREAM) for each in headers
+        each.name == b"content-type" and each.value.startswith(EVENT_STREAM)
+        for each in answer.headers
     )
-    if response.status != SUCCESS or not is_stream:
-        return await _relay_whole(response, request, tools)
-    return await _relay_events(response, request, tools)
+    if answer.status != SUCCESS or not is_stream:
+        return await _relay_whole(answer, request, tools)
+    return await _relay_events(answer, request, tools)
 
 
 async def _relay_events(
-    response: httpcore.Response, request: AgentRequest, tools: CallTools
+    answer: BackendAnswer, request: AgentRequest, tools: CallTools
 ) -> CallResult:
     splitter = EventSplitter()
-    async for data in response.aiter_stream():
+    async for data in answer.pieces():
         events = splitter.feed(data)
         if not events:
             continue
@@ -107,7 +103,8 @@
         request.text.add(events)
         request.add_piece(events, tokens)
         tools.progressed(request, tokens)
-        await request.wait_room()
+        if request.is_full:
+            await wait_room(request, answer)
     # An engine that ends the connection in good order in mid-answer has not completed it; the event
     # that ends a stream tells the two apart.
     if not splitter.is_done:
@@ -116,15 +113,16 @@
 
 
 async def _relay_whole(
-    response: httpcore.Response, request: AgentRequest, tools: CallTools
+    answer: BackendAnswer, request: AgentRequest, tools: CallTools
 ) -> CallResult:
     tail = b""
-    async for data in response.aiter_stream():
+    async for data in answer.pieces():
         request.add_piece(data)
         tail = (tail + data)[-USAGE_TAIL:]
-        await request.wait_room()
-    if response.status != SUCCESS:
-        return CallResult(Failed(FailedReason.BACKEND_ERROR, response.status))
+        if request.is_full:
+            await wait_room(request, answer)
+    if answer.status != SUCCESS:
+        return CallResult(Failed(FailedReason.BACKEND_ERROR, answer.status))
     usage = read_usage(tail)
     tools.progressed(request, usage.completion_tokens)
     return _completed(request, usage)
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/service_call.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/service_call.py
@@ -23,8 +23,8 @@
 from ragwortwing_policy.routing import BackendKind
 from ragwortwing_wire.messages import Header
 
-from .backend_client import BackendCallError, CallFailure, response_headers
-from .calls import CallResult, calls
+from .backend_client import BackendCallError, CallFailure
+from .calls import CallResult, calls, wait_room
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -49,7 +49,7 @@
 
 
 @dataclass(slots=True)
-class _Answer:
+class _KeptAnswer:
     """What is kept of an answer, to be recorded with its outcome."""
 
     status: int = 0
@@ -60,7 +60,7 @@
 async def call_service(request: AgentRequest, tools: CallTools) -> CallResult:
     """Make the call; where it is an order, at most once."""
     if not request.reserve.order_key:
-        return CallResult(await _send(request, tools, _Answer(), lambda: None))
+        return CallResult(await _send(request, tools, _KeptAnswer(), lambda: None))
     if tools.orders is None:
         return CallResult(NotRun(NotRunReason.LOG_UNAVAILABLE))
     return CallResult(await _send_claimed(request, tools, tools.orders))
@@ -85,7 +85,7 @@
 async def _send_won(
     request: AgentRequest, tools: CallTools, orders: OrderBook, won: WonClaim
 ) -> Outcome:
-    answer = _Answer()
+    kept = _KeptAnswer()
 
     def begin_send() -> None:
         refusal = orders.begin_send(won)
@@ -93,7 +93,7 @@
             raise SendForbiddenError(refusal)
 
     try:
-        outcome = await _send(request, tools, answer, begin_send)
+        outcome = await _send(request, tools, kept, begin_send)
     except SendForbiddenError as error:
         return error.refusal
     except trio.Cancelled:
@@ -103,14 +103,14 @@
             orders.record(won, Unknown(UnknownReason.BACKEND_LOST))
         raise
     if request.sent_to_backend:
-        orders.record(won, outcome, answer.status, answer.body)
+        orders.record(won, outcome, kept.status, kept.body)
     else:
         orders.release(won, NotRunReason.NO_BACKEND)
     return outcome
 
 
 async def _send(
-    request: AgentRequest, tools: CallTools, answer: _Answer, before_write: Callable[[], None]
+    request: AgentRequest, tools: CallTools, kept: _KeptAnswer, before_write: Callable[[], None]
 ) -> Outcome:
     submit = request.submit
     assert submit is not None
@@ -127,17 +127,18 @@
     try:
         async with tools.backend.call(
             submit.method, submit.path, headers, submit.body, ANSWER_SILENCE, on_send
-        ) as response:
-            answer.status = response.status
-            request.add_head(response.status, response_headers(response))
-            async for data in response.aiter_stream():
+        ) as answer:
+            kept.status = answer.status
+            request.add_head(answer.status, answer.headers)
+            async for data in answer.pieces():
                 request.add_piece(data)
-                answer.body = (answer.body + data)[: ANSWER_LIMIT_BYTES + 1]
-                await request.wait_room()
+                kept.body = (kept.body + data)[: ANSWER_LIMIT_BYTES + 1]
+                if request.is_full:
+                    await wait_room(request, answer)
     except BackendCallError as error:
         return _outcome_of(error.failure, request)
-    if answer.status >= SERVER_ERROR:
-        return Failed(FailedReason.BACKEND_ERROR, answer.status)
+    if kept.status >= SERVER_ERROR:
+        return Failed(FailedReason.BACKEND_ERROR, kept.status)
     return Completed()
 
 
