Run whole answers as streams, so that they are counted, preempted and resumed too

Cause: a run that gives nothing before its end looked to the scheduler like a stalled engine, and a preempted one would have passed parts of two runs on.

--- a/packages/ragwortwing-agent/src/ragwortwing_agent/agent_request.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/agent_request.py
@@ -100,9 +100,13 @@
     def add_piece(self, data: bytes, tokens: int = 0) -> None:
         """Pass on a piece of the answer."""
         self._buffer.add(data, tokens)
-        self.tokens += tokens
         self._notify()
 
+    def add_text(self, events: bytes, tokens: int) -> None:
+        """Keep the text of events, for an engine to go on after."""
+        self.text.add(events)
+        self.tokens += tokens
+
     async def wait_room(self) -> None:
         """Wait until the entry has taken enough of the answer to read on."""
         while self._buffer.is_full:
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/event_stream.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/event_stream.py
@@ -66,8 +66,9 @@
     def __init__(self) -> None:
         self.is_done = False
         """Whether the event that ends the stream has come."""
+        self.last_events = b""
+        """The newest whole events."""
         self._rest = b""
-        self._tail = b""
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the whole events so far."""
@@ -78,13 +79,13 @@
             end = data.rfind(EVENT_END) + len(EVENT_END) if EVENT_END in data else 0
             data, self._rest = data[:end], data[end:]
         if data:
-            self._tail = data
+            self.last_events = data
             self.is_done = self.is_done or data.endswith(DONE_EVENT)
         return data
 
     def usage(self) -> Usage:
         """Return the count that the last events carry, zeros where there is none."""
-        for line in reversed(self._tail.splitlines()):
+        for line in reversed(self.last_events.splitlines()):
             if line.startswith(_DATA) and b'"usage"' in line:
                 return read_usage(line[len(_DATA) :])
         return Usage()
--- a/packages/ragwortwing-agent/tests/test_agent_app.py
+++ b/packages/ragwortwing-agent/tests/test_agent_app.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+import pytest
 import trio
 from agent_harness import LIMIT, Answer, agent_bench
 
@@ -169,6 +171,38 @@
     assert state["cancelled_by_id"] == {"r1": 2}
 
 
+@pytest.mark.parametrize("extra", [{}, {"logprobs": False}], ids=["assembled", "passed on"])
+async def test_whole_answer_survives_preemption(extra: dict) -> None:
+    """A caller that does not stream is preempted too; its one answer is whole all the same.
+
+    Where the body allows it the answer is put together from a stream and goes on at its offset.
+    """
+    async with agent_bench() as bench, bench.entry() as entry:
+        await entry.granted("r1", request_class="draft")
+        await entry.submit_chat("r1", MENU, stream=False, **extra)
+        state = bench.engine.state
+        await bench.until(lambda: state()["counts"].get("generated_tokens", 0) >= 10)
+        bench.app.gate._execute([Preempt("r1")])
+        answer = await entry.ended("r1")
+    whole = msgspec.json.decode(answer.body)
+    assert whole["choices"][0]["message"]["content"] == answer_text(MENU, 120)
+    assert whole["choices"][0]["finish_reason"] == "stop"
+    assert whole["id"] == "chatcmpl-r1"
+    assert whole["usage"]["completion_tokens"] == 120
+    assert answer.end.outcome == Completed(120)
+    assert state()["cancelled_by_id"] == {"r1": 1}
+    assert (state()["counts"]["resumed_tokens"] > 0) is (not extra)
+
+
+async def test_error_of_the_engine_is_passed_on() -> None:
+    async with agent_bench() as bench, bench.entry() as entry:
+        await entry.granted("r1")
+        await entry.submit_chat("r1", MENU, model="other")
+        answer = await entry.ended("r1")
+    assert answer.head.status == 404
+    assert answer.end.outcome == Failed(FailedReason.BACKEND_ERROR, 404)
+
+
 async def test_hang_up_cancels_the_work_in_the_engine() -> None:
     async with agent_bench() as bench, bench.entry() as entry:
         await entry.chat("r1", ENDLESS)
--- a/tests/agent_harness.py
+++ b/tests/agent_harness.py
@@ -180,13 +180,15 @@
         await self.submit_chat(request_id, prompt, window, resume_text)
 
     async def submit_chat(
-        self, request_id: str, prompt: str, window: int = WINDOW, resume_text: str = ""
+        self,
+        request_id: str,
+        prompt: str,
+        window: int = WINDOW,
+        resume_text: str = "",
+        **body_fields,
     ) -> None:
-        body = {
-            "model": MODEL,
-            "stream": True,
-            "messages": [{"role": "user", "content": prompt}],
-        }
+        messages = [{"role": "user", "content": prompt}]
+        body = {"model": MODEL, "stream": True, "messages": messages} | body_fields
         await self.connection.send(
             Submit(
                 request_id,
