--- a/packages/ragwortwing-entry/src/ragwortwing_entry/agent_link.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/agent_link.py
@@ -62,6 +62,8 @@
         self.address = address
         self.leaving = False
         """Whether the list or the agent itself says that it leaves."""
+        self.listed = True
+        """Whether the membership list names the agent."""
         self.view: AgentView | None = None
         """What is known of the agent while it is connected."""
         self._pool = pool
@@ -96,8 +98,8 @@
         await self._connection.send(message)
 
     async def run(self) -> None:
-        """Keep a connection to the agent, for ever."""
-        while True:
+        """Keep a connection to the agent until it is listed no more and its connection is lost."""
+        while self.listed:
             stream = await self._dial()
             if stream is None:
                 self._lose_runs()
@@ -109,6 +111,7 @@
                 log.warning("Agent connection failed", address=self.address, reason=error.reason)
                 self._lose_runs()
                 await trio.sleep(self._settings.connections.redial_interval.total_seconds())
+        self._lose_runs(forced=True)
 
     async def _dial(self) -> trio.SocketStream | None:
         # A dial that is refused or gets no answer shows that the VM itself is gone, and not only
@@ -144,6 +147,7 @@
     async def _connected(self, hello: AgentHello) -> None:
         if hello.agent_id != self._agent_id:
             self._lose_runs(forced=True)
+            self._pool.agent_replaced(self._agent_id)
         self._agent_id = hello.agent_id
         self._lost_at = None
         self.view = AgentView(
@@ -168,7 +172,7 @@
         if self.view is None:
             return
         self._lost_at = self._clock.monotonic()
-        self._pool.link_lost(self.view.agent_id)
+        self._pool.link_lost(self.view)
         self.view = None
         for run in list(self._runs_by_id.values()):
             if run.attach_message(self._agent_id) is None:
@@ -245,7 +249,7 @@
             zone=self.view.zone,
             kind=self.view.kind,
             targets=self.view.targets,
-            leaving=self.leaving or message.leaving,
+            leaving=self.leaving or not self.listed or message.leaving,
             load=message.load or self.view.load,
         )
         self._pool.link_changed(self, self.view)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/agent_pool.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/agent_pool.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from dataclasses import replace
 from typing import TYPE_CHECKING, Protocol
 
-import trio
+from ragwortwing_platform.membership_feed import MemberRole, MemberState
+from ragwortwing_platform.settings_reader import parse_address
+from ragwortwing_policy.subsets import SubsetAgent, subset, subset_size
 from ragwortwing_wire.messages import (
     ConfigurationRecords,
     ConfigurationRequest,
@@ -16,31 +18,58 @@
 from .agent_link import AgentLink, LinkSettings
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    import trio
+    from ragwortwing_platform.membership_feed import Members
     from ragwortwing_platform.settings import ConnectionSettings
     from ragwortwing_platform.settings_reader import Address
     from ragwortwing_policy.clock import Clock
     from ragwortwing_policy.configuration import Configuration
     from ragwortwing_policy.routing import AgentView, Router
+    from ragwortwing_wire.messages import ConfigurationRecord
 
 
 class ConfigurationSource(Protocol):
-    """What the entry needs of the configuration in force."""
+    """What the entry needs of the configuration feed."""
 
     @property
-    def configuration(self) -> Configuration | None:
+    def current(self) -> Configuration | None:
         """The configuration in force; None before the first was seen."""
         ...
 
-    def records_from(self, offset: int) -> ConfigurationRecords:
+    @property
+    def position(self) -> int:
+        """Offset of the next record to fold."""
+        ...
+
+    def records_from(self, offset: int) -> tuple[ConfigurationRecord, ...]:
         """Return the records from an offset on, for a peer that is behind."""
         ...
 
-    def take_records(self, records: ConfigurationRecords) -> None:
+    def take_peer_records(self, records: Iterable[ConfigurationRecord]) -> bool:
         """Fold records that a peer sent."""
         ...
 
-    def request_if_behind(self, peer_revision: int) -> ConfigurationRequest | None:
-        """Return what to ask of a peer that is ahead."""
+    async def run(self, *, task_status: trio.TaskStatus[None] = ...) -> None:
+        """Follow the stream; started after the first read."""
+        ...
+
+
+class MemberSource(Protocol):
+    """What the entry needs of the membership feed."""
+
+    @property
+    def current(self) -> Members:
+        """The newest list."""
+        ...
+
+    async def changed(self) -> Members:
+        """Wait until the list changes and return it."""
+        ...
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = ...) -> None:
+        """Follow the list; started after the first read."""
         ...
 
 
@@ -58,13 +87,13 @@
     ) -> None:
         self.draining = False
         """Told to the agents with each heartbeat."""
+        self._name = entry_id.partition("/")[0]
         self._hello = EntryHello(entry_id, zone, revision=-1)
         self._connections = connections
         self._router = router
         self._source = source
         self._clock = clock
         self._links_by_address: dict[Address, AgentLink] = {}
-        self._scopes_by_address: dict[Address, trio.CancelScope] = {}
         self._links_by_agent_id: dict[str, AgentLink] = {}
 
     @property
@@ -85,11 +114,13 @@
             nursery: Where links live.
         """
         for address in self._links_by_address.keys() - leaving_by_address.keys():
-            self._drop(address)
+            # The list lags and can be wrong: an answer that still comes is not cut for it.
+            self._links_by_address[address].listed = False
         for address, leaving in leaving_by_address.items():
             link = self._links_by_address.get(address)
             if link is None:
                 link = self._add(address, nursery)
+            link.listed = True
             link.leaving = leaving
 
     def hello(self) -> EntryHello:
@@ -105,42 +136,62 @@
         self._links_by_agent_id[view.agent_id] = link
         self._router.update(view, self._clock.monotonic())
 
-    def link_lost(self, agent_id: str) -> None:
+    def link_lost(self, view: AgentView) -> None:
         """Choose an agent no more until it is connected again."""
-        self._links_by_agent_id.pop(agent_id, None)
+        self._links_by_agent_id.pop(view.agent_id, None)
+        self._router.update(replace(view, connected=False), self._clock.monotonic())
+
+    def agent_replaced(self, agent_id: str) -> None:
+        """Forget an agent in whose place another one answered."""
         self._router.remove(agent_id, self._clock.monotonic())
 
     def records_from(self, offset: int) -> ConfigurationRecords:
         """Return the configuration records from an offset on."""
-        return self._source.records_from(offset)
+        return ConfigurationRecords(self._source.records_from(offset))
 
-    def take_records(self, records: ConfigurationRecords) -> None:
+    def take_records(self, message: ConfigurationRecords) -> None:
         """Fold configuration records of an agent."""
-        self._source.take_records(records)
+        self._source.take_peer_records(message.records)
 
     def request_if_behind(self, peer_revision: int) -> ConfigurationRequest | None:
-        """Return what to ask of an agent that is ahead."""
-        return self._source.request_if_behind(peer_revision)
+        """Return what to ask of an agent that is ahead; None where it is not."""
+        if peer_revision <= self._revision:
+            return None
+        return ConfigurationRequest(self._source.position)
+
+    async def follow_members(self, source: MemberSource, nursery: trio.Nursery) -> None:
+        """Keep the links to the agents of this entry's subset, as the list changes."""
+        members = source.current
+        while True:
+            self.set_agents(self._subset(members), nursery)
+            members = await source.changed()
+
+    def _subset(self, members: Members) -> dict[Address, bool]:
+        agents = {each.name: each for each in members.with_role(MemberRole.AGENT)}
+        entries = [each.name for each in members.with_role(MemberRole.ENTRY)]
+        known = [SubsetAgent(each.name, each.zone) for each in agents.values()]
+        size = subset_size(len(entries), len(known))
+        chosen = subset(self._name, entries, known, size)
+        leaving_by_address: dict[Address, bool] = {}
+        for name in chosen:
+            address = parse_address(agents[name].address)
+            if address is not None:
+                leaving_by_address[address] = agents[name].state is MemberState.LEAVING
+        return leaving_by_address
 
     @property
     def _revision(self) -> int:
-        configuration = self._source.configuration
+        configuration = self._source.current
         return -1 if configuration is None else configuration.revision
 
     def _add(self, address: Address, nursery: trio.Nursery) -> AgentLink:
         settings = LinkSettings(self._hello, self._connections)
         link = AgentLink(address, self, settings, self._clock)
-        scope = trio.CancelScope()
         self._links_by_address[address] = link
-        self._scopes_by_address[address] = scope
-        nursery.start_soon(_run_link, link, scope)
+        nursery.start_soon(self._run_link, link)
         return link
 
-    def _drop(self, address: Address) -> None:
-        del self._links_by_address[address]
-        self._scopes_by_address.pop(address).cancel()
-
-
-async def _run_link(link: AgentLink, scope: trio.CancelScope) -> None:
-    with scope:
+    async def _run_link(self, link: AgentLink) -> None:
         await link.run()
+        if self._links_by_address.get(link.address) is link:
+            del self._links_by_address[link.address]
--- /dev/null
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/delivery.py
@@ -0,0 +1,138 @@
+"""Brings the answer of a request to its caller as it comes, and says how the request ended."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import trio
+from ragwortwing_policy.outcomes import Completed, Outcome
+
+from .answers import (
+    EVENT_STREAM,
+    KEEP_ALIVE_COMMENT,
+    Answer,
+    outcome_answer,
+    outcome_event,
+    outcome_headers,
+    with_length,
+)
+from .request_run import Ended, Idle, Pieces
+
+if TYPE_CHECKING:
+    from ragwortwing_policy.clock import Clock
+
+    from .answers import HeaderList
+    from .http_call import HttpCall
+    from .request_run import RequestRun
+
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"date",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"server",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+"""Headers that belong to one connection and are not passed on."""
+
+
+async def deliver(
+    call: HttpCall, run: RequestRun, clock: Clock, keep_alive_seconds: float
+) -> Outcome | None:
+    """Deliver the answer of a run, and stop the run at once when the caller leaves.
+
+    Args:
+        call: The caller's request.
+        run: The request in flight.
+        clock: The process's clock.
+        keep_alive_seconds: Time between two comments in a stream that waits for its first token.
+
+    Returns:
+        The outcome; None only where the task was cancelled first.
+    """
+    outcome: Outcome | None = None
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_watch_caller, call, run, nursery.cancel_scope)
+        run.start()
+        if run.request.streamed:
+            outcome = await _deliver_stream(call, run, clock, keep_alive_seconds)
+        else:
+            outcome = await _deliver_whole(call, run)
+        nursery.cancel_scope.cancel()
+    return outcome or run.outcome
+
+
+async def _watch_caller(call: HttpCall, run: RequestRun, scope: trio.CancelScope) -> None:
+    await call.wait_left()
+    await run.caller_gone()
+    scope.cancel()
+
+
+async def _deliver_stream(
+    call: HttpCall, run: RequestRun, clock: Clock, keep_alive_seconds: float
+) -> Outcome:
+    request_id = run.request.request_id
+    started = False
+    idle_at = clock.monotonic() + keep_alive_seconds
+    while True:
+        part = await run.next_part(idle_at)
+        if isinstance(part, Ended):
+            break
+        if not started:
+            await call.start(200, _stream_headers(request_id))
+            started = True
+        if isinstance(part, Pieces):
+            idle_at = math.inf
+            await call.send(part.data)
+        else:
+            idle_at = clock.monotonic() + keep_alive_seconds
+            await call.send(KEEP_ALIVE_COMMENT)
+    if started:
+        await call.finish(outcome_event(part.outcome, request_id))
+    elif isinstance(part.outcome, Completed):
+        await call.start(200, _stream_headers(request_id))
+        await call.finish(outcome_event(part.outcome, request_id))
+    else:
+        await call.answer(outcome_answer(part.outcome, request_id))
+    return part.outcome
+
+
+async def _deliver_whole(call: HttpCall, run: RequestRun) -> Outcome:
+    body = b""
+    while True:
+        part = await run.next_part(math.inf)
+        if isinstance(part, Pieces):
+            body = part.data
+        elif not isinstance(part, Idle):
+            break
+    request_id = run.request.request_id
+    if isinstance(part.outcome, Completed) and run.head is not None:
+        headers = [*_relayed_headers(run), *outcome_headers(part.outcome, request_id)]
+        await call.answer(with_length(Answer(run.head.status, headers, body)))
+    else:
+        await call.answer(outcome_answer(part.outcome, request_id))
+    return part.outcome
+
+
+def _stream_headers(request_id: str) -> HeaderList:
+    return [
+        (b"content-type", EVENT_STREAM),
+        (b"cache-control", b"no-cache"),
+        (b"x-request-id", request_id.encode()),
+    ]
+
+
+def _relayed_headers(run: RequestRun) -> HeaderList:
+    assert run.head is not None
+    return [
+        (header.name.lower(), header.value)
+        for header in run.head.headers
+        if header.name.lower() not in HOP_BY_HOP_HEADERS and header.name.lower() != b"x-request-id"
+    ]
--- /dev/null
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/http_call.py
@@ -0,0 +1,101 @@
+"""One HTTP request as the ASGI server gives it, with bounded reading and plain writing."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING, Any
+
+from .caller_faults import CallerFault, CallerFaultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from .answers import Answer, HeaderList
+
+Receive = "Callable[[], Awaitable[dict[str, Any]]]"
+Send = "Callable[[dict[str, Any]], Awaitable[None]]"
+
+CONTENT_LENGTH = b"content-length"
+
+
+class CallerLeft(Enum):
+    """The caller closed the connection before its request was whole."""
+
+    CALLER_LEFT = "caller_left"
+
+
+class HttpCall:
+    """A request and the way back to its caller."""
+
+    def __init__(
+        self,
+        scope: dict[str, Any],
+        receive: Callable[[], Awaitable[dict[str, Any]]],
+        send: Callable[[dict[str, Any]], Awaitable[None]],
+    ) -> None:
+        self.method: str = scope["method"]
+        self.path: str = scope["path"]
+        self.raw_path: bytes = scope["raw_path"]
+        self.query: bytes = scope["query_string"]
+        self.server: tuple[str, int] = scope["server"]
+        self.headers: list[tuple[bytes, bytes]] = list(scope["headers"])
+        self._values_by_name = dict(self.headers)
+        self._receive = receive
+        self._send = send
+
+    def header(self, name: bytes) -> bytes:
+        """Return a header's value, empty where it was not sent."""
+        return self._values_by_name.get(name, b"")
+
+    def check_headers(self, limit: int) -> CallerFault | None:
+        """Return the fault of a request whose headers are too large."""
+        if sum(len(name) + len(value) for name, value in self.headers) <= limit:
+            return None
+        return CallerFault(
+            CallerFaultCode.HEADERS_TOO_LARGE, f"headers may have {limit:,} bytes together"
+        )
+
+    async def read_body(self, limit: int) -> bytes | CallerFault | CallerLeft:
+        """Read the whole body, but never more than the limit.
+
+        Args:
+            limit: Bytes that a body may have.
+        """
+        fault = CallerFault(CallerFaultCode.BODY_TOO_LARGE, f"a body may have {limit:,} bytes")
+        announced = self.header(CONTENT_LENGTH)
+        if announced.isdigit() and int(announced) > limit:
+            return fault
+        pieces: list[bytes] = []
+        size = 0
+        while True:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                return CallerLeft.CALLER_LEFT
+            pieces.append(message.get("body", b""))
+            size += len(pieces[-1])
+            if size > limit:
+                return fault
+            if not message.get("more_body", False):
+                return b"".join(pieces)
+
+    async def wait_left(self) -> None:
+        """Wait until the caller has closed the connection."""
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+
+    async def answer(self, answer: Answer) -> None:
+        """Send a whole answer."""
+        await self.start(answer.status, answer.headers)
+        await self.finish(answer.body)
+
+    async def start(self, status: int, headers: HeaderList) -> None:
+        """Send the head of an answer."""
+        await self._send({"type": "http.response.start", "status": status, "headers": headers})
+
+    async def send(self, data: bytes) -> None:
+        """Send a piece of the answer's body."""
+        await self._send({"type": "http.response.body", "body": data, "more_body": True})
+
+    async def finish(self, data: bytes = b"") -> None:
+        """Send the last piece of the answer's body."""
+        await self._send({"type": "http.response.body", "body": data, "more_body": False})
--- /dev/null
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/model_routes.py
@@ -0,0 +1,98 @@
+"""The calls that reach model engines."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ragwortwing_policy.routing import BackendKind
+from ragwortwing_wire.messages import Header
+
+from .accounts import authenticate, class_of_request
+from .answers import json_answer
+from .caller_faults import CallerFault, CallerFaultCode
+from .caller_request import CallerRequest
+from .chat_request import ChatRequest, read_chat_request
+from .http_call import CallerLeft
+from .intake import AUTHORIZATION, REQUEST_CLASS, Intake, check_content_type, forwarded_headers
+from .routes import route
+
+if TYPE_CHECKING:
+    from ragwortwing_policy.configuration import Configuration
+
+    from .entry_app import EntryApp
+    from .http_call import HttpCall
+
+CHAT_PATH = "/v1/chat/completions"
+JSON_HEADER = Header(b"content-type", b"application/json")
+
+
+@route("GET", "/v1/models")
+async def list_models(app: EntryApp, call: HttpCall) -> None:
+    """List the models that callers may name."""
+    configuration = await app.require_configuration(call)
+    if configuration is None:
+        return
+    account = authenticate(configuration, call.header(AUTHORIZATION))
+    if isinstance(account, CallerFault):
+        await app.answer_fault(call, account)
+        return
+    models = [{"id": name, "object": "model"} for name in configuration.models_by_name]
+    await call.answer(json_answer({"object": "list", "data": models}))
+
+
+@route("POST", CHAT_PATH)
+async def complete_chat(app: EntryApp, call: HttpCall) -> None:
+    """Run a chat completion."""
+    configuration = await app.require_configuration(call)
+    if configuration is None:
+        return
+    request = await _read(app, call, configuration)
+    if isinstance(request, CallerFault):
+        await app.answer_fault(call, request)
+    elif isinstance(request, CallerRequest):
+        await app.requests.serve(call, request, configuration)
+
+
+async def _read(
+    app: EntryApp, call: HttpCall, configuration: Configuration
+) -> CallerRequest | CallerFault | CallerLeft:
+    account = authenticate(configuration, call.header(AUTHORIZATION))
+    if isinstance(account, CallerFault):
+        return account
+    class_name = class_of_request(account, call.header(REQUEST_CLASS))
+    if isinstance(class_name, CallerFault):
+        return class_name
+    wrong_type = check_content_type(call)
+    if wrong_type is not None:
+        return wrong_type
+    body = await call.read_body(app.settings.requests.body_bytes)
+    if not isinstance(body, bytes):
+        return body
+    chat = read_chat_request(body)
+    if isinstance(chat, CallerFault):
+        return chat
+    if chat.model not in configuration.models_by_name:
+        return CallerFault(CallerFaultCode.UNKNOWN_MODEL, f"there is no model {chat.model!r}")
+    intake = app.intake(configuration, account.name, class_name)
+    return _request(intake, call, chat, body)
+
+
+def _request(intake: Intake, call: HttpCall, chat: ChatRequest, body: bytes) -> CallerRequest:
+    return CallerRequest(
+        request_id=intake.request_id,
+        account=intake.account,
+        request_class=intake.request_class.name,
+        tier=intake.request_class.tier,
+        kind=BackendKind.ENGINE,
+        target=chat.model,
+        method="POST",
+        path=CHAT_PATH,
+        headers=forwarded_headers(call),
+        body=body,
+        arrived_at=intake.arrived_at,
+        deadline=intake.deadline,
+        streamed=chat.stream,
+        prompt_tokens=chat.prompt_tokens,
+        expected_tokens=chat.expected_tokens,
+        prefix_hash=chat.prefix_hash,
+    )
--- /dev/null
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/operator_routes.py
@@ -0,0 +1,105 @@
+"""What the balancer, the operator and the metrics scraper ask of an entry."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ragwortwing_platform.app import Phase
+from ragwortwing_platform.telemetry import METRICS_CONTENT_TYPE
+
+from .answers import Answer, json_answer, with_length
+from .caller_faults import CallerFault, CallerFaultCode
+from .routes import Audience, route
+
+if TYPE_CHECKING:
+    from ragwortwing_policy.routing import AgentView
+
+    from .entry_app import EntryApp
+    from .http_call import HttpCall
+
+REQUESTS_PATH = "/requests/"
+
+
+@route("GET", "/healthz")
+async def health(app: EntryApp, call: HttpCall) -> None:
+    """Say that the process answers."""
+    await call.answer(json_answer({"phase": app.phase}))
+
+
+@route("GET", "/readyz")
+async def readiness(app: EntryApp, call: HttpCall) -> None:
+    """Say whether the balancer should send callers here."""
+    ready = app.phase is Phase.SERVING and app.configuration is not None
+    body = {"ready": ready, "phase": app.phase, "configured": app.configuration is not None}
+    await call.answer(json_answer(body, 200 if ready else 503))
+
+
+@route("GET", "/metrics")
+async def metrics(app: EntryApp, call: HttpCall) -> None:
+    """Collect the metrics now."""
+    headers = [(b"content-type", METRICS_CONTENT_TYPE.encode())]
+    await call.answer(with_length(Answer(200, headers, app.telemetry.metrics_text())))
+
+
+@route("GET", "/status", (Audience.OPERATOR,))
+async def status(app: EntryApp, call: HttpCall) -> None:
+    """Tell an operator what the entry sees."""
+    await call.answer(json_answer(entry_status(app)))
+
+
+@route("GET", REQUESTS_PATH + "*", (Audience.OPERATOR,))
+async def show_request(app: EntryApp, call: HttpCall) -> None:
+    """Tell an operator what became of a request."""
+    request_id = call.path.removeprefix(REQUESTS_PATH)
+    record = app.journal.get(request_id)
+    if record is None:
+        message = f"no request {request_id!r} is remembered here"
+        await app.answer_fault(call, CallerFault(CallerFaultCode.UNKNOWN_PATH, message))
+        return
+    await call.answer(json_answer(record))
+
+
+@dataclass(frozen=True, slots=True)
+class AgentStatus:
+    """What an entry knows of an agent."""
+
+    zone: str
+    targets: list[str]
+    leaving: bool
+    running: int
+    queued: int
+    limit: int
+
+
+@dataclass(frozen=True, slots=True)
+class EntryStatus:
+    """What an entry sees."""
+
+    name: str
+    zone: str
+    phase: Phase
+    revision: int
+    preset: str
+    in_flight: int
+    agents_by_id: dict[str, AgentStatus]
+
+
+def entry_status(app: EntryApp) -> EntryStatus:
+    """Return what an entry sees now."""
+    configuration = app.configuration
+    return EntryStatus(
+        name=app.name,
+        zone=app.settings.zone,
+        phase=app.phase,
+        revision=-1 if configuration is None else configuration.revision,
+        preset="" if configuration is None else configuration.preset,
+        in_flight=len(app.journal.in_flight),
+        agents_by_id={each: _agent_status(view) for each, view in app.pool.agents_by_id.items()},
+    )
+
+
+def _agent_status(view: AgentView) -> AgentStatus:
+    load = view.load
+    targets = sorted(view.targets)
+    return AgentStatus(view.zone, targets, view.leaving, load.running, load.queued, load.limit)
--- /dev/null
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/request_journal.py
@@ -0,0 +1,102 @@
+"""What this entry remembers of requests in flight and of the latest that ended."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from typing import TYPE_CHECKING
+
+from ragwortwing_policy.outcomes import Completed
+
+if TYPE_CHECKING:
+    from ragwortwing_policy.clock import Instant
+    from ragwortwing_policy.outcomes import Outcome
+
+    from .caller_request import CallerRequest
+    from .request_run import RequestRun
+
+REMEMBERED = 1_000
+"""Ended requests kept."""
+
+
+@dataclass(slots=True)
+class RequestRecord:
+    """One request as an operator sees it."""
+
+    request_id: str
+    account: str
+    request_class: str
+    target: str
+    arrived: datetime
+    trace_id: str
+    state: str = "asking"
+    agent: str = ""
+    tokens: int = 0
+    first_piece_after: timedelta | None = None
+    ended_after: timedelta | None = None
+    outcome: str = ""
+    reason: str = ""
+
+
+class RequestJournal:
+    """Requests by id; memory is bounded by what is in flight and by `REMEMBERED`."""
+
+    def __init__(self, remembered: int = REMEMBERED) -> None:
+        self._remembered = remembered
+        self._runs_by_id: dict[str, RequestRun] = {}
+        self._records_by_id: OrderedDict[str, RequestRecord] = OrderedDict()
+
+    @property
+    def in_flight(self) -> tuple[str, ...]:
+        """Ids of the requests in flight."""
+        return tuple(self._runs_by_id)
+
+    def begin(self, run: RequestRun, arrived: datetime, trace_id: str) -> RequestRecord:
+        """Open the record of a request."""
+        request: CallerRequest = run.request
+        record = RequestRecord(
+            request.request_id,
+            request.account,
+            request.request_class,
+            request.target,
+            arrived,
+            trace_id,
+        )
+        self._runs_by_id[request.request_id] = run
+        self._records_by_id[request.request_id] = record
+        return record
+
+    def end(self, run: RequestRun, outcome: Outcome, now: Instant) -> RequestRecord:
+        """Close the record of a request."""
+        request = run.request
+        del self._runs_by_id[request.request_id]
+        record = self._records_by_id[request.request_id]
+        self._refresh(record, run)
+        record.ended_after = timedelta(seconds=now - request.arrived_at)
+        record.outcome = outcome.kind
+        record.reason = "" if isinstance(outcome, Completed) else outcome.reason
+        self._records_by_id.move_to_end(request.request_id)
+        self._forget_oldest()
+        return record
+
+    def get(self, request_id: str) -> RequestRecord | None:
+        """Return the record of a request, None where it is not remembered."""
+        record = self._records_by_id.get(request_id)
+        run = self._runs_by_id.get(request_id)
+        if record is not None and run is not None:
+            self._refresh(record, run)
+        return record
+
+    def _refresh(self, record: RequestRecord, run: RequestRun) -> None:
+        record.state = run.state
+        record.agent = run.agent_id or record.agent
+        record.tokens = run.tokens
+        if run.first_piece_at is not None:
+            waited = run.first_piece_at - run.request.arrived_at
+            record.first_piece_after = timedelta(seconds=waited)
+
+    def _forget_oldest(self) -> None:
+        while len(self._records_by_id) - len(self._runs_by_id) > self._remembered:
+            oldest = next(each for each in self._records_by_id if each not in self._runs_by_id)
+            del self._records_by_id[oldest]
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/request_run.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/request_run.py
@@ -102,6 +102,11 @@
         """The agent that has the body, if any."""
         return self._dispatch.agent_id
 
+    @property
+    def outcome(self) -> Outcome | None:
+        """How the request ended; None while it is in flight."""
+        return self._outcome
+
     @property
     def tokens(self) -> int:
         """Tokens that came so far."""
--- /dev/null
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/routes.py
@@ -0,0 +1,55 @@
+"""Registry of what the entry answers, filled by decorators."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Mapping
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .entry_app import EntryApp
+    from .http_call import HttpCall
+
+Handler = Callable[["EntryApp", "HttpCall"], Awaitable[None]]
+
+
+class Audience(Enum):
+    """Who may call a path, told apart by the address that is called."""
+
+    CALLER = "caller"
+    OPERATOR = "operator"
+
+
+EVERYONE = (Audience.CALLER, Audience.OPERATOR)
+
+PATH_REST = "/*"
+"""End of a path that stands for any rest."""
+
+_handlers_by_path: dict[tuple[Audience, str], dict[str, Handler]] = {}
+
+
+def route(
+    method: str, path: str, audiences: tuple[Audience, ...] = EVERYONE
+) -> Callable[[Handler], Handler]:
+    """Register the handler of a method and a path.
+
+    Args:
+        method: The HTTP method.
+        path: The path; one that ends in `/*` stands for any rest without a slash.
+        audiences: Who may call it.
+    """
+
+    def register(handler: Handler) -> Handler:
+        for audience in audiences:
+            _handlers_by_path.setdefault((audience, path), {})[method] = handler
+        return handler
+
+    return register
+
+
+def find_handlers(path: str, audience: Audience) -> Mapping[str, Handler] | None:
+    """Return the handlers of a path by method, None where the path is not registered."""
+    exact = _handlers_by_path.get((audience, path))
+    if exact is not None:
+        return exact
+    return _handlers_by_path.get((audience, path.rpartition("/")[0] + PATH_REST))
--- /dev/null
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/service_routes.py
@@ -0,0 +1,160 @@
+"""The calls that reach plain services, below the prefixes that the configuration names."""
+
+from __future__ import annotations
+
+import hashlib
+from datetime import datetime
+from typing import TYPE_CHECKING
+
+from ragwortwing_policy.routing import BackendKind
+
+from .accounts import authenticate
+from .caller_faults import CallerFault, CallerFaultCode
+from .caller_request import CallerRequest
+from .intake import AUTHORIZATION, forwarded_headers
+
+if TYPE_CHECKING:
+    from ragwortwing_policy.configuration import Configuration, Service, ServiceRoute
+
+    from .entry_app import EntryApp
+    from .http_call import CallerLeft, HttpCall
+    from .intake import Intake
+
+IDEMPOTENCY_KEY = b"idempotency-key"
+ORDER_TIME = b"x-order-time"
+"""When the caller made the order, in RFC 3339; it lets an old key be refused."""
+
+MAXIMUM_KEY_LENGTH = 200
+ANY_REST = "*"
+
+
+async def call_service(
+    app: EntryApp, call: HttpCall, configuration: Configuration, service: Service
+) -> None:
+    """Pass a call on to a plain service."""
+    request = await _read(app, call, configuration, service)
+    if isinstance(request, CallerFault):
+        await app.answer_fault(call, request)
+    elif isinstance(request, CallerRequest):
+        await app.requests.serve(call, request, configuration)
+
+
+def find_service(configuration: Configuration, path: str) -> Service | None:
+    """Return the service whose prefix a path is below; the longest prefix wins."""
+    found = [
+        service
+        for service in configuration.services_by_name.values()
+        if path == service.prefix or path.startswith(service.prefix.rstrip("/") + "/")
+    ]
+    return max(found, key=lambda service: len(service.prefix), default=None)
+
+
+def find_route(service: Service, method: str, path: str) -> ServiceRoute | CallerFault:
+    """Return the route of a call.
+
+    Args:
+        service: The service.
+        method: The call's method.
+        path: Path below the service's prefix.
+    """
+    matching = [each for each in service.routes if _matches(each.path, path)]
+    if not matching:
+        return CallerFault(CallerFaultCode.UNKNOWN_PATH, f"{service.name} has no path {path!r}")
+    for each in matching:
+        if each.method == method:
+            return each
+    allowed = ", ".join(sorted({each.method for each in matching}))
+    return CallerFault(CallerFaultCode.METHOD_NOT_ALLOWED, f"allowed: {allowed}")
+
+
+def _matches(pattern: str, path: str) -> bool:
+    if pattern.endswith(ANY_REST):
+        return path.startswith(pattern.removesuffix(ANY_REST))
+    return path == pattern
+
+
+async def _read(
+    app: EntryApp, call: HttpCall, configuration: Configuration, service: Service
+) -> CallerRequest | CallerFault | CallerLeft:
+    account = authenticate(configuration, call.header(AUTHORIZATION))
+    if isinstance(account, CallerFault):
+        return account
+    path = call.path.removeprefix(service.prefix.rstrip("/")) or "/"
+    found = find_route(service, call.method, path)
+    if isinstance(found, CallerFault):
+        return found
+    if found.request_class not in account.classes:
+        message = f"the account may not use the class {found.request_class!r}"
+        return CallerFault(CallerFaultCode.CLASS_NOT_ALLOWED, message)
+    order_time = _order_time(call)
+    if isinstance(order_time, CallerFault):
+        return order_time
+    key = _idempotency_key(call)
+    if isinstance(key, CallerFault):
+        return key
+    body = await call.read_body(app.settings.requests.body_bytes)
+    if not isinstance(body, bytes):
+        return body
+    intake = app.intake(configuration, account.name, found.request_class)
+    return _request(intake, call, service, found, body, key, order_time)
+
+
+def _request(
+    intake: Intake,
+    call: HttpCall,
+    service: Service,
+    found: ServiceRoute,
+    body: bytes,
+    key: str,
+    order_time: float,
+) -> CallerRequest:
+    is_order = not found.idempotent
+    path = _raw_path_below(service, call)
+    return CallerRequest(
+        request_id=intake.request_id,
+        account=intake.account,
+        request_class=intake.request_class.name,
+        tier=intake.request_class.tier,
+        kind=BackendKind.SERVICE,
+        target=service.name,
+        method=call.method,
+        path=path,
+        headers=forwarded_headers(call),
+        body=body,
+        arrived_at=intake.arrived_at,
+        deadline=intake.deadline,
+        idempotent=found.idempotent,
+        order_key=f"{intake.account}/{key}" if is_order and key else "",
+        body_digest=_digest(call.method, path, body) if is_order else b"",
+        order_time=order_time if is_order else 0.0,
+    )
+
+
+def _raw_path_below(service: Service, call: HttpCall) -> str:
+    path = call.raw_path.decode("latin-1").removeprefix(service.prefix.rstrip("/")) or "/"
+    return f"{path}?{call.query.decode('latin-1')}" if call.query else path
+
+
+def _digest(method: str, path: str, body: bytes) -> bytes:
+    return hashlib.sha256(b"\n".join((method.encode(), path.encode(), body))).digest()
+
+
+def _idempotency_key(call: HttpCall) -> str | CallerFault:
+    key = call.header(IDEMPOTENCY_KEY).decode("latin-1")
+    if len(key) <= MAXIMUM_KEY_LENGTH and key.isprintable():
+        return key
+    message = f"Idempotency-Key may have {MAXIMUM_KEY_LENGTH} printable characters"
+    return CallerFault(CallerFaultCode.INVALID_HEADER, message)
+
+
+def _order_time(call: HttpCall) -> float | CallerFault:
+    text = call.header(ORDER_TIME).decode("latin-1")
+    if not text:
+        return 0.0
+    try:
+        made = datetime.fromisoformat(text)
+    except ValueError:
+        made = None
+    if made is None or made.tzinfo is None:
+        return CallerFault(CallerFaultCode.INVALID_HEADER, "x-order-time is a time in RFC 3339")
+    return made.timestamp()
--- a/packages/ragwortwing-platform/src/ragwortwing_platform/settings.py
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/settings.py
@@ -22,6 +22,9 @@
 """A duration above zero."""
 
 
+LOOPBACK = Address("127.0.0.1", 0)
+
+
 class LogLevel(StrEnum):
     """Least severe level that is logged."""
 
@@ -90,6 +93,8 @@
 
     http: Address
     """Address for callers; port 0 lets the kernel choose."""
+    operator: Address = LOOPBACK
+    """Address for the operator's commands, which callers must not reach."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ragwortwing-platform/src/ragwortwing_platform/settings_reader.py
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/settings_reader.py
@@ -242,14 +242,27 @@
         raise NotAllowedError(value, DURATION_FORM) from None
 
 
-def _structure_address(value: Any, _: object) -> Address:
+def parse_address(text: object) -> Address | None:
+    """Return the address that a text names, None where it names none.
+
+    Example:
+        >>> parse_address("10.0.0.1:80")
+        Address(host='10.0.0.1', port=80)
+    """
     try:
-        parts = urlsplit(f"//{value}")
-        if parts.port is None or parts.netloc != value:
-            raise NotAllowedError(value, _describe(Address))
+        parts = urlsplit(f"//{text}")
+        if parts.port is None or parts.netloc != text:
+            return None
         return Address(str(ipaddress.ip_address(parts.hostname or "")), parts.port)
     except ValueError:
-        raise NotAllowedError(value, _describe(Address)) from None
+        return None
+
+
+def _structure_address(value: Any, _: object) -> Address:
+    address = parse_address(value)
+    if address is None:
+        raise NotAllowedError(value, _describe(Address))
+    return address
 
 
 def _structure_url(value: Any, _: object) -> HttpUrl:
