--- a/packages/ragwortwing-entry/src/ragwortwing_entry/agent_pool.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/agent_pool.py
@@ -21,11 +21,13 @@
     from collections.abc import Iterable, Mapping
 
     import trio
+
     from ragwortwing_platform.membership_feed import Members
     from ragwortwing_platform.settings import ConnectionSettings
     from ragwortwing_platform.settings_reader import Address
     from ragwortwing_policy.clock import Clock
     from ragwortwing_policy.configuration import Configuration
+    from ragwortwing_policy.configuration_log import FoldState
     from ragwortwing_policy.routing import AgentView, Router
     from ragwortwing_wire.messages import ConfigurationRecord
 
@@ -39,8 +41,8 @@
         ...
 
     @property
-    def position(self) -> int:
-        """Offset of the next record to fold."""
+    def state(self) -> FoldState:
+        """The state of the fold."""
         ...
 
     def records_from(self, offset: int) -> tuple[ConfigurationRecord, ...]:
@@ -157,7 +159,7 @@
         """Return what to ask of an agent that is ahead; None where it is not."""
         if peer_revision <= self._revision:
             return None
-        return ConfigurationRequest(self._source.position)
+        return ConfigurationRequest(self._source.state.position)
 
     async def follow_members(self, source: MemberSource, nursery: trio.Nursery) -> None:
         """Keep the links to the agents of this entry's subset, as the list changes."""
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/answers.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/answers.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+
 from ragwortwing_policy.outcomes import (
     OUTCOME_HEADER,
     REASON_HEADER,
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/caller_request.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/caller_request.py
@@ -3,14 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
-from ragwortwing_policy.routing import RouteQuery
-
-if TYPE_CHECKING:
-    from ragwortwing_policy.clock import Instant
-    from ragwortwing_policy.routing import BackendKind
-    from ragwortwing_wire.messages import Header
+from ragwortwing_policy.clock import Instant
+from ragwortwing_policy.routing import BackendKind, RouteQuery
+from ragwortwing_wire.messages import Header
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/chat_request.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/chat_request.py
@@ -68,7 +68,7 @@
             prefix += f"{message.role}\n{message.text}\n"
             if len(prefix) >= PREFIX_LENGTH:
                 break
-        return xxh64_intdigest(f"{self.model}\n{prefix[:PREFIX_LENGTH]}")
+        return xxh64_intdigest(f"{self.model}\n{prefix[:PREFIX_LENGTH]}".encode())
 
 
 _decoder = msgspec.json.Decoder(ChatRequest)
--- /dev/null
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the binary `ragwortwing`."""
--- /dev/null
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/commands/entry.py
@@ -0,0 +1,53 @@
+"""`ragwortwing entry run`."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from random import Random
+
+import click
+import trio
+
+from ragwortwing_platform.configuration_feed import ConfigurationFeed
+from ragwortwing_platform.log_client import LogClient
+from ragwortwing_platform.logs import install_logs
+from ragwortwing_platform.membership_feed import MembershipFeed
+from ragwortwing_platform.settings import EntrySettings
+from ragwortwing_platform.settings_reader import (
+    FAULTY_SETTINGS_EXIT_CODE,
+    FaultySettings,
+    read_settings,
+)
+from ragwortwing_platform.system_clock import SystemClock
+
+from ..entry_app import EntryApp
+
+
+@click.group()
+def entry() -> None:
+    """Run an entry."""
+
+
+@entry.command()
+@click.option("--settings", "settings_path", type=click.Path(path_type=Path), required=True)
+def run(settings_path: Path) -> None:
+    """Take callers' requests until SIGTERM."""
+    settings = read_settings(settings_path, EntrySettings)
+    if isinstance(settings, FaultySettings):
+        for fault in settings.faults:
+            click.echo(str(fault), err=True)
+        sys.exit(FAULTY_SETTINGS_EXIT_CODE)
+    install_logs(settings.name, settings.telemetry.log_level)
+    sys.exit(trio.run(run_entry, settings))
+
+
+async def run_entry(settings: EntrySettings) -> int:
+    """Run the entry of some settings and return its exit code."""
+    clock = SystemClock()
+    log = LogClient(str(settings.platform.log.address))
+    feed = ConfigurationFeed(log, clock, Random())
+    members = MembershipFeed(str(settings.platform.membership.address), Random())
+    code = await EntryApp(settings, feed, members, clock).run_with_signals()
+    await log.aclose()
+    return code
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/delivered_text.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/delivered_text.py
@@ -26,11 +26,11 @@
 
 
 class DeliveredText:
-    """Keeps the events as they were sent, and reads their text only where it is asked for.
+    r"""Keeps the events as they were sent, and reads their text only where it is asked for.
 
     Example:
         >>> delivered = DeliveredText()
-        >>> delivered.add(b'data: {"choices":[{"delta":{"content":"Bula"}}]}\\n\\n')
+        >>> delivered.add(b'data: {"choices":[{"delta":{"content":"Bula"}}]}\n\n')
         >>> delivered.text()
         'Bula'
     """
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/delivery.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/delivery.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import trio
+
 from ragwortwing_policy.outcomes import Completed, Outcome
 
 from .answers import (
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/entry_app.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/entry_app.py
@@ -8,6 +8,7 @@
 
 import logbook
 import trio
+
 from ragwortwing_platform.app import App
 from ragwortwing_platform.logs import LogContext, set_log_context
 from ragwortwing_platform.telemetry import Telemetry
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/http_server.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/http_server.py
@@ -13,6 +13,7 @@
     from collections.abc import Awaitable, Callable
 
     import trio
+
     from ragwortwing_platform.settings_reader import Address
 
 log = logbook.Logger("http")
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/intake.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/intake.py
@@ -6,14 +6,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ragwortwing_policy.clock import Instant
+from ragwortwing_policy.configuration import RequestClass
 from ragwortwing_wire.messages import Header
 
 from .caller_faults import CallerFault, CallerFaultCode
 
 if TYPE_CHECKING:
-    from ragwortwing_policy.clock import Instant
-    from ragwortwing_policy.configuration import RequestClass
-
     from .http_call import HttpCall
 
 AUTHORIZATION = b"authorization"
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/model_routes.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/model_routes.py
@@ -12,7 +12,6 @@
 from .caller_faults import CallerFault, CallerFaultCode
 from .caller_request import CallerRequest
 from .chat_request import ChatRequest, read_chat_request
-from .http_call import CallerLeft
 from .intake import AUTHORIZATION, REQUEST_CLASS, Intake, check_content_type, forwarded_headers
 from .routes import route
 
@@ -20,7 +19,7 @@
     from ragwortwing_policy.configuration import Configuration
 
     from .entry_app import EntryApp
-    from .http_call import HttpCall
+    from .http_call import CallerLeft, HttpCall
 
 CHAT_PATH = "/v1/chat/completions"
 JSON_HEADER = Header(b"content-type", b"application/json")
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/request_run.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/request_run.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 import trio
+
 from ragwortwing_policy.dispatch import (
     Ask,
     Conclude,
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/request_server.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/request_server.py
@@ -9,6 +9,7 @@
 import logbook
 import trio
 from opentelemetry.trace import SpanKind
+
 from ragwortwing_platform.logs import LogContext, set_log_context
 from ragwortwing_platform.telemetry import trace_id_of, traceparent_of
 from ragwortwing_policy.outcomes import Completed, Failed, FailedReason, NotRun, NotRunReason
@@ -16,12 +17,12 @@
 from .answers import outcome_answer
 from .delivery import deliver
 from .intake import TRACEPARENT
-from .request_run import RequestRun
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from opentelemetry.trace import Span
+
     from ragwortwing_platform.settings import EntrySettings
     from ragwortwing_platform.telemetry import Telemetry
     from ragwortwing_policy.clock import Clock
@@ -32,6 +33,7 @@
     from .entry_metrics import EntryMetrics
     from .http_call import HttpCall
     from .request_journal import RequestJournal
+    from .request_run import RequestRun
 
 log = logbook.Logger("request")
 
@@ -133,4 +135,3 @@
         )
         if not self._journal.in_flight:
             self._nothing_in_flight.set()
-
--- a/packages/ragwortwing-platform/src/ragwortwing_platform/telemetry.py
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/telemetry.py
@@ -45,6 +45,9 @@
     def __init__(self, limit: int) -> None:
         self._spans: deque[ReadableSpan] = deque(maxlen=limit)
 
+    def __len__(self) -> int:
+        return len(self._spans)
+
     def on_end(self, span: ReadableSpan) -> None:
         """Keep a span that has ended."""
         self._spans.append(span)
