--- /dev/null
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: functions of a seed, registered by name, whose results render as table and JSON."""
--- /dev/null
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/figures.py
@@ -0,0 +1,143 @@
+"""What is counted of a run, by class and over all."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ragwortwing_policy.outcomes import OutcomeKind
+from ragwortwing_policy.routing import BackendKind
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from ragwortwing_policy.configuration import RequestClass
+
+    from ..model.entry import Record
+    from ..model.site import Trace
+
+
+@dataclass(frozen=True, slots=True)
+class ClassFigures:
+    """The requests of one class under one variant."""
+
+    name: str
+    tier: int
+    offered: int
+    """Requests sent, a caller's repeated ones among them."""
+    attained: int
+    """Completed with time to first token and between tokens within the class's targets."""
+    completed: int
+    not_run: int
+    unknown: int
+    failed: int
+    unfinished: int
+    """Still running or queued when the run stopped."""
+    first_token_p50: float | None
+    """Seconds, of those that got a token or an answer."""
+    first_token_p99: float | None
+
+    @property
+    def attainment(self) -> float:
+        """Share of the offered that attained."""
+        return self.attained / self.offered if self.offered else 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class VariantFigures:
+    """One run of one variant."""
+
+    variant: str
+    classes_by_name: Mapping[str, ClassFigures]
+    useful_tokens: int
+    """Generated tokens of completed answers."""
+    orders: int
+    """Completed orders."""
+    generated_tokens: int
+    wasted_tokens: int
+    """Generated for requests that did not complete, or generated again."""
+    inversions: int
+    """Requests refused while a less urgent one ran on an engine that could serve them."""
+    preemptions: int
+    messages_per_request: float
+
+    @property
+    def wasted_share(self) -> float:
+        """Share of the generated tokens that were thrown away."""
+        return self.wasted_tokens / self.generated_tokens if self.generated_tokens else 0.0
+
+
+def figures_of(trace: Trace, classes_by_name: Mapping[str, RequestClass]) -> VariantFigures:
+    """Count one run."""
+    records_by_class: dict[str, list[Record]] = {}
+    for record in trace.records:
+        records_by_class.setdefault(record.arrival.class_name, []).append(record)
+    by_name = {
+        name: _figures_of_class(classes_by_name[name], records)
+        for name, records in sorted(records_by_class.items())
+    }
+    engine_records = [r for r in trace.records if r.arrival.kind is BackendKind.ENGINE]
+    useful = sum(each.tokens for each in engine_records if _kind(each) is OutcomeKind.COMPLETED)
+    unfinished = sum(each.tokens for each in engine_records if each.outcome is None)
+    return VariantFigures(
+        variant=trace.variant,
+        classes_by_name=by_name,
+        useful_tokens=useful,
+        orders=sum(
+            _kind(each) is OutcomeKind.COMPLETED
+            for each in trace.records
+            if each.arrival.kind is BackendKind.SERVICE
+        ),
+        generated_tokens=trace.generated,
+        wasted_tokens=max(0, trace.generated - useful - unfinished),
+        inversions=sum(each.inverted for each in trace.records),
+        preemptions=trace.preemptions,
+        messages_per_request=trace.messages / max(1, len(trace.records)),
+    )
+
+
+def attained(record: Record, request_class: RequestClass) -> bool:
+    """Return whether a request completed within its class's targets."""
+    if _kind(record) is not OutcomeKind.COMPLETED:
+        return False
+    assert record.ended_at is not None
+    assert record.first_at is not None
+    at, target = record.arrival.at, request_class.first_token_target.total_seconds()
+    if record.arrival.kind is BackendKind.SERVICE:
+        return record.ended_at - at <= target
+    if record.first_at - at > target:
+        return False
+    between = (record.ended_at - record.first_at) / max(1, record.tokens - 1)
+    return between <= request_class.between_token_target.total_seconds()
+
+
+def _figures_of_class(request_class: RequestClass, records: list[Record]) -> ClassFigures:
+    kinds = [_kind(each) for each in records]
+    waits = sorted(r.first_at - r.arrival.at for r in records if r.first_at is not None)
+    return ClassFigures(
+        name=request_class.name,
+        tier=request_class.tier,
+        offered=len(records),
+        attained=sum(attained(each, request_class) for each in records),
+        completed=kinds.count(OutcomeKind.COMPLETED),
+        not_run=kinds.count(OutcomeKind.NOT_RUN),
+        unknown=kinds.count(OutcomeKind.UNKNOWN),
+        failed=kinds.count(OutcomeKind.FAILED),
+        unfinished=kinds.count(None),
+        first_token_p50=quantile(waits, 0.5),
+        first_token_p99=quantile(waits, 0.99),
+    )
+
+
+def quantile(ordered: list[float], part: float) -> float | None:
+    """Return a quantile of ordered values by the nearest rank below.
+
+    Example:
+        >>> quantile([1.0, 2.0, 3.0], 0.5)
+        2.0
+    """
+    return ordered[int(part * (len(ordered) - 1))] if ordered else None
+
+
+def _kind(record: Record) -> OutcomeKind | None:
+    return record.outcome.kind if record.outcome is not None else None
--- /dev/null
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/registry.py
@@ -0,0 +1,60 @@
+"""The registry that `measure` reads: an experiment is a function of a seed.
+
+Another package module joins by decorating its function and by being named in `MODULES`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from importlib import import_module
+from typing import Protocol, TypeVar
+
+MODULES = (
+    "ragwortwing_lab.experiments.overload",
+    "ragwortwing_lab.experiments.engines",
+    "ragwortwing_lab.experiments.dispatch",
+    "ragwortwing_lab.experiments.yardstick",
+)
+"""Modules whose import registers experiments."""
+
+
+class Result(Protocol):
+    """A frozen data class; `--json` prints its fields."""
+
+    def render(self) -> str:
+        """Return the result as text for people."""
+
+
+ExperimentFunction = Callable[[int], Result]
+FunctionT = TypeVar("FunctionT", bound=ExperimentFunction)
+
+
+@dataclass(frozen=True, slots=True)
+class Experiment:
+    """A registered experiment."""
+
+    name: str
+    summary: str
+    function: ExperimentFunction
+
+
+experiments_by_name: dict[str, Experiment] = {}
+
+
+def experiment(name: str) -> Callable[[FunctionT], FunctionT]:
+    """Register a function of a seed as an experiment; its docstring's first line is the summary."""
+
+    def register(function: FunctionT) -> FunctionT:
+        summary = (function.__doc__ or "").strip().partition("\n")[0]
+        experiments_by_name[name] = Experiment(name, summary, function)
+        return function
+
+    return register
+
+
+def load_experiments() -> dict[str, Experiment]:
+    """Import every module of experiments and return the registry."""
+    for module in MODULES:
+        import_module(module)
+    return experiments_by_name
--- /dev/null
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/agent.py
@@ -0,0 +1,226 @@
+"""Model of an agent: the shipped scheduler beside a modelled backend server."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Protocol
+
+from ragwortwing_policy.outcomes import NotRun, NotRunReason
+from ragwortwing_policy.reservations import Grant, Preempt, Refuse
+from ragwortwing_policy.routing import AgentView, BackendKind
+
+from .engine import EngineModel, Output, Run, ServiceModel
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from ragwortwing_policy.clock import Instant
+    from ragwortwing_policy.outcomes import Outcome
+    from ragwortwing_policy.reservations import LoadReport, Reservation, SchedulerDecision
+
+    from .engine import Backend, BackendSpec
+    from .loop import VirtualLoop
+    from .workload import Arrival
+
+TICK = 0.1
+"""Seconds between an agent's ticks."""
+
+HEARTBEAT = 0.5
+"""Seconds between an agent's heartbeats."""
+
+
+class SchedulerLike(Protocol):
+    """The scheduler's interface, which the baselines have too."""
+
+    def offer(self, reservation: Reservation, now: Instant) -> list[SchedulerDecision]:
+        """Queue a reservation, or refuse it."""
+
+    def withdraw(self, request_id: str, now: Instant) -> list[SchedulerDecision]:
+        """Forget a reservation."""
+
+    def started(self, reservation: Reservation, now: Instant) -> bool:
+        """Turn a grant into a running request."""
+
+    def progressed(self, request_id: str, tokens: int, now: Instant) -> None:
+        """Record tokens."""
+
+    def preempted(self, request_id: str, now: Instant) -> list[SchedulerDecision]:
+        """Queue a preempted request again."""
+
+    def finished(self, request_id: str, now: Instant) -> list[SchedulerDecision]:
+        """Free a slot."""
+
+    def tick(self, now: Instant) -> list[SchedulerDecision]:
+        """Do what is due."""
+
+    def load(self, now: Instant) -> LoadReport:
+        """Return the agent's counts."""
+
+
+class EntryLike(Protocol):
+    """What an agent tells an entry; each call is a message that takes its time."""
+
+    zone: str
+
+    def on_granted(self, agent_id: str, request_id: str) -> None:
+        """A slot is held."""
+
+    def on_refused(self, agent_id: str, request_id: str, outcome: Outcome) -> None:
+        """The request does not run here."""
+
+    def on_outputs(self, agent_id: str, outputs: list[Output]) -> None:
+        """Pieces of answers."""
+
+    def on_agent_view(self, view: AgentView) -> None:
+        """Newest counts, by heartbeat or on a reply."""
+
+
+@dataclass(slots=True)
+class _Held:
+    """A request at the agent, from its reservation to its end."""
+
+    entry: EntryLike
+    reservation: Reservation
+    run: Run | None = None
+
+
+class AgentModel:
+    """An agent with its backend server on one VM."""
+
+    def __init__(
+        self,
+        loop: VirtualLoop,
+        agent_id: str,
+        spec: BackendSpec,
+        scheduler: SchedulerLike,
+        delay: Callable[[str, str], float],
+    ) -> None:
+        self.agent_id = agent_id
+        self.spec = spec
+        self.alive = True
+        model = EngineModel if spec.kind is BackendKind.ENGINE else ServiceModel
+        self.backend: Backend = model(loop, spec, self._on_outputs)
+        self.messages = 0
+        self.preemptions = 0
+        self._loop = loop
+        self._scheduler = scheduler
+        self._delay = delay
+        self._held_by_id: dict[str, _Held] = {}
+        self._entries: list[EntryLike] = []
+
+    def start(self, entries: Iterable[EntryLike]) -> None:
+        """Connect to the entries and begin to tick."""
+        self._entries = list(entries)
+        self._heartbeat()
+        self._tick()
+
+    def crash(self) -> None:
+        """Lose the VM with everything on it."""
+        self.alive = False
+        for run in self.backend.running():
+            self.backend.cancel(run.request_id)
+
+    def view(self) -> AgentView:
+        """Return what the agent tells of itself."""
+        spec = self.spec
+        load = self._scheduler.load(self._loop.now)
+        return AgentView(self.agent_id, spec.zone, spec.kind, frozenset({spec.target}), load=load)
+
+    def on_reserve(self, entry: EntryLike, reservation: Reservation) -> None:
+        """Take in a reservation."""
+        if not self.alive:
+            return
+        self._held_by_id[reservation.request_id] = _Held(entry, reservation)
+        self._carry_out(self._scheduler.offer(reservation, self._loop.now))
+
+    def on_withdraw(self, request_id: str) -> None:
+        """Drop a reservation, or cancel a run."""
+        held = self._held_by_id.pop(request_id, None)
+        if not self.alive or held is None:
+            return
+        if held.run is None:
+            self._carry_out(self._scheduler.withdraw(request_id, self._loop.now))
+            return
+        self.backend.cancel(request_id)
+        self._carry_out(self._scheduler.finished(request_id, self._loop.now))
+
+    def on_submit(self, request_id: str, arrival: Arrival, delivered: int) -> None:
+        """Start a request on the backend server with the body that has come."""
+        held = self._held_by_id.get(request_id)
+        if not self.alive or held is None:
+            return
+        if not self._scheduler.started(held.reservation, self._loop.now):
+            self._refuse(held, NotRun(NotRunReason.OVERLOADED))
+            return
+        held.run = Run(request_id, arrival, produced=delivered)
+        self.backend.submit(held.run)
+
+    def _tick(self) -> None:
+        if self.alive:
+            self._carry_out(self._scheduler.tick(self._loop.now))
+            self._loop.after(TICK, self._tick)
+
+    def _heartbeat(self) -> None:
+        if self.alive:
+            view = self.view()
+            for entry in self._entries:
+                self._send(entry, entry.on_agent_view, view)
+            self._loop.after(HEARTBEAT, self._heartbeat)
+
+    def _on_outputs(self, outputs: list[Output]) -> None:
+        if not self.alive:
+            return
+        by_entry: dict[EntryLike, list[Output]] = {}
+        finished: list[str] = []
+        for output in outputs:
+            held = self._held_by_id[output.request_id]
+            by_entry.setdefault(held.entry, []).append(output)
+            self._scheduler.progressed(output.request_id, output.tokens, self._loop.now)
+            if output.finished:
+                finished.append(output.request_id)
+        for request_id in finished:
+            del self._held_by_id[request_id]
+            self._carry_out(self._scheduler.finished(request_id, self._loop.now))
+        for entry, each in by_entry.items():
+            self._send(entry, entry.on_outputs, self.agent_id, each)
+            if finished:
+                self._send(entry, entry.on_agent_view, self.view())
+
+    def _carry_out(self, decisions: list[SchedulerDecision]) -> None:
+        for decision in decisions:
+            held = self._held_by_id.get(decision.request_id)
+            if held is None:
+                continue
+            if isinstance(decision, Grant):
+                self._grant(held)
+            elif isinstance(decision, Refuse):
+                self._refuse(held, NotRun(decision.reason, decision.retry_after))
+            elif isinstance(decision, Preempt):
+                self._preempt(held)
+
+    def _grant(self, held: _Held) -> None:
+        reservation = held.reservation
+        if held.run is None:
+            self._send(held.entry, held.entry.on_granted, self.agent_id, reservation.request_id)
+            return
+        resumed = replace(reservation, resumed_tokens=held.run.produced)
+        if self._scheduler.started(resumed, self._loop.now):
+            self.backend.submit(held.run)
+
+    def _refuse(self, held: _Held, outcome: Outcome) -> None:
+        request_id = held.reservation.request_id
+        del self._held_by_id[request_id]
+        self._send(held.entry, held.entry.on_agent_view, self.view())
+        self._send(held.entry, held.entry.on_refused, self.agent_id, request_id, outcome)
+
+    def _preempt(self, held: _Held) -> None:
+        request_id = held.reservation.request_id
+        self.preemptions += 1
+        self.backend.cancel(request_id)
+        self._carry_out(self._scheduler.preempted(request_id, self._loop.now))
+
+    def _send(self, entry: EntryLike, call: Callable[..., None], *arguments: object) -> None:
+        self.messages += 1
+        self._loop.after(self._delay(self.spec.zone, entry.zone), call, *arguments)
+
+
--- /dev/null
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/baselines.py
@@ -0,0 +1,188 @@
+"""Plain schedulers and routers that the shipped policy is compared with."""
+
+from __future__ import annotations
+
+from collections import deque
+from datetime import timedelta
+from heapq import heappop, heappush
+from itertools import count
+from typing import TYPE_CHECKING
+
+from ragwortwing_policy.outcomes import NotRun, NotRunReason
+from ragwortwing_policy.reservations import Grant, LoadReport
+from ragwortwing_policy.routing import NO_BACKEND_RETRY_AFTER, Choice, Router
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from ragwortwing_policy.clock import Instant
+    from ragwortwing_policy.configuration import Configuration
+    from ragwortwing_policy.reservations import Reservation, SchedulerDecision
+    from ragwortwing_policy.routing import AgentView, RouteQuery
+
+FIXED_LIMIT = 24
+"""Concurrency limit of the baselines: the best fixed one for an engine of speed 1, which gives a
+step of 44 ms."""
+
+REPORT_LAG = 1.0
+"""Seconds by which the engine's own load report lags."""
+
+GRANT_SECONDS = 1.0
+"""Seconds for which a baseline's grant holds."""
+
+
+class FifoScheduler:
+    """First in, first out, with a fixed limit and no refusal."""
+
+    def __init__(self, limit: int = FIXED_LIMIT) -> None:
+        self._limit = limit
+        self._queue: deque[Reservation] = deque()
+        self._waiting: dict[str, Reservation] = {}
+        self._expiry_by_id: dict[str, Instant] = {}
+        self._running: set[str] = set()
+
+    def offer(self, reservation: Reservation, now: Instant) -> list[SchedulerDecision]:
+        """Queue a reservation."""
+        self._waiting[reservation.request_id] = reservation
+        self._push(reservation)
+        return self._grant(now)
+
+    def withdraw(self, request_id: str, now: Instant) -> list[SchedulerDecision]:
+        """Forget a reservation; its place in the queue is passed over later."""
+        self._waiting.pop(request_id, None)
+        self._expiry_by_id.pop(request_id, None)
+        return self._grant(now)
+
+    def started(self, reservation: Reservation, now: Instant) -> bool:
+        """Turn a grant into a running request."""
+        if self._expiry_by_id.pop(reservation.request_id, None) is None:
+            return False
+        self._running.add(reservation.request_id)
+        return True
+
+    def progressed(self, request_id: str, tokens: int, now: Instant) -> None:
+        """Learn nothing."""
+
+    def preempted(self, request_id: str, now: Instant) -> list[SchedulerDecision]:
+        """Never happens, as nothing is preempted."""
+        return []
+
+    def finished(self, request_id: str, now: Instant) -> list[SchedulerDecision]:
+        """Free a slot."""
+        self._running.discard(request_id)
+        return self._grant(now)
+
+    def tick(self, now: Instant) -> list[SchedulerDecision]:
+        """Free the slots of bodies that did not come."""
+        for request_id in [each for each, at in self._expiry_by_id.items() if at <= now]:
+            del self._expiry_by_id[request_id]
+        return self._grant(now)
+
+    def load(self, now: Instant) -> LoadReport:
+        """Return the counts; a wait is not predicted."""
+        used = len(self._running) + len(self._expiry_by_id)
+        return LoadReport(used, len(self._waiting), self._limit, timedelta(0))
+
+    def _push(self, reservation: Reservation) -> None:
+        self._queue.append(reservation)
+
+    def _pop(self) -> Reservation | None:
+        return self._queue.popleft() if self._queue else None
+
+    def _grant(self, now: Instant) -> list[SchedulerDecision]:
+        decisions: list[SchedulerDecision] = []
+        while len(self._running) + len(self._expiry_by_id) < self._limit:
+            reservation = self._pop()
+            if reservation is None:
+                break
+            request_id = reservation.request_id
+            if self._waiting.get(request_id) is not reservation:
+                continue
+            del self._waiting[request_id]
+            self._expiry_by_id[request_id] = now + GRANT_SECONDS
+            decisions.append(Grant(request_id, now + GRANT_SECONDS))
+        return decisions
+
+
+class StrictPriorityScheduler(FifoScheduler):
+    """The most urgent tier first, without refusal, aging or preemption."""
+
+    def __init__(self, configuration: Configuration, limit: int = FIXED_LIMIT) -> None:
+        super().__init__(limit)
+        self._configuration = configuration
+        self._heap: list[tuple[int, int, Reservation]] = []
+        self._numbers = count()
+
+    def _push(self, reservation: Reservation) -> None:
+        tier = self._configuration.class_in_force(reservation.request_class).tier
+        heappush(self._heap, (tier, next(self._numbers), reservation))
+
+    def _pop(self) -> Reservation | None:
+        return heappop(self._heap)[2] if self._heap else None
+
+
+class RandomPushRouter(Router):
+    """One agent at random; the request stays there."""
+
+    def __init__(self, zone: str, random: Random) -> None:
+        super().__init__(zone, random, fanout=1)
+        self._choices = random
+        self._views_by_id: dict[str, AgentView] = {}
+
+    def update(self, agent: AgentView, now: Instant) -> None:
+        """Take in an agent's newest state."""
+        self._views_by_id[agent.agent_id] = agent
+
+    def remove(self, agent_id: str, now: Instant) -> None:
+        """Forget an agent that is gone."""
+        self._views_by_id.pop(agent_id, None)
+
+    def is_ejected(self, agent_id: str, now: Instant) -> bool:
+        """Eject nobody."""
+        return False
+
+    def choose(self, query: RouteQuery, now: Instant, count: int | None = None) -> Choice | NotRun:
+        """Return the one agent that gets the request."""
+        fit = [
+            each
+            for each in self._views_by_id.values()
+            if query.target in each.targets and each.agent_id not in query.excluded
+        ]
+        if not fit:
+            return NotRun(NotRunReason.NO_BACKEND, NO_BACKEND_RETRY_AFTER)
+        return Choice((self._pick(fit, now).agent_id,))
+
+    def _pick(self, fit: list[AgentView], now: Instant) -> AgentView:
+        return self._choices.choice(fit)
+
+
+class ShortestLaggedRouter(RandomPushRouter):
+    """The agent with the fewest requests by a report that lags."""
+
+    def __init__(self, zone: str, random: Random, lag: float = REPORT_LAG) -> None:
+        super().__init__(zone, random)
+        self._lag = lag
+        self._reports_by_id: dict[str, deque[tuple[Instant, LoadReport]]] = {}
+
+    def update(self, agent: AgentView, now: Instant) -> None:
+        """Keep a report until it is old enough to be seen."""
+        super().update(agent, now)
+        self._reports_by_id.setdefault(agent.agent_id, deque()).append((now, agent.load))
+
+    def _pick(self, fit: list[AgentView], now: Instant) -> AgentView:
+        return min(fit, key=lambda each: (self._seen(each, now), self._choices.random()))
+
+    def _seen(self, agent: AgentView, now: Instant) -> int:
+        reports = self._reports_by_id[agent.agent_id]
+        while len(reports) > 1 and reports[1][0] <= now - self._lag:
+            reports.popleft()
+        load = reports[0][1]
+        return load.running + load.queued
+
+
+class BetterOfTwoRouter(ShortestLaggedRouter):
+    """The better of two random agents by a report of a given lag."""
+
+    def _pick(self, fit: list[AgentView], now: Instant) -> AgentView:
+        sample = self._choices.sample(fit, min(2, len(fit)))
+        return super()._pick(sample, now)
--- /dev/null
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/site.py
@@ -0,0 +1,206 @@
+"""A site in virtual time: entries, agents and backend servers under a workload and faults."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from random import Random
+from typing import TYPE_CHECKING
+
+from ragwortwing_policy.configuration import Configuration, Preset, RequestClass
+
+from .agent import AgentModel
+from .entry import EntryModel, Record
+from .loop import VirtualLoop
+from .workload import arrivals
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from ragwortwing_policy.clock import Instant
+
+    from .engine import BackendSpec
+    from .variants import Variant
+    from .workload import Arrival, Traffic
+
+ZONES = ("suva", "nadi", "lautoka")
+
+SAME_ZONE_DELAY = 0.0003
+"""Seconds one way between two VMs of a zone."""
+
+OTHER_ZONE_DELAY = 0.001
+"""Seconds one way between two VMs of different zones."""
+
+DETECTION = 1.0
+"""Seconds until an entry finds the connection to a crashed VM dead."""
+
+DRAIN = 30.0
+"""Seconds that the run goes on after the last arrival."""
+
+USABLE_SPEED = 0.5
+"""Share of its own speed below which an engine counts as unable to serve."""
+
+REQUEST_CLASSES = (
+    RequestClass("chat", 0, timedelta(seconds=1.5), deadline=timedelta(seconds=15)),
+    RequestClass("desk", 0, timedelta(seconds=1.5), deadline=timedelta(seconds=15)),
+    RequestClass(
+        "orders",
+        0,
+        timedelta(seconds=2),
+        deadline=timedelta(seconds=20),
+        queue_limit=timedelta(seconds=2),
+    ),
+    RequestClass(
+        "drafts",
+        2,
+        timedelta(seconds=10),
+        timedelta(milliseconds=120),
+        timedelta(seconds=90),
+        queue_limit=timedelta(seconds=10),
+        aging_bound=timedelta(seconds=30),
+    ),
+    RequestClass(
+        "narratives",
+        3,
+        timedelta(seconds=45),
+        timedelta(milliseconds=250),
+        timedelta(seconds=240),
+        queue_limit=timedelta(seconds=45),
+        aging_bound=timedelta(seconds=60),
+    ),
+)
+"""The classes of both users of today: name, tier, first token, between tokens, deadline."""
+
+
+def configure(classes: Iterable[RequestClass] = REQUEST_CLASSES) -> Configuration:
+    """Return a configuration of some request classes with one preset."""
+    return Configuration(
+        revision=0,
+        preset="ordinary",
+        classes_by_name={each.name: each for each in classes},
+        presets_by_name={"ordinary": Preset("ordinary")},
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Something that happens to one backend server."""
+
+    at: Instant
+    backend: str
+    speed_factor: float = 1.0
+    frozen_for: float = 0.0
+    crash: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """What one experiment puts the site through."""
+
+    backends: Sequence[BackendSpec]
+    traffics: Sequence[Traffic]
+    duration: float
+    faults: Sequence[Fault] = ()
+    entries: int = 3
+    drain: float = DRAIN
+    configuration: Configuration = field(default_factory=configure)
+
+
+@dataclass(frozen=True, slots=True)
+class Trace:
+    """What a run left behind."""
+
+    variant: str
+    duration: float
+    records: tuple[Record, ...]
+    generated: int
+    preemptions: int
+    messages: int
+
+
+def delay(one: str, other: str) -> float:
+    """Return the seconds that a message takes."""
+    return SAME_ZONE_DELAY if one == other else OTHER_ZONE_DELAY
+
+
+def run(scenario: Scenario, variant: Variant, seed: int) -> Trace:
+    """Run a scenario under one variant; the same seed gives every variant the same callers."""
+    return _Site(scenario, variant, seed).run()
+
+
+class _Site:
+    def __init__(self, scenario: Scenario, variant: Variant, seed: int) -> None:
+        self._scenario = scenario
+        self._variant = variant
+        self._seed = seed
+        self._loop = VirtualLoop()
+        self._configuration = scenario.configuration
+        self._agents_by_id: dict[str, AgentModel] = {}
+        self._entries = [self._make_entry(each) for each in range(scenario.entries)]
+
+    def run(self) -> Trace:
+        scenario = self._scenario
+        for spec in scenario.backends:
+            self._add_agent(spec)
+        for fault in scenario.faults:
+            self._loop.at(fault.at, self._apply, fault)
+        balancer = Random(f"{self._seed}/balancer")
+        for arrival in arrivals(scenario.traffics, scenario.duration, self._seed):
+            entry = balancer.choice(self._entries)
+            self._loop.at(arrival.at, entry.on_arrival, arrival)
+        self._loop.run(scenario.duration + scenario.drain)
+        agents = self._agents_by_id.values()
+        return Trace(
+            variant=self._variant.name,
+            duration=scenario.duration,
+            records=tuple(record for entry in self._entries for record in entry.records),
+            generated=sum(each.backend.generated for each in agents),
+            preemptions=sum(each.preemptions for each in agents),
+            messages=sum(each.messages for each in (*agents, *self._entries)),
+        )
+
+    def _make_entry(self, number: int) -> EntryModel:
+        zone = ZONES[number % len(ZONES)]
+        router = self._variant.router(zone, Random(f"{self._seed}/entry-{number}"))
+        return EntryModel(
+            self._loop,
+            f"entry-{number}",
+            zone,
+            self._configuration,
+            router,
+            self._agents_by_id,
+            delay,
+            self._could_serve,
+        )
+
+    def _add_agent(self, spec: BackendSpec) -> None:
+        scheduler = self._variant.scheduler(self._configuration, spec)
+        agent = AgentModel(self._loop, spec.name, spec, scheduler, delay)
+        self._agents_by_id[agent.agent_id] = agent
+        for entry in self._entries:
+            entry.on_agent_view(agent.view())
+        agent.start(self._entries)
+
+    def _apply(self, fault: Fault) -> None:
+        agent = self._agents_by_id[fault.backend]
+        agent.backend.speed_factor = fault.speed_factor
+        agent.backend.frozen_until = self._loop.now + fault.frozen_for
+        if fault.crash:
+            agent.crash()
+            for entry in self._entries:
+                self._loop.after(DETECTION, entry.on_agent_lost, agent.agent_id)
+
+    def _could_serve(self, arrival: Arrival, tier: int) -> bool:
+        """Return whether a less urgent request runs on an engine that could serve this one."""
+        return any(
+            self._tier(run.arrival) > tier
+            for agent in self._agents_by_id.values()
+            if agent.alive
+            and agent.spec.target == arrival.target
+            and agent.backend.speed_factor >= USABLE_SPEED
+            and agent.backend.frozen_until <= self._loop.now
+            for run in agent.backend.running()
+        )
+
+    def _tier(self, arrival: Arrival) -> int:
+        return self._configuration.class_in_force(arrival.class_name).tier
--- /dev/null
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/variants.py
@@ -0,0 +1,75 @@
+"""What is compared: the shipped policy and the baselines, each a router and a scheduler."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+from typing import TYPE_CHECKING
+
+from ragwortwing_policy.routing import BackendKind, Router
+from ragwortwing_policy.scheduler import Scheduler, SchedulerSettings
+
+from .baselines import (
+    FifoScheduler,
+    RandomPushRouter,
+    ShortestLaggedRouter,
+    StrictPriorityScheduler,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ragwortwing_policy.configuration import Configuration
+
+    from .agent import SchedulerLike
+    from .engine import BackendSpec
+
+SERVICE_SLOTS = 8
+"""Calls at one time at a plain service."""
+
+
+def make_router(zone: str, random: Random) -> Router:
+    """Return the shipped router."""
+    return Router(zone, random)
+
+
+def make_scheduler(configuration: Configuration, spec: BackendSpec) -> SchedulerLike:
+    """Return the shipped scheduler."""
+    if spec.kind is BackendKind.SERVICE:
+        settings = SchedulerSettings(initial_limit=SERVICE_SLOTS, maximum_limit=SERVICE_SLOTS)
+    else:
+        settings = SchedulerSettings(maximum_limit=spec.slots)
+    return Scheduler(settings, configuration)
+
+
+def make_fifo(configuration: Configuration, spec: BackendSpec) -> SchedulerLike:
+    """Return a scheduler that serves in order of arrival."""
+    return FifoScheduler(SERVICE_SLOTS) if spec.kind is BackendKind.SERVICE else FifoScheduler()
+
+
+def make_strict(configuration: Configuration, spec: BackendSpec) -> SchedulerLike:
+    """Return a scheduler that serves the most urgent first and preempts nothing."""
+    if spec.kind is BackendKind.SERVICE:
+        return StrictPriorityScheduler(configuration, SERVICE_SLOTS)
+    return StrictPriorityScheduler(configuration)
+
+
+@dataclass(frozen=True, slots=True)
+class Variant:
+    """One way to route and schedule."""
+
+    name: str
+    router: Callable[[str, Random], Router] = make_router
+    scheduler: Callable[[Configuration, BackendSpec], SchedulerLike] = make_scheduler
+
+
+SHIPPED = Variant("ragwortwing")
+"""The policy code that the processes run."""
+
+BASELINES = (
+    Variant("fifo, no shedding", scheduler=make_fifo),
+    Variant("random push", RandomPushRouter, make_fifo),
+    Variant("shortest, lagged", ShortestLaggedRouter, make_fifo),
+    Variant("strict priority", scheduler=make_strict),
+)
+"""What the shipped policy is measured against in the same run."""
