--- /dev/null
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/capacity_budget.py
@@ -0,0 +1,232 @@
+"""The sums at the size we build for, worked out from measured slopes."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from ragwortwing_policy.subsets import subset_size
+
+from .slopes import Slope
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+SECONDS_A_DAY = 86_400
+BASE_MEMORY_BYTES = 45e6
+"""Resident memory of a process with all libraries imported and no state; measured by `relay`."""
+CONTROL_MEMORY_LIMIT = 64e6
+CONTROL_BYTES_LIMIT = 22_000.0
+CONTROL_CPU_LIMIT = 0.025
+IN_FORCE_LIMIT = 14.0
+"""Seconds until a change of configuration is in force everywhere."""
+APPENDS_LIMIT = 300.0
+"""Appends a second that the platform's log takes; "several hundred", so the low end."""
+
+
+@dataclass(frozen=True, slots=True)
+class TargetSize:
+    """The size of two years from now."""
+
+    entries: int = 340
+    agents: int = 790
+    requests_per_second: float = 13_000.0
+    tokens_per_second: float = 3.6e6
+    accounts: int = 3_500
+    models: int = 27
+    configuration_changes_a_day: int = 1_600
+    replaced_a_day: int = 112
+    """VMs that fail and VMs that are replaced."""
+    heartbeat_interval: float = 2.0
+    """Seconds between two heartbeats each way at this size."""
+    order_share: float = 0.1
+    """Share of requests that are keyed orders; an assumption, no user has said."""
+    order_window: float = 3_600.0
+    """Seconds for which keys are held at this size."""
+    service_agents: int = 80
+    """Agents beside plain services; an assumption, as today a quarter to a half are."""
+    preset_share: float = 0.9
+    """Share of configuration changes that are small records; an assumption."""
+    accounts_in_use: float = 0.3
+    """Share of accounts that one entry sees within the hour; an assumption."""
+
+
+@dataclass(frozen=True, slots=True)
+class BudgetLine:
+    """One sum, beside its budget where it has one."""
+
+    role: str
+    quantity: str
+    value: float
+    unit: str
+    limit: float | None = None
+
+    @property
+    def holds(self) -> bool:
+        """Whether the sum is within its budget."""
+        return self.limit is None or self.value <= self.limit
+
+
+class MessageCostLike(Protocol):
+    """What the sums need of a message's cost."""
+
+    name: str
+    wire_bytes: int
+    encode_microseconds: float
+    decode_microseconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Measured:
+    """Slopes and message costs by name."""
+
+    slopes: Mapping[str, Slope]
+    messages: Mapping[str, MessageCostLike]
+
+    def slope(self, name: str) -> float:
+        """Return the cost of one more."""
+        return self.slopes[name].slope
+
+    def both_ways(self, name: str) -> float:
+        """Return the processor time, in microseconds, of sending and receiving a message."""
+        cost = self.messages[name]
+        return cost.encode_microseconds + cost.decode_microseconds
+
+
+def budget(
+    slopes: Mapping[str, Slope], messages: Sequence[MessageCostLike], size: TargetSize
+) -> tuple[BudgetLine, ...]:
+    """Return every sum at a size."""
+    measured = Measured(slopes, {each.name: each for each in messages})
+    return (
+        *_entry_lines(measured, size),
+        *_agent_lines(measured, size),
+        *_log_lines(measured, size),
+    )
+
+
+def _entry_lines(measured: Measured, size: TargetSize) -> tuple[BudgetLine, ...]:
+    connections = subset_size(size.entries, size.agents)
+    change = _change_bytes(measured, size) * size.configuration_changes_a_day / SECONDS_A_DAY
+    beats = connections / size.heartbeat_interval
+    heartbeat = measured.messages["Heartbeat"].wire_bytes * 2 * beats
+    beat_cpu = measured.both_ways("Heartbeat") * beats / 1e6
+    subset_cpu = _subset_cpu(measured, size)
+    fold_cpu = _fold_cpu(measured, size)
+    return (
+        BudgetLine("entry", "agents connected to", connections, "connections"),
+        BudgetLine("entry", "heartbeats, both ways", heartbeat, "B/s"),
+        BudgetLine("entry", "configuration read", change, "B/s"),
+        BudgetLine("entry", "control traffic", heartbeat + change, "B/s", CONTROL_BYTES_LIMIT),
+        BudgetLine("entry", "heartbeat processing", beat_cpu, "cores"),
+        BudgetLine("entry", "configuration folding", fold_cpu, "cores"),
+        BudgetLine("entry", "subset assignment", subset_cpu, "cores"),
+        BudgetLine(
+            "entry",
+            "control processor time",
+            beat_cpu + fold_cpu + subset_cpu,
+            "cores",
+            CONTROL_CPU_LIMIT,
+        ),
+        BudgetLine(
+            "entry",
+            "control memory",
+            _entry_memory(measured, size, connections),
+            "B",
+            CONTROL_MEMORY_LIMIT,
+        ),
+        BudgetLine("entry", "requests", size.requests_per_second / size.entries, "1/s"),
+        BudgetLine("entry", "tokens relayed", size.tokens_per_second / size.entries, "tokens/s"),
+    )
+
+
+def _agent_lines(measured: Measured, size: TargetSize) -> tuple[BudgetLine, ...]:
+    connections = subset_size(size.entries, size.agents) * size.entries / size.agents
+    change = _change_bytes(measured, size) * size.configuration_changes_a_day / SECONDS_A_DAY
+    beats = connections / size.heartbeat_interval
+    heartbeat = measured.messages["Heartbeat"].wire_bytes * 2 * beats
+    beat_cpu = measured.both_ways("Heartbeat") * beats / 1e6
+    fold_cpu = _fold_cpu(measured, size)
+    keys = size.requests_per_second * size.order_share * size.order_window
+    ledger = measured.slope("agent of a service: memory of an order key") * keys
+    claims = measured.slope("log: bytes of a claim in a batch")
+    claims_read = claims * size.requests_per_second * size.order_share
+    return (
+        BudgetLine("agent", "entries connected", connections, "connections"),
+        BudgetLine("agent", "control traffic", heartbeat + change, "B/s", CONTROL_BYTES_LIMIT),
+        BudgetLine(
+            "agent", "control processor time", beat_cpu + fold_cpu, "cores", CONTROL_CPU_LIMIT
+        ),
+        BudgetLine(
+            "agent",
+            "control memory",
+            BASE_MEMORY_BYTES + _configuration_memory(measured, size),
+            "B",
+            CONTROL_MEMORY_LIMIT,
+        ),
+        BudgetLine("agent of a service", "order keys held", keys, "keys"),
+        BudgetLine("agent of a service", "claims read", claims_read, "B/s", CONTROL_BYTES_LIMIT),
+        BudgetLine(
+            "agent of a service",
+            "control memory",
+            BASE_MEMORY_BYTES + _configuration_memory(measured, size) + ledger,
+            "B",
+            CONTROL_MEMORY_LIMIT,
+        ),
+    )
+
+
+def _log_lines(measured: Measured, size: TargetSize) -> tuple[BudgetLine, ...]:
+    nodes = size.entries + size.agents
+    changes = size.configuration_changes_a_day / SECONDS_A_DAY
+    starts = size.replaced_a_day / SECONDS_A_DAY
+    batch_interval = size.service_agents / APPENDS_LIMIT
+    orders = size.requests_per_second * size.order_share
+    return (
+        BudgetLine("log", "configuration and start records", changes + starts, "appends/s"),
+        BudgetLine("log", "orders claimed one by one", orders * 2, "appends/s", APPENDS_LIMIT),
+        BudgetLine("log", "batch interval that fits the rate", batch_interval, "s"),
+        BudgetLine(
+            "log",
+            "readers of the configuration stream",
+            nodes * _change_bytes(measured, size) * changes,
+            "B/s",
+        ),
+        BudgetLine("log", "held reads", float(nodes), "connections"),
+    )
+
+
+def _change_bytes(measured: Measured, size: TargetSize) -> float:
+    """Return the mean bytes of a change; a publication holds the whole configuration."""
+    publication = measured.slopes["all: bytes of a publication, by account"].at(size.accounts)
+    return (1 - size.preset_share) * publication
+
+
+def _fold_cpu(measured: Measured, size: TargetSize) -> float:
+    publication = measured.slopes["all: fold of a publication, by account"].at(size.accounts)
+    switch = measured.slopes["all: fold of a preset switch, by account"].at(size.accounts)
+    mean = (1 - size.preset_share) * publication + size.preset_share * switch
+    return mean * size.configuration_changes_a_day / SECONDS_A_DAY / 1e6
+
+
+def _subset_cpu(measured: Measured, size: TargetSize) -> float:
+    once = measured.slopes["entry: subset over 790 agents, by entry"].at(size.entries)
+    return 2 * once * size.replaced_a_day / SECONDS_A_DAY / 1e6
+
+
+def _configuration_memory(measured: Measured, size: TargetSize) -> float:
+    accounts = measured.slope("all: memory of a configured account") * size.accounts
+    models = measured.slope("all: memory of a configured model") * size.models
+    return accounts + models
+
+
+def _entry_memory(measured: Measured, size: TargetSize, connections: int) -> float:
+    accounts = measured.slope("entry: memory of an account in use")
+    agents = measured.slope("entry: memory of an agent in routing")
+    return (
+        BASE_MEMORY_BYTES
+        + _configuration_memory(measured, size)
+        + accounts * size.accounts * size.accounts_in_use
+        + agents * connections
+    )
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/registry.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/registry.py
@@ -15,6 +15,7 @@
     "ragwortwing_lab.experiments.engines",
     "ragwortwing_lab.experiments.dispatch",
     "ragwortwing_lab.experiments.yardstick",
+    "ragwortwing_lab.experiments.capacity",
 )
 """Modules whose import registers experiments."""
 
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/agent.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/agent.py
@@ -222,5 +222,3 @@
     def _send(self, entry: EntryLike, call: Callable[..., None], *arguments: object) -> None:
         self.messages += 1
         self._loop.after(self._delay(self.spec.zone, entry.zone), call, *arguments)
-
-
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/engine.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/engine.py
@@ -144,9 +144,7 @@
             return
         decoding, prefilled = self._compose()
         seconds = STEP_BASE + STEP_PER_STREAM * len(decoding) + prefilled / PREFILL_RATE
-        self._loop.after(
-            seconds / (self._spec.speed * self.speed_factor), self._end_step, decoding
-        )
+        self._loop.after(seconds / (self._spec.speed * self.speed_factor), self._end_step, decoding)
 
     def _compose(self) -> tuple[list[Run], int]:
         chunk = PREFILL_CHUNK
