--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/capacity.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/capacity.py
@@ -41,7 +41,7 @@
 
 from .capacity_budget import BudgetLine, TargetSize, budget
 from .registry import experiment
-from .slopes import Slope, cpu_microseconds, fit, memory_bytes
+from .slopes import MessageCost, Slope, cpu_microseconds, fit, memory_bytes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -53,16 +53,6 @@
 LOAD = LoadReport(16, 4, 16, timedelta(milliseconds=120))
 
 
-@dataclass(frozen=True, slots=True)
-class MessageCost:
-    """Size and processor time of one message."""
-
-    name: str
-    wire_bytes: int
-    encode_microseconds: float
-    decode_microseconds: float
-
-
 @dataclass(frozen=True, slots=True)
 class Capacity:
     """Every slope, every message's cost, and the sums beside their budgets."""
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/capacity_budget.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/capacity_budget.py
@@ -4,11 +4,11 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from ragwortwing_policy.subsets import subset_size
 
-from .slopes import Slope
+from .slopes import MessageCost, Slope
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -68,21 +68,12 @@
         return self.limit is None or self.value <= self.limit
 
 
-class MessageCostLike(Protocol):
-    """What the sums need of a message's cost."""
-
-    name: str
-    wire_bytes: int
-    encode_microseconds: float
-    decode_microseconds: float
-
-
 @dataclass(frozen=True, slots=True)
 class Measured:
     """Slopes and message costs by name."""
 
     slopes: Mapping[str, Slope]
-    messages: Mapping[str, MessageCostLike]
+    messages: Mapping[str, MessageCost]
 
     def slope(self, name: str) -> float:
         """Return the cost of one more."""
@@ -95,7 +86,7 @@
 
 
 def budget(
-    slopes: Mapping[str, Slope], messages: Sequence[MessageCostLike], size: TargetSize
+    slopes: Mapping[str, Slope], messages: Sequence[MessageCost], size: TargetSize
 ) -> tuple[BudgetLine, ...]:
     """Return every sum at a size."""
     measured = Measured(slopes, {each.name: each for each in messages})
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/slopes.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/slopes.py
@@ -35,6 +35,16 @@
         return self.intercept + self.slope * size
 
 
+@dataclass(frozen=True, slots=True)
+class MessageCost:
+    """Size and processor time of one message."""
+
+    name: str
+    wire_bytes: int
+    encode_microseconds: float
+    decode_microseconds: float
+
+
 def fit(name: str, unit: str, sizes: Sequence[int], cost: Callable[[int], float]) -> Slope:
     """Measure a cost at each size and fit a line.
 
