--- a/packages/ragwortwing-entry/src/ragwortwing_entry/caller_request.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/caller_request.py
@@ -35,7 +35,7 @@
     expected_tokens: int = 0
     prefix_hash: int = 0
     order_key: str = ""
-    """Idempotency key, scoped by the client account."""
+    """Idempotency key; the agent scopes it by the client account."""
     body_digest: bytes = b""
     order_time: float = 0.0
     traceparent: str = ""
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/entry_app.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/entry_app.py
@@ -17,6 +17,7 @@
 from ragwortwing_policy.routing import Router
 
 from . import model_routes, operator_routes
+from .account_gate import AccountGate
 from .agent_pool import AgentPool
 from .answers import fault_answer, outcome_answer
 from .caller_faults import CallerFault, CallerFaultCode
@@ -78,7 +79,13 @@
             lambda: len(self.pool.agents_by_id),
         )
         self.requests = RequestServer(
-            settings, self.clock, self.telemetry, self.journal, self.metrics, self._new_run
+            settings,
+            self.clock,
+            self.telemetry,
+            self.journal,
+            self.metrics,
+            AccountGate(members),
+            self._new_run,
         )
         self._server_stopped = trio.Event()
         self._operator_port = 0
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/request_server.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/request_server.py
@@ -29,6 +29,7 @@
     from ragwortwing_policy.configuration import Configuration
     from ragwortwing_policy.outcomes import Outcome
 
+    from .account_gate import AccountGate
     from .caller_request import CallerRequest
     from .entry_metrics import EntryMetrics
     from .http_call import HttpCall
@@ -51,6 +52,7 @@
         telemetry: Telemetry,
         journal: RequestJournal,
         metrics: EntryMetrics,
+        accounts: AccountGate,
         new_run: Callable[[CallerRequest], RequestRun],
     ) -> None:
         self.draining = False
@@ -61,6 +63,7 @@
         self._journal = journal
         self._metrics = metrics
         self._new_run = new_run
+        self._accounts = accounts
         self._nothing_in_flight = trio.Event()
 
     async def wait_nothing_in_flight(self) -> None:
@@ -95,12 +98,16 @@
     async def _run(
         self, call: HttpCall, run: RequestRun, configuration: Configuration
     ) -> Outcome | None:
-        refusal = self._refuse(run.request, configuration)
-        if refusal is None:
-            seconds = self._settings.requests.keep_alive_interval.total_seconds()
+        request = run.request
+        refusal = self._refuse(request, configuration)
+        if refusal is not None:
+            await call.answer(outcome_answer(refusal, request.request_id))
+            return refusal
+        seconds = self._settings.requests.keep_alive_interval.total_seconds()
+        try:
             return await deliver(call, run, self._clock, seconds)
-        await call.answer(outcome_answer(refusal, run.request.request_id))
-        return refusal
+        finally:
+            self._accounts.release(request.account, self._clock.monotonic())
 
     def _refuse(self, request: CallerRequest, configuration: Configuration) -> NotRun | None:
         if self.draining:
@@ -109,7 +116,7 @@
             return NotRun(NotRunReason.SHED_BY_PRESET)
         if len(self._journal.in_flight) > self._settings.requests.open_requests:
             return NotRun(NotRunReason.OVERLOADED, COME_BACK)
-        return None
+        return self._accounts.admit(request.account, configuration, self._clock.monotonic())
 
     def _ended(self, run: RequestRun, outcome: Outcome | None, span: Span) -> None:
         # Without an outcome the process itself is being stopped, and the request was cut.
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/service_routes.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/service_routes.py
@@ -124,7 +124,7 @@
         arrived_at=intake.arrived_at,
         deadline=intake.deadline,
         idempotent=found.idempotent,
-        order_key=f"{intake.account}/{key}" if is_order and key else "",
+        order_key=key if is_order else "",
         body_digest=_digest(call.method, path, body) if is_order else b"",
         order_time=order_time if is_order else 0.0,
     )
--- a/packages/ragwortwing-platform/src/ragwortwing_platform/settings_reader.py
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/settings_reader.py
@@ -14,12 +14,15 @@
 import cattrs
 from cattrs.errors import ClassValidationError, ForbiddenExtraKeysError, IterableValidationError
 
-from .durations import DURATION_FORM, DurationError, format_duration, parse_duration
+from ragwortwing_policy.durations import DurationError, format_duration, parse_duration
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
     from pathlib import Path
 
+DURATION_FORM = 'a duration such as "250ms", "1.5s", "2m" or "1h"'
+"""What is allowed where a duration is wanted."""
+
 FAULTY_SETTINGS_EXIT_CODE = 2
 """Exit code of a process whose settings have faults."""
 
@@ -109,7 +112,7 @@
 
     low: timedelta
 
-    allowed = property(lambda self: f"above {format_duration(self.low)}")
+    allowed = property(lambda self: f"above {format_duration(self.low) if self.low else 'zero'}")
 
     def holds(self, value: Any) -> bool:
         """Return whether a value keeps the rule."""
