--- a/packages/ragwortwing-lab/src/ragwortwing_lab/site.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/site.py
@@ -146,8 +146,15 @@
     async def start_backend(self, kind: str, index: int, port: int = 0) -> Process:
         """Start a backend server; a given port makes it come back where it was."""
         command = "engine" if kind == "engine" else "order-desk"
-        arguments = ("--model", MODEL, *self.shape.engine_arguments) if kind == "engine" else ()
-        return await self._start_lab(f"{kind}-{index}", command, "--port", str(port), *arguments)
+        name = f"{kind}-{index}"
+        arguments = ["--name", name, "--port", str(port), "--journal", str(self.journal_path(name))]
+        if kind == "engine":
+            arguments += ["--model", MODEL, *self.shape.engine_arguments]
+        return await self._start_lab(name, command, *arguments)
+
+    def journal_path(self, backend_name: str) -> Path:
+        """Return the file that outlives a backend server and tells what it ran."""
+        return self.directory / f"{backend_name}.journal"
 
     async def fault(self, process_name: str, kind: str, **fields: Any) -> Reply:
         """Set a fault at a stand-in's control address."""
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/engine.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import click
@@ -13,6 +14,7 @@
 from .faults import Fault, FaultKind, Faults, control_app
 from .generation import answer_text, count_tokens, token_text
 from .http_server import ConnectionCutError, Exchange, serve_http
+from .journal import Execution, Journal
 from .serving import print_ready, start_app, stop_on_signal
 
 if TYPE_CHECKING:
@@ -68,7 +70,10 @@
 class EngineStandIn:
     """The HTTP side of the engine."""
 
-    def __init__(self, settings: EngineSettings, models: tuple[str, ...]) -> None:
+    def __init__(
+        self, settings: EngineSettings, models: tuple[str, ...], journal: Journal | None = None
+    ) -> None:
+        self._journal = journal or Journal()
         self.faults = Faults()
         self.batcher = Batcher(settings, self.faults)
         self.models = list(models)
@@ -164,6 +169,7 @@
 
     async def _generate(self, exchange: Exchange, body: ChatBody, resume_at: int) -> None:
         request_id = exchange.request.headers_by_name.get("x-request-id", "none")
+        self._journal.append(Execution(request_id))
         generation = self.batcher.submit(
             request_id, body.prompt, body.priority, body.max_tokens, resume_at
         )
@@ -290,6 +296,7 @@
 @click.option("--cache-event-lag", default=DEFAULTS.cache_event_lag, show_default=True)
 @click.option("--cache-event-gap", default=DEFAULTS.cache_event_gap, show_default=True)
 @click.option("--fencing/--no-fencing", default=DEFAULTS.fencing, show_default=True)
+@click.option("--journal", type=click.Path(path_type=Path), help="File that takes executions.")
 def engine_command(
     name: str,
     port: int,
@@ -304,6 +311,7 @@
     cache_event_lag: float,
     cache_event_gap: int,
     fencing: bool,
+    journal: Path | None,
 ) -> None:
     """Run a model engine's stand-in."""
     settings = EngineSettings(
@@ -317,4 +325,4 @@
         cache_event_gap=cache_event_gap,
         fencing=fencing,
     )
-    trio.run(_run, EngineStandIn(settings, models), name, port, control_port)
+    trio.run(_run, EngineStandIn(settings, models, Journal(journal)), name, port, control_port)
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/order_desk.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/order_desk.py
@@ -4,6 +4,7 @@
 
 import os
 from collections import Counter
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import click
@@ -11,6 +12,7 @@
 
 from .faults import Fault, FaultKind, Faults, control_app
 from .http_server import ConnectionCutError, Exchange, serve_http
+from .journal import Execution, Journal
 from .serving import print_ready, start_app, stop_on_signal
 
 if TYPE_CHECKING:
@@ -24,7 +26,8 @@
 class OrderDeskStandIn:
     """Runs each order it is sent, and counts."""
 
-    def __init__(self, work_seconds: float = 0.01) -> None:
+    def __init__(self, work_seconds: float = 0.01, journal: Journal | None = None) -> None:
+        self._journal = journal or Journal()
         self.faults = Faults()
         self.executions_by_id: Counter[str] = Counter()
         self.executions_by_key: Counter[str] = Counter()
@@ -62,6 +65,7 @@
         headers = exchange.request.headers_by_name
         request_id = headers.get("x-request-id", "none")
         self.executions_by_id[request_id] += 1
+        self._journal.append(Execution(request_id, headers.get(KEY_HEADER, "")))
         if KEY_HEADER in headers:
             self.executions_by_key[headers[KEY_HEADER]] += 1
         await trio.sleep(self._work_seconds)
@@ -102,6 +106,10 @@
 @click.option("--port", default=0, help="Port of the desk; 0 lets the kernel choose.")
 @click.option("--control-port", default=0, help="Port of the control address.")
 @click.option("--work-seconds", default=0.01, show_default=True)
-def order_desk_command(name: str, port: int, control_port: int, work_seconds: float) -> None:
+@click.option("--journal", type=click.Path(path_type=Path), help="File that takes executions.")
+def order_desk_command(
+    name: str, port: int, control_port: int, work_seconds: float, journal: Path | None
+) -> None:
     """Run an order desk's stand-in."""
-    trio.run(_run, OrderDeskStandIn(work_seconds), name, port, control_port)
+    desk = OrderDeskStandIn(work_seconds, Journal(journal))
+    trio.run(_run, desk, name, port, control_port)
