--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/registry.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/registry.py
@@ -16,6 +16,7 @@
     "ragwortwing_lab.experiments.dispatch",
     "ragwortwing_lab.experiments.yardstick",
     "ragwortwing_lab.experiments.capacity",
+    "ragwortwing_lab.experiments.faults",
 )
 """Modules whose import registers experiments."""
 
@@ -38,17 +39,19 @@
     name: str
     summary: str
     function: ExperimentFunction
+    in_all: bool = True
+    """Whether `measure all` runs it; false where it starts processes or takes minutes."""
 
 
 experiments_by_name: dict[str, Experiment] = {}
 
 
-def experiment(name: str) -> Callable[[FunctionT], FunctionT]:
+def experiment(name: str, in_all: bool = True) -> Callable[[FunctionT], FunctionT]:
     """Register a function of a seed as an experiment; its docstring's first line is the summary."""
 
     def register(function: FunctionT) -> FunctionT:
         summary = (function.__doc__ or "").strip().partition("\n")[0]
-        experiments_by_name[name] = Experiment(name, summary, function)
+        experiments_by_name[name] = Experiment(name, summary, function, in_all)
         return function
 
     return register
