--- a/packages/ragwortwing-platform/src/ragwortwing_platform/configuration_feed.py
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/configuration_feed.py
@@ -112,11 +112,11 @@
         await self.catch_up()
         task_status.started()
         while True:
+            if self.log_reachable and self._checkpoint_due():
+                await self._write_checkpoint()
             await self._read(self._poll_wait if self.log_reachable else timedelta(0))
             if not self.log_reachable:
                 await trio.sleep(self._backoff.next_wait().total_seconds())
-            elif self._checkpoint_due():
-                await self._write_checkpoint()
 
     async def catch_up(self) -> bool:
         """Read to the end of the stream as it is now; return whether the log allowed it."""
--- a/packages/ragwortwing-platform/src/ragwortwing_platform/order_book.py
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/order_book.py
@@ -12,6 +12,7 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 from datetime import timedelta
+from itertools import islice
 from typing import TYPE_CHECKING
 
 import trio
@@ -44,7 +45,7 @@
 
     from ragwortwing_policy.clock import Clock
 
-    from .log_client import Log
+    from .log_client import Log, ReadResult
 
 ORDERS_STREAM = "orders"
 BATCH_LIMIT = 256
@@ -141,7 +142,7 @@
             self._settings.window, self._settings.clock_skew, self._settings.key_limit
         )
         self._queue: deque[_Waiter] = deque()
-        self._settlements: deque[Settlement] = deque(maxlen=SETTLEMENT_LIMIT)
+        self._settlements_by_claim: OrderedDict[str, Settlement] = OrderedDict()
         self._waiters_by_claim: dict[str, _Waiter] = {}
         self._abandoned_by_claim: OrderedDict[str, OrderKey] = OrderedDict()
         self._open_by_claim: dict[str, WonClaim] = {}
@@ -149,8 +150,6 @@
         self._page_read = trio.Event()
         self._caught_up = False
         self._next_append_at = -math.inf
-        self._reads_started = 0
-        self._reads_to_end = 0
 
     @property
     def available(self) -> bool:
@@ -261,7 +260,7 @@
             raise
         finally:
             del self._waiters_by_claim[claim.claim_id]
-        if waiter.result is None:
+        if waiter.result is None or isinstance(waiter.result, NotRun):
             self._give_up(waiter)
         return waiter.result
 
@@ -287,15 +286,22 @@
             self._queue_release(claim.claim_id, claim.order_key, NotRunReason.WITHDRAWN)
             return
         waiter.resolve(NotRun(NotRunReason.DEADLINE, LOG_RETRY_AFTER))
-        self._abandoned_by_claim[claim.claim_id] = claim.order_key
+        self._note_abandoned(claim.claim_id, claim.order_key)
+
+    def _note_abandoned(self, claim_id: str, order_key: OrderKey) -> None:
+        self._abandoned_by_claim[claim_id] = order_key
         if len(self._abandoned_by_claim) > ABANDONED_LIMIT:
             self._abandoned_by_claim.popitem(last=False)
 
     def _queue_release(self, claim_id: str, order_key: OrderKey, reason: NotRunReason) -> None:
+        # A claim that was appended twice may be read once more after its release, and win again.
+        self._note_abandoned(claim_id, order_key)
         self._queue_settlement(settlement_of(claim_id, order_key, NotRun(reason)))
 
     def _queue_settlement(self, settlement: Settlement) -> None:
-        self._settlements.append(settlement)
+        self._settlements_by_claim.setdefault(settlement.claim_id, settlement)
+        if len(self._settlements_by_claim) > SETTLEMENT_LIMIT:
+            self._settlements_by_claim.popitem(last=False)
         self._work.set()
 
     async def _follow(
@@ -303,22 +309,28 @@
     ) -> None:
         """Read the stream for ever and resolve own claims as they are read back."""
         backoff = Backoff(self._random)
-        while await self._read(timedelta(0)) and not self._caught_up:
-            pass
+        await self._read_to_end()
         task_status.started()
         while True:
             # After an outage the first read must not be held, or claims would be refused until
             # something is appended.
             wait = self._settings.poll_wait if self._caught_up else timedelta(0)
-            if await self._read(wait):
-                backoff.reset()
-            else:
+            if isinstance(await self._read(wait), LogUnavailable):
                 await trio.sleep(backoff.next_wait().total_seconds())
+            else:
+                backoff.reset()
 
-    async def _read(self, wait: timedelta) -> bool:
-        """Read one page; return whether the log gave it."""
-        self._reads_started += 1
-        started = self._reads_started
+    async def _read_to_end(self) -> None:
+        """Read what the stream holds now, unless the log is down."""
+        while True:
+            result = await self._read(timedelta(0))
+            if isinstance(result, LogUnavailable):
+                return
+            if isinstance(result, LogPage) and self._ledger.position >= result.next_offset:
+                return
+
+    async def _read(self, wait: timedelta) -> ReadResult:
+        """Read one page and take it in; reads may overlap, as records seen before are passed."""
         result = await self._log.read(self._settings.stream, self._ledger.position, wait=wait)
         match result:
             case LogUnavailable():
@@ -329,15 +341,16 @@
                 self._take_page(result)
                 if self._ledger.position >= next_offset:
                     self._caught_up = True
-                    self._reads_to_end = started
         read, self._page_read = self._page_read, trio.Event()
         read.set()
-        return not isinstance(result, LogUnavailable)
+        return result
 
     def _take_page(self, page: LogPage) -> None:
         for record in page.records:
             batch = self._ledger.apply(record.offset, record.payload)
             if batch is not None and batch.holder == self._agent_id:
+                for settlement in batch.settlements:
+                    self._settlements_by_claim.pop(settlement.claim_id, None)
                 for claim in batch.claims:
                     self._take_own_claim(claim)
         self._ledger.forget_before(page.first_offset)
@@ -358,7 +371,7 @@
         while True:
             await self._work.wait()
             self._work = trio.Event()
-            while self._queue or self._settlements:
+            while self._queue or self._settlements_by_claim:
                 started = self._clock.monotonic()
                 if await self._append_batch():
                     backoff.reset()
@@ -374,8 +387,7 @@
             waiter = self._queue.popleft()
             if waiter.result is None:
                 waiters.append(waiter)
-        count = min(BATCH_LIMIT, len(self._settlements))
-        return waiters, [self._settlements.popleft() for _ in range(count)]
+        return waiters, list(islice(self._settlements_by_claim.values(), BATCH_LIMIT))
 
     async def _append_batch(self) -> bool:
         """Append one record of what is queued; return whether the log took it."""
@@ -388,37 +400,32 @@
             tuple(each.claim for each in waiters),
             tuple(settlements),
         )
-        reads_before = self._reads_started
         result = await self._log.append(self._settings.stream, encode_batch(batch))
         match result:
             case Appended():
+                for settlement in settlements:
+                    self._settlements_by_claim.pop(settlement.claim_id, None)
                 return True
             case AppendUnknown():
-                await self._settle_by_reading(reads_before)
-                self._requeue(waiters, settlements)
+                # A read that begins now shows the record, unless it never came or comes late. What
+                # is not there is appended again: the same claim twice is one claim.
+                await self._read_to_end()
+                self._requeue(waiters)
                 return False
             case LogUnavailable(cause=LogCause.RATE):
-                self._requeue(waiters, settlements)
+                self._requeue(waiters)
                 return False
             case LogUnavailable():
                 # Claims are refused at once until then; the first one after it tries the log.
                 self._next_append_at = self._clock.monotonic() + APPEND_PAUSE.total_seconds()
-                self._settlements.extendleft(reversed(settlements))
                 self._refuse([*waiters, *self._queue])
                 self._queue.clear()
                 return False
 
-    async def _settle_by_reading(self, reads_before: int) -> None:
-        """Wait until a read that began after the lost append has come to the end of the stream."""
-        with trio.move_on_after(self._settings.send_window.total_seconds()):
-            while self._reads_to_end <= reads_before + 1 and self._caught_up:
-                await self._page_read.wait()
-
-    def _requeue(self, waiters: list[_Waiter], settlements: list[Settlement]) -> None:
+    def _requeue(self, waiters: list[_Waiter]) -> None:
         """Queue again what was not read back, under the same claim ids."""
         unresolved = [each for each in waiters if each.result is None]
         self._queue.extendleft(reversed(unresolved))
-        self._settlements.extendleft(reversed(settlements))
 
     def _refuse(self, waiters: list[_Waiter]) -> None:
         for waiter in waiters:
--- /dev/null
+++ b/packages/ragwortwing-platform/tests/test_configuration_feed.py
@@ -0,0 +1,147 @@
+"""The feed follows the log, catches up from peers without it, and never goes back."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from datetime import timedelta
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+import trio
+
+from ragwortwing_lab.standins.faults import Fault, FaultKind
+from ragwortwing_lab.standins.in_process import running_log
+from ragwortwing_platform.configuration_feed import ConfigurationFeed
+from ragwortwing_platform.log_client import LogClient
+from ragwortwing_platform.system_clock import SystemClock
+from ragwortwing_policy.configuration_log import (
+    NO_REVISION,
+    Checkpoint,
+    PresetSwitch,
+    Publication,
+    decode_entry,
+    encode_entry,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from ragwortwing_lab.standins.log import RecordLog
+
+DOCUMENT: dict[str, Any] = {
+    "format": 1,
+    "classes": {"chat": {"tier": 0}},
+    "presets": {"ordinary": {}, "peak": {}},
+}
+
+
+def publish(log: RecordLog, base: int = NO_REVISION) -> None:
+    entry = Publication(f"p{base}", base, "ordinary", DOCUMENT)
+    log.append("configuration", encode_entry(entry))
+
+
+def switch(log: RecordLog, base: int, preset: str) -> None:
+    log.append("configuration", encode_entry(PresetSwitch(f"s{base}", base, preset)))
+
+
+def feed_for(address: str, checkpoint_interval: timedelta | None = None) -> ConfigurationFeed:
+    return ConfigurationFeed(
+        LogClient(address), SystemClock(), Random(1), checkpoint_interval=checkpoint_interval
+    )
+
+
+@asynccontextmanager
+async def running_feed(address: str) -> AsyncIterator[ConfigurationFeed]:
+    feed = feed_for(address)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(feed.run)
+        yield feed
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_change_is_in_force_as_soon_as_it_is_in_the_log() -> None:
+    async with running_log() as (standin, address), running_feed(address) as feed:
+        assert feed.current is None
+        with trio.fail_after(5):
+            publish(standin.log)
+            assert (await feed.ready()).preset == "ordinary"
+            switch(standin.log, 0, "peak")
+            while feed.revision < 1:
+                await feed.changed()
+        assert feed.current is not None
+        assert feed.current.preset == "peak"
+
+
+async def test_a_fresh_process_in_an_outage_catches_up_from_a_peer() -> None:
+    """The log is down for an hour and a VM is replaced meanwhile.
+
+    The new process cannot read the stream; without its peers it would refuse every caller until the
+    log is back. Back on the log it goes on where the peer's records ended.
+    """
+    async with running_log() as (standin, address), running_feed(address) as peer:
+        publish(standin.log)
+        switch(standin.log, 0, "peak")
+        with trio.fail_after(5):
+            while peer.revision < 1:
+                await peer.changed()
+        standin.faults.set(Fault(FaultKind.OUTAGE))
+        async with running_feed(address) as fresh:
+            assert fresh.current is None
+            assert not fresh.log_reachable
+            assert fresh.take_peer_records(peer.records_from(fresh.state.position))
+            assert fresh.current == peer.current
+            standin.faults.clear()
+            switch(standin.log, 1, "ordinary")
+            with trio.fail_after(10):
+                while fresh.revision < 2:
+                    await fresh.changed()
+
+
+async def test_a_process_behind_a_trimmed_log_keeps_what_is_in_force_until_it_knows_more() -> None:
+    async with running_log() as (standin, address):
+        feed = feed_for(address)
+        publish(standin.log)
+        assert await feed.catch_up()
+        switch(standin.log, 0, "peak")
+        other = feed_for(address, timedelta(0))
+        assert await other.catch_up()
+        await other._write_checkpoint()
+        standin.log.stream("configuration").trim_before(2)
+        assert await feed.catch_up()
+        assert (feed.revision, feed.state.complete) == (1, True)
+        fresh = feed_for(address)
+        assert await fresh.catch_up()
+        assert fresh.current == feed.current
+
+
+async def test_records_of_a_peer_that_leave_a_gap_are_not_taken() -> None:
+    async with running_log() as (standin, address):
+        feed = feed_for(address)
+        publish(standin.log)
+        assert await feed.catch_up()
+        peer = feed_for(address)
+        switch(standin.log, 0, "peak")
+        switch(standin.log, 1, "ordinary")
+        assert await peer.catch_up()
+        assert not feed.take_peer_records(peer.records_from(2))
+        assert feed.state.position == 1
+        assert feed.take_peer_records(peer.records_from(0))
+        assert feed.revision == 2
+        assert not feed.take_peer_records(peer.records_from(0)[:1])
+        assert feed.revision == 2
+
+
+async def test_the_state_is_renewed_before_its_records_run_out() -> None:
+    async with running_log() as (standin, address):
+        publish(standin.log)
+        feed = feed_for(address, timedelta(0))
+        async with trio.open_nursery() as nursery:
+            await nursery.start(feed.run)
+            stream = standin.log.stream("configuration")
+            with trio.fail_after(5):
+                while stream.next_offset < 2:
+                    await stream.changed.wait()
+            nursery.cancel_scope.cancel()
+        checkpoint = decode_entry(stream.records[1].payload)
+        assert isinstance(checkpoint, Checkpoint)
+        assert (checkpoint.revision, checkpoint.through) == (0, 1)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/configuration_document.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/configuration_document.py
@@ -38,6 +38,9 @@
 
 T = TypeVar("T")
 
+_UNKNOWN_KEYS = "unknown keys: "
+_KEY_SEPARATOR = "\n"
+
 _TABLES: Mapping[str, type] = {
     "classes": RequestClass,
     "accounts": ClientAccount,
@@ -86,7 +89,12 @@
     )
     # An entry that could not be read is missing here; what refers to it is no fault of its own.
     unread = {tuple(fault.path.split(".")[:2]) for fault in reading.faults}
-    semantic = [fault for fault in check(configuration) if fault.refers_to not in unread]
+    tables_unread = {table for table, *_ in unread}
+    semantic = [
+        fault
+        for fault in check(configuration)
+        if fault.refers_to not in unread and fault.path not in tables_unread
+    ]
     faults = [*reading.faults, *semantic]
     if preset is not None and not faults and preset not in configuration.presets_by_name:
         faults.append(Fault(f"presets.{preset}", "the preset in force is not in the document"))
@@ -144,17 +152,23 @@
 
 def _faults_of(error: cattrs.BaseValidationError, path: str) -> list[Fault]:
     """Return a fault for each error that the converter collected."""
-    faults = []
+    faults: list[Fault] = []
     for line in cattrs.transform_error(error, path, _describe):
         message, _, where = line.rpartition(" @ ")
-        faults.append(Fault(where.replace("['", ".").replace("']", ""), message))
+        where = where.replace("['", ".").replace("']", "")
+        where = where.replace(".overrides_by_class", ".classes")
+        if message.startswith(_UNKNOWN_KEYS):
+            keys = message.removeprefix(_UNKNOWN_KEYS).split(_KEY_SEPARATOR)
+            faults.extend(Fault(f"{where}.{key}", "unknown key") for key in keys)
+        else:
+            faults.append(Fault(where, message))
     return faults
 
 
 def _describe(error: BaseException, _: type | None) -> str:
     """Return what an error of the converter says to an operator."""
     if isinstance(error, cattrs.ForbiddenExtraKeysError):
-        return f"unknown key: {', '.join(sorted(error.extra_fields))}"
+        return _UNKNOWN_KEYS + _KEY_SEPARATOR.join(sorted(error.extra_fields))
     if isinstance(error, KeyError):
         return "missing"
     return str(error)
--- /dev/null
+++ b/packages/ragwortwing-policy/tests/test_configuration_document.py
@@ -0,0 +1,110 @@
+"""Every fault of a document is told with its path; a sound one comes back as it was written."""
+
+from __future__ import annotations
+
+from copy import deepcopy
+from datetime import timedelta
+from typing import Any
+
+import pytest
+
+from ragwortwing_policy.configuration import Configuration
+from ragwortwing_policy.configuration_document import Refused, read_document, write_document
+
+DOCUMENT: dict[str, Any] = {
+    "format": 1,
+    "classes": {
+        "chat": {"tier": 0, "first_token_target": "1.5s", "between_token_target": "45ms"},
+        "order": {"tier": 1, "first_token_target": "2s"},
+        "draft": {"tier": 3, "deadline": "30m", "aging_bound": "2m"},
+    },
+    "accounts": {"suva-cakes": {"key_digests": ["ab" * 32], "classes": ["chat", "order"]}},
+    "models": {"menu": {"context_tokens": 8192}},
+    "services": {
+        "desk": {
+            "prefix": "/desk",
+            "routes": [
+                {
+                    "method": "POST",
+                    "path": "/orders",
+                    "idempotent": False,
+                    "request_class": "order",
+                }
+            ],
+        }
+    },
+    "presets": {
+        "ordinary": {},
+        "peak": {"classes": {"draft": {"admitted": False}}, "account_limit_factor": 0.5},
+    },
+}
+
+FAULT_CASES: list[tuple[tuple[str, ...], Any, str]] = [
+    (("format",), 2, "format"),
+    (("colour",), {}, "colour"),
+    (("classes", "chat", "colour"), 1, "classes.chat.colour"),
+    (("classes", "chat", "tier"), "0", "classes.chat.tier"),
+    (("classes", "chat", "tier"), True, "classes.chat.tier"),
+    (("classes", "chat", "tier"), 16, "classes.chat.tier"),
+    (("classes", "chat", "deadline"), 60, "classes.chat.deadline"),
+    (("classes", "chat", "deadline"), "1s", "classes.chat.deadline"),
+    (("classes", "chat", "queue_limit"), "0s", "classes.chat.queue_limit"),
+    (("classes", "chat", "weight"), float("nan"), "classes.chat.weight"),
+    (("classes", "Chat"), {"tier": 0}, "classes.Chat"),
+    (("accounts", "suva-cakes", "classes"), ["chat", "nope"], "accounts.suva-cakes.classes[1]"),
+    (("accounts", "suva-cakes", "classes"), [], "accounts.suva-cakes.classes"),
+    (("accounts", "suva-cakes", "key_digests"), ["x"], "accounts.suva-cakes.key_digests[0]"),
+    (("accounts", "suva-cakes", "concurrency"), 0, "accounts.suva-cakes.concurrency"),
+    (("models", "desk"), {}, "services.desk"),
+    (("services", "desk", "prefix"), "/v1/x", "services.desk.prefix"),
+    (("services", "desk", "routes"), [{}], "services.desk.routes[0].method"),
+    (("presets",), {}, "presets"),
+    (("presets", "peak", "classes"), {"nope": {}}, "presets.peak.classes.nope"),
+    (("presets", "peak", "classes"), {"chat": {"tier": -1}}, "presets.peak.classes.chat.tier"),
+    (("presets", "peak", "classes"), {"chat": {"x": 1}}, "presets.peak.classes.chat.x"),
+    (("presets", "peak", "account_limit_factor"), 0, "presets.peak.account_limit_factor"),
+]
+
+
+def changed(path: tuple[str, ...], value: Any) -> dict[str, Any]:
+    document = deepcopy(DOCUMENT)
+    table = document
+    for key in path[:-1]:
+        table = table[key]
+    table[path[-1]] = value
+    return document
+
+
+def test_a_sound_document_is_read_and_written_back() -> None:
+    configuration = read_document(DOCUMENT, 7, "peak")
+    assert isinstance(configuration, Configuration)
+    assert configuration.classes_by_name["chat"].first_token_target == timedelta(seconds=1.5)
+    assert configuration.services_by_name["desk"].routes[0].idempotent is False
+    assert not configuration.admits("draft")
+    assert read_document(write_document(configuration), 7, "peak") == configuration
+
+
+@pytest.mark.parametrize(("path", "value", "fault_path"), FAULT_CASES)
+def test_a_fault_is_told_with_its_path(path: tuple[str, ...], value: Any, fault_path: str) -> None:
+    refused = read_document(changed(path, value), 7, None)
+    assert isinstance(refused, Refused)
+    assert fault_path in [fault.path for fault in refused.faults]
+
+
+def test_all_faults_are_told_at_once() -> None:
+    document = changed(("classes", "chat", "tier"), 99)
+    document["classes"]["draft"]["colour"] = "red"
+    document["presets"]["peak"]["account_limit_factor"] = -1
+    refused = read_document(document, 7, None)
+    assert isinstance(refused, Refused)
+    assert [fault.path for fault in refused.faults] == [
+        "classes.draft.colour",
+        "classes.chat.tier",
+        "presets.peak.account_limit_factor",
+    ]
+
+
+def test_the_preset_in_force_must_stay_in_the_document() -> None:
+    refused = read_document(DOCUMENT, 7, "maintenance")
+    assert isinstance(refused, Refused)
+    assert [fault.path for fault in refused.faults] == ["presets.maintenance"]
--- /dev/null
+++ b/packages/ragwortwing-policy/tests/test_configuration_log.py
@@ -0,0 +1,157 @@
+"""Any reader of the configuration stream comes to one state, and never goes back to an older."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ragwortwing_policy.configuration_log import (
+    NO_REVISION,
+    UNCONDITIONAL,
+    Accepted,
+    Checkpoint,
+    Conflict,
+    Entry,
+    FoldState,
+    Invalid,
+    PresetSwitch,
+    Publication,
+    RawRecord,
+    apply,
+    checkpoint_of,
+    encode_entry,
+)
+
+DETERMINISTIC = settings(derandomize=True, deadline=None, max_examples=300)
+
+
+def document(tier: int = 0) -> dict[str, Any]:
+    return {
+        "format": 1,
+        "classes": {"chat": {"tier": tier}},
+        "presets": {"ordinary": {}, "peak": {}},
+    }
+
+
+def publication(base: int | None, preset: str = "ordinary", tier: int = 0) -> Publication:
+    return Publication(f"p{base}", base, preset, document(tier))
+
+
+def fold(entries: list[Entry], state: FoldState | None = None) -> list[FoldState]:
+    states = [state or FoldState()]
+    for offset, entry in enumerate(entries):
+        states.append(apply(states[-1], RawRecord(offset, encode_entry(entry))).state)
+    return states
+
+
+def test_of_two_racing_operators_one_wins_and_the_other_is_told_what_is_in_force() -> None:
+    """Two operators read revision 0; one opens the peak preset, one publishes a new tier.
+
+    Both appends succeed. Without the compare-and-set, the second would silently undo the first.
+    """
+    *_, state = fold([publication(NO_REVISION), PresetSwitch("a", 0, "peak")])
+    step = apply(state, RawRecord(2, encode_entry(publication(0, tier=5))))
+    assert step.judged[0].verdict == Conflict(0, 1, "peak")
+    assert step.state.configuration == state.configuration
+
+
+def test_records_that_cannot_take_effect_change_nothing() -> None:
+    *_, state = fold([publication(NO_REVISION)])
+    for entry in (PresetSwitch("a", 0, "nope"), publication(0, tier=99), publication(0, "nope")):
+        step = apply(state, RawRecord(1, encode_entry(entry)))
+        assert isinstance(step.judged[0].verdict, Invalid)
+        assert step.state.revision == 0
+    step = apply(state, RawRecord(1, b"\xff"))
+    assert isinstance(step.judged[0].verdict, Invalid)
+    first = apply(FoldState(), RawRecord(0, encode_entry(PresetSwitch("a", NO_REVISION, "peak"))))
+    assert isinstance(first.judged[0].verdict, Invalid)
+
+
+@st.composite
+def streams(draw: st.DrawFn) -> list[Entry]:
+    """Draw a stream as racing operators and processes that write checkpoints would append it."""
+    states = [FoldState()]
+    entries: list[Entry] = []
+    for offset in range(draw(st.integers(1, 14))):
+        seen = draw(st.sampled_from(states))
+        kind = draw(st.integers(0, 9))
+        entry: Entry | None
+        if kind <= 3:
+            tier = draw(st.sampled_from([0, 1, 99]))
+            entry = publication(seen.revision, draw(st.sampled_from(["ordinary", "peak"])), tier)
+        elif kind <= 6:
+            entry = PresetSwitch("s", seen.revision, draw(st.sampled_from(["peak", "nope"])))
+        elif kind == 7:
+            entry = publication(UNCONDITIONAL, tier=draw(st.sampled_from([3, 99])))
+        else:
+            entry = checkpoint_of(seen, "c", 0.0)
+        entries.append(entry or publication(seen.revision))
+        states.append(apply(states[-1], RawRecord(offset, encode_entry(entries[-1]))).state)
+    return entries
+
+
+@DETERMINISTIC
+@given(streams())
+def test_revisions_rise_and_a_base_has_one_successor(entries: list[Entry]) -> None:
+    state = FoldState()
+    winners: set[int | None] = set()
+    for offset, entry in enumerate(entries):
+        step = apply(state, RawRecord(offset, encode_entry(entry)))
+        assert step.state.revision >= state.revision
+        for judged in step.judged:
+            if isinstance(judged.verdict, Accepted) and isinstance(
+                judged.entry, (Publication, PresetSwitch)
+            ):
+                base = judged.entry.base
+                assert base is UNCONDITIONAL or base not in winners
+                winners.add(base)
+        state = step.state
+
+
+@DETERMINISTIC
+@given(streams(), st.integers(0, 14), st.integers(0, 14))
+def test_a_reader_behind_a_gap_never_differs_once_it_knows(
+    entries: list[Entry], read: int, first: int
+) -> None:
+    whole = fold(entries)
+    read = min(read, len(entries))
+    state = whole[read]
+    newest = state.revision
+    for offset in range(max(first, read), len(entries)):
+        # A record that comes twice, from a peer and from the log, is harmless.
+        for _ in range(2):
+            state = apply(state, RawRecord(offset, encode_entry(entries[offset]))).state
+        assert state.revision >= newest
+        newest = state.revision
+        if state.complete:
+            assert state.configuration == whole[offset + 1].configuration
+
+
+def test_a_fresh_reader_starts_from_a_checkpoint_that_was_written_late() -> None:
+    """A process writes a checkpoint while an operator's switch is on its way.
+
+    The switch takes the offset before the checkpoint, which does not hold it. A reader that starts
+    at the switch must still come to the preset that is in force everywhere else.
+    """
+    states = fold([publication(NO_REVISION)])
+    checkpoint = checkpoint_of(states[-1], "c", 0.0)
+    assert checkpoint is not None
+    switch = PresetSwitch("s", 0, "peak")
+    state = apply(FoldState(), RawRecord(1, encode_entry(switch))).state
+    assert state.configuration is None
+    state = apply(state, RawRecord(2, encode_entry(checkpoint))).state
+    assert state.complete
+    assert (state.revision, state.preset) == (1, "peak")
+
+
+def test_an_old_checkpoint_never_reverts_a_newer_state() -> None:
+    """A process whose reads were held up for hours writes the state it had then.
+
+    A reader behind a gap, which already had a newer revision in force, must not go back to it.
+    """
+    *_, state = fold([publication(NO_REVISION), PresetSwitch("a", 0, "peak")])
+    old = Checkpoint("c", 5, 0, "ordinary", document())
+    after = apply(state, RawRecord(5, encode_entry(old))).state
+    assert (after.revision, after.preset, after.complete) == (1, "peak", False)
