--- a/packages/ragwortwing-entry/src/ragwortwing_entry/intake.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/intake.py
@@ -20,7 +20,9 @@
 REQUEST_CLASS = b"x-request-class"
 TRACEPARENT = b"traceparent"
 
-FORWARDED_HEADERS = frozenset({b"accept", b"accept-language", b"content-type", b"user-agent"})
+FORWARDED_HEADERS = frozenset(
+    {b"accept", b"accept-language", b"content-type", b"idempotency-key", b"user-agent"}
+)
 """Headers that go on to a backend server; keys and cookies of callers stay here."""
 
 REQUEST_ID_BYTES = 12
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/__main__.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/__main__.py
@@ -4,6 +4,7 @@
 
 import click
 
+from .load.command import load_command
 from .standins.engine import engine_command
 from .standins.log import log_command
 from .standins.membership import membership_command
@@ -17,6 +18,7 @@
 
 
 main.add_command(engine_command)
+main.add_command(load_command)
 main.add_command(log_command)
 main.add_command(membership_command)
 main.add_command(order_desk_command)
