--- a/packages/ragwortwing-entry/src/ragwortwing_entry/request_run.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/request_run.py
@@ -20,10 +20,10 @@
 from ragwortwing_policy.outcomes import Completed, NotRun, NotRunReason, Outcome
 from ragwortwing_policy.routing import BackendKind
 from ragwortwing_wire.connection import ConnectionClosed
+from ragwortwing_wire.delivered_text import DeliveredText
 from ragwortwing_wire.messages import Attach, Credit, Reserve, ResponseHead, Submit, Withdraw
 
 from .answers import DONE_EVENT
-from .delivered_text import DeliveredText
 
 if TYPE_CHECKING:
     from ragwortwing_policy.clock import Clock, Instant
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/load/caller.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/load/caller.py
@@ -121,7 +121,7 @@
     async def _read(
         self, target: str, method: str, path: str, body: bytes, arrival: Arrival
     ) -> _Read:
-        headers = {
+        headers: dict[bytes | str, bytes | str] = {
             "authorization": f"Bearer {arrival.key}",
             "content-type": "application/json",
             "x-request-class": arrival.traffic.request_class,
