--- a/packages/ragwortwing-lab/src/ragwortwing_lab/faults/callers.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/faults/callers.py
@@ -116,19 +116,19 @@
         self, answer: Answer, path: str, headers: list[tuple[str, str]], body: bytes
     ) -> None:
         received = bytearray()
-        async with httpcore.AsyncConnectionPool() as pool:
-            async with pool.stream(
-                "POST", answer.entry + path, headers=headers, content=body
-            ) as response:
-                answer.status = response.status
-                told = dict(response.headers)
-                answer.request_id = told.get(REQUEST_ID_HEADER, b"").decode()
-                try:
-                    async for piece in response.aiter_stream():
-                        received += piece
-                    answer.whole = True
-                finally:
-                    _read(answer, told, bytes(received))
+        async with (
+            httpcore.AsyncConnectionPool() as pool,
+            pool.stream("POST", answer.entry + path, headers=headers, content=body) as response,
+        ):
+            answer.status = response.status
+            told = dict(response.headers)
+            answer.request_id = told.get(REQUEST_ID_HEADER, b"").decode()
+            try:
+                async for piece in response.aiter_stream():
+                    received += piece
+                answer.whole = True
+            finally:
+                _read(answer, told, bytes(received))
 
 
 def _read(answer: Answer, headers: dict[bytes, bytes], body: bytes) -> None:
