Measure the policy on a model of engines and callers in virtual time

Cause seen in the runs: the learned limit holds the mean between-token time at the target (median of chat 43 ms, 90th percentile 47 ms), so half of the answers are over it; and 782 preemptions in 100 s, each worked off again as a prompt. Engines now keep the KV of 16 cancelled streams, as prefix caches do, and the limit needs a margin below the target (scheduler's part).

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/comparison.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/comparison.py
@@ -11,14 +11,14 @@
 
 from ..model.site import run
 from ..model.variants import BASELINES, SHIPPED
-from .figures import figures_of
+from .figures import VariantFigures, figures_of
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from ..model.site import Scenario
     from ..model.variants import Variant
-    from .figures import ClassFigures, VariantFigures
+    from .figures import ClassFigures
 
 TABLE_WIDTH = 160
 
@@ -67,7 +67,7 @@
 
     def _totals_table(self) -> Table:
         headings = ("variant", "useful tokens", "orders", "wasted tokens", "wasted", "inversions")
-        table = Table(*headings, "preemptions", "messages/request")
+        table = Table(*headings, "prefilled", "preemptions", "messages/request")
         for each in self.variants:
             table.add_row(
                 each.variant,
@@ -76,6 +76,7 @@
                 str(each.wasted_tokens),
                 f"{each.wasted_share:.2%}",
                 str(each.inversions),
+                str(each.prefilled_tokens),
                 str(each.preemptions),
                 f"{each.messages_per_request:.1f}",
             )
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/figures.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/figures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -9,7 +10,6 @@
 from ragwortwing_policy.routing import BackendKind
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
 
     from ragwortwing_policy.configuration import RequestClass
 
@@ -56,10 +56,13 @@
     generated_tokens: int
     wasted_tokens: int
     """Generated for requests that did not complete, or generated again."""
+    prefilled_tokens: int
+    """Prompt tokens worked off; what a prefix cache saved is missing from them."""
     inversions: int
     """Requests refused while a less urgent one ran on an engine that could serve them."""
     preemptions: int
     messages_per_request: float
+    """Reservations, grants, refusals, withdrawals and bodies; loads and pieces are not counted."""
 
     @property
     def wasted_share(self) -> float:
@@ -90,6 +93,7 @@
         ),
         generated_tokens=trace.generated,
         wasted_tokens=max(0, trace.generated - useful - unfinished),
+        prefilled_tokens=trace.prefilled,
         inversions=sum(each.inverted for each in trace.records),
         preemptions=trace.preemptions,
         messages_per_request=trace.messages / max(1, len(trace.records)),
--- /dev/null
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/yardstick.py
@@ -0,0 +1,101 @@
+"""The shipped policy at 1.5 times the capacity against what the capacity allows."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from ragwortwing_policy.outcomes import OutcomeKind
+
+from ..model.site import REQUEST_CLASSES, Scenario, configure, run
+from ..model.variants import SHIPPED
+from .comparison import Comparison, Goal
+from .figures import figures_of
+from .registry import experiment
+from .site_loads import BETWEEN_TOKENS, CHAT, DRAFTS, NARRATIVES, at_load, engines
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ..model.site import Trace
+    from ..model.workload import Traffic
+
+TOP_LOAD = 0.6
+LOWER_LOAD = 0.9
+SATURATING_LOAD = 1.5
+DURATION = 100.0
+WARM_UP = 20.0
+"""Seconds left out of goodput, while the batches fill."""
+
+TOP_GOAL = 0.99
+LOWER_GOAL = 0.90
+WASTE_GOAL = 0.02
+
+STRICT_CLASSES = tuple(
+    replace(each, between_token_target=timedelta(seconds=BETWEEN_TOKENS))
+    for each in REQUEST_CLASSES
+)
+"""All classes at the top tier's between-token target: with looser ones an engine without chat would
+run larger batches, and its goodput would be no measure of what is left over beside chat."""
+
+
+@experiment("yardstick")
+def yardstick(seed: int) -> Comparison:
+    """Chat at 0.6 and lower tiers at 0.9 of the capacity, against each alone."""
+    backends = engines()
+    top = at_load(CHAT, TOP_LOAD, backends)
+    lower = [at_load(DRAFTS, LOWER_LOAD * 0.6, backends)]
+    lower.append(at_load(NARRATIVES, LOWER_LOAD * 0.4, backends))
+
+    def trace(*traffics: Traffic) -> Trace:
+        scenario = Scenario(backends, traffics, DURATION, configuration=configure(STRICT_CLASSES))
+        return run(scenario, SHIPPED, seed)
+
+    mixed = trace(top, *lower)
+    alone = trace(top)
+    top_most = goodput(trace(at_load(CHAT, SATURATING_LOAD, backends)), ("chat",))
+    scale = SATURATING_LOAD / LOWER_LOAD
+    lower_names = tuple(each.class_name for each in lower)
+    lower_alone = trace(*(replace(each, rate=each.rate * scale) for each in lower))
+    lower_most = goodput(lower_alone, lower_names)
+    leftover = lower_most * (1 - goodput(mixed, ("chat",)) / top_most)
+    classes = {each.name: each for each in STRICT_CLASSES}
+    figures = replace(figures_of(mixed, classes), variant="mixed")
+    figures_alone = replace(figures_of(alone, classes), variant="chat alone")
+    lower_figures = replace(figures_of(lower_alone, classes), variant="lower alone, saturated")
+    top_share = (
+        figures.classes_by_name["chat"].attained / figures_alone.classes_by_name["chat"].attained
+    )
+    lower_share = goodput(mixed, lower_names) / leftover
+    goals = (
+        Goal("top tier attained, of alone", top_share, f">= {TOP_GOAL}", top_share >= TOP_GOAL),
+        Goal(
+            "lower tiers' goodput, of leftover",
+            lower_share,
+            f">= {LOWER_GOAL}",
+            lower_share >= LOWER_GOAL,
+        ),
+        Goal(
+            "wasted tokens",
+            figures.wasted_share,
+            f"<= {WASTE_GOAL}",
+            figures.wasted_share <= WASTE_GOAL,
+        ),
+        Goal("refused while a lower one ran", figures.inversions, "0", figures.inversions == 0),
+    )
+    return Comparison("yardstick", seed, (figures, figures_alone, lower_figures), goals)
+
+
+def goodput(trace: Trace, class_names: Sequence[str]) -> float:
+    """Return the tokens a second of answers completed after the warm-up and before the end."""
+    tokens = sum(
+        record.tokens
+        for record in trace.records
+        if record.arrival.class_name in class_names
+        and record.outcome is not None
+        and record.outcome.kind is OutcomeKind.COMPLETED
+        and record.ended_at is not None
+        and WARM_UP <= record.ended_at < trace.duration
+    )
+    return tokens / (trace.duration - WARM_UP)
--- /dev/null
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/measure.py
@@ -0,0 +1,47 @@
+"""The command that runs experiments."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import click
+import msgspec
+
+from .experiments.registry import load_experiments
+
+if TYPE_CHECKING:
+    from .experiments.registry import Experiment
+
+ALL = "all"
+SEEDS_OF_ALL = 3
+REPORTS = Path("reports")
+
+
+@click.command()
+@click.argument("name", required=False)
+@click.option("--seed", type=int, default=1, show_default=True, help="Seed of the random streams.")
+@click.option("--json", "as_json", is_flag=True, help="Print the result's fields as JSON.")
+@click.option("--out", type=click.Path(path_type=Path), default=REPORTS, show_default=True)
+def measure(name: str | None, seed: int, as_json: bool, out: Path) -> None:
+    """Run the experiment NAME, or `all`; without a name, list the experiments."""
+    experiments = load_experiments()
+    if name is None:
+        _list(experiments)
+    elif name == ALL:
+        from .report import write_report
+
+        seeds = tuple(range(seed, seed + SEEDS_OF_ALL))
+        click.echo(write_report(tuple(experiments.values()), seeds, out))
+    elif name in experiments:
+        result = experiments[name].function(seed)
+        text = msgspec.json.encode(result).decode() if as_json else result.render()
+        click.echo(text)
+    else:
+        raise click.BadParameter(f"{name}; one of: {', '.join(experiments)}, {ALL}")
+
+
+def _list(experiments: dict[str, Experiment]) -> None:
+    width = max(len(each) for each in experiments)
+    for each in experiments.values():
+        click.echo(f"{each.name:{width}}  {each.summary}")
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/agent.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/agent.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from ragwortwing_policy.outcomes import NotRun, NotRunReason
-from ragwortwing_policy.reservations import Grant, Preempt, Refuse
+from ragwortwing_policy.reservations import Grant, Preempt, Refuse, Reservation
 from ragwortwing_policy.routing import AgentView, BackendKind
 
 from .engine import EngineModel, Output, Run, ServiceModel
@@ -16,7 +16,7 @@
 
     from ragwortwing_policy.clock import Instant
     from ragwortwing_policy.outcomes import Outcome
-    from ragwortwing_policy.reservations import LoadReport, Reservation, SchedulerDecision
+    from ragwortwing_policy.reservations import LoadReport, SchedulerDecision
 
     from .engine import Backend, BackendSpec
     from .loop import VirtualLoop
@@ -152,7 +152,7 @@
         if not self._scheduler.started(held.reservation, self._loop.now):
             self._refuse(held, NotRun(NotRunReason.OVERLOADED))
             return
-        held.run = Run(request_id, arrival, produced=delivered)
+        held.run = Run(request_id, arrival, produced=delivered, reported=delivered)
         self.backend.submit(held.run)
 
     def _tick(self) -> None:
@@ -164,7 +164,7 @@
         if self.alive:
             view = self.view()
             for entry in self._entries:
-                self._send(entry, entry.on_agent_view, view)
+                self._tell(entry, entry.on_agent_view, view)
             self._loop.after(HEARTBEAT, self._heartbeat)
 
     def _on_outputs(self, outputs: list[Output]) -> None:
@@ -182,9 +182,9 @@
             del self._held_by_id[request_id]
             self._carry_out(self._scheduler.finished(request_id, self._loop.now))
         for entry, each in by_entry.items():
-            self._send(entry, entry.on_outputs, self.agent_id, each)
+            self._tell(entry, entry.on_outputs, self.agent_id, each)
             if finished:
-                self._send(entry, entry.on_agent_view, self.view())
+                self._tell(entry, entry.on_agent_view, self.view())
 
     def _carry_out(self, decisions: list[SchedulerDecision]) -> None:
         for decision in decisions:
@@ -210,7 +210,7 @@
     def _refuse(self, held: _Held, outcome: Outcome) -> None:
         request_id = held.reservation.request_id
         del self._held_by_id[request_id]
-        self._send(held.entry, held.entry.on_agent_view, self.view())
+        self._tell(held.entry, held.entry.on_agent_view, self.view())
         self._send(held.entry, held.entry.on_refused, self.agent_id, request_id, outcome)
 
     def _preempt(self, held: _Held) -> None:
@@ -221,6 +221,7 @@
 
     def _send(self, entry: EntryLike, call: Callable[..., None], *arguments: object) -> None:
         self.messages += 1
-        self._loop.after(self._delay(self.spec.zone, entry.zone), call, *arguments)
-
+        self._tell(entry, call, *arguments)
 
+    def _tell(self, entry: EntryLike, call: Callable[..., None], *arguments: object) -> None:
+        self._loop.after(self._delay(self.spec.zone, entry.zone), call, *arguments)
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/engine.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/engine.py
@@ -8,7 +8,7 @@
 
 from ragwortwing_policy.routing import BackendKind
 
-from .workload import DESK, MODEL
+from .workload import DESK, MODEL, Arrival
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,7 +16,6 @@
     from ragwortwing_policy.clock import Instant
 
     from .loop import VirtualLoop
-    from .workload import Arrival
 
 STEP_BASE = 0.020
 """Seconds of a step with an empty batch, at speed 1."""
@@ -33,6 +32,10 @@
 CACHED_PREFIXES = 8
 """Prefixes that an engine's memory holds."""
 
+CACHED_STREAMS = 16
+"""Cancelled streams whose KV cache an engine's memory holds; one that is resumed on the same engine
+finds its prompt and its text there, as any prompt finds its prefix."""
+
 TOKENS_PER_REPORT = 4
 """Tokens of a stream after its first that the model hands on together, to save events."""
 
@@ -84,6 +87,9 @@
     """A backend server as its agent uses it."""
 
     generated: int
+    """Tokens of answers, over all requests."""
+    prefilled: int
+    """Prompt tokens worked off."""
     speed_factor: float
     frozen_until: Instant
 
@@ -112,14 +118,15 @@
         self._on_output = on_output
         self._runs_by_id: dict[str, Run] = {}
         self._prefixes: OrderedDict[int, None] = OrderedDict()
+        self._cancelled: OrderedDict[str, int] = OrderedDict()
         self._stepping = False
 
     def submit(self, run: Run) -> None:
         """Add a request to the batch; its prompt is worked off first."""
         arrival = run.arrival
         cached = arrival.prefix_tokens if arrival.prefix_hash in self._prefixes else 0
-        run.prefill = arrival.prompt_tokens + run.produced - cached
-        run.reported = run.produced
+        cached = max(cached, self._cancelled.pop(run.request_id, 0))
+        run.prefill = max(1, arrival.prompt_tokens + run.produced - cached)
         run.started = False
         self._runs_by_id[run.request_id] = run
         if not self._stepping:
@@ -129,7 +136,12 @@
     def cancel(self, request_id: str) -> int:
         """Stop a stream."""
         run = self._runs_by_id.pop(request_id, None)
-        return run.produced if run is not None else 0
+        if run is None:
+            return 0
+        self._cancelled[request_id] = run.arrival.prompt_tokens + run.produced - run.prefill
+        if len(self._cancelled) > CACHED_STREAMS:
+            self._cancelled.popitem(last=False)
+        return run.produced
 
     def running(self) -> list[Run]:
         """Return the streams of the batch."""
@@ -144,9 +156,7 @@
             return
         decoding, prefilled = self._compose()
         seconds = STEP_BASE + STEP_PER_STREAM * len(decoding) + prefilled / PREFILL_RATE
-        self._loop.after(
-            seconds / (self._spec.speed * self.speed_factor), self._end_step, decoding
-        )
+        self._loop.after(seconds / (self._spec.speed * self.speed_factor), self._end_step, decoding)
 
     def _compose(self) -> tuple[list[Run], int]:
         chunk = PREFILL_CHUNK
@@ -201,6 +211,7 @@
         self, loop: VirtualLoop, spec: BackendSpec, on_output: Callable[[list[Output]], None]
     ) -> None:
         self.generated = 0
+        self.prefilled = 0
         self.speed_factor = 1.0
         self.frozen_until: Instant = 0.0
         self._loop = loop
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/entry.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/entry.py
@@ -6,27 +6,25 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
+from ragwortwing_policy.clock import Instant
 from ragwortwing_policy.dispatch import Ask, Conclude, Dispatch, SendBody, WithdrawFrom
-from ragwortwing_policy.outcomes import Completed, NotRun
+from ragwortwing_policy.outcomes import Completed, NotRun, Outcome
 from ragwortwing_policy.reservations import Reservation
 from ragwortwing_policy.retries import RetryBudget
 from ragwortwing_policy.routing import RouteQuery
 
-from .workload import RetryStyle
+from .workload import Arrival, RetryStyle
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from ragwortwing_policy.clock import Instant
     from ragwortwing_policy.configuration import Configuration
     from ragwortwing_policy.dispatch import DispatchDecision
-    from ragwortwing_policy.outcomes import Outcome
     from ragwortwing_policy.routing import AgentView, Router
 
     from .agent import AgentModel
     from .engine import Output
     from .loop import VirtualLoop
-    from .workload import Arrival
 
 RETRY_AT_ONCE_AFTER = 0.02
 """Seconds a caller that retries at once takes for it."""
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/site.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/site.py
@@ -2,26 +2,26 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
 from typing import TYPE_CHECKING
 
+from ragwortwing_policy.clock import Instant
 from ragwortwing_policy.configuration import Configuration, Preset, RequestClass
 
 from .agent import AgentModel
+from .engine import BackendSpec
 from .entry import EntryModel, Record
 from .loop import VirtualLoop
-from .workload import arrivals
+from .workload import Traffic, arrivals
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable
 
-    from ragwortwing_policy.clock import Instant
-
-    from .engine import BackendSpec
     from .variants import Variant
-    from .workload import Arrival, Traffic
+    from .workload import Arrival
 
 ZONES = ("suva", "nadi", "lautoka")
 
@@ -114,6 +114,7 @@
     duration: float
     records: tuple[Record, ...]
     generated: int
+    prefilled: int
     preemptions: int
     messages: int
 
@@ -155,8 +156,10 @@
             duration=scenario.duration,
             records=tuple(record for entry in self._entries for record in entry.records),
             generated=sum(each.backend.generated for each in agents),
+            prefilled=sum(each.backend.prefilled for each in agents),
             preemptions=sum(each.preemptions for each in agents),
-            messages=sum(each.messages for each in (*agents, *self._entries)),
+            messages=sum(each.messages for each in agents)
+            + sum(each.messages for each in self._entries),
         )
 
     def _make_entry(self, number: int) -> EntryModel:
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/variants.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/variants.py
@@ -2,27 +2,22 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
-from typing import TYPE_CHECKING
 
+from ragwortwing_policy.configuration import Configuration
 from ragwortwing_policy.routing import BackendKind, Router
 from ragwortwing_policy.scheduler import Scheduler, SchedulerSettings
 
+from .agent import SchedulerLike
 from .baselines import (
     FifoScheduler,
     RandomPushRouter,
     ShortestLaggedRouter,
     StrictPriorityScheduler,
 )
-
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from ragwortwing_policy.configuration import Configuration
-
-    from .agent import SchedulerLike
-    from .engine import BackendSpec
+from .engine import BackendSpec
 
 SERVICE_SLOTS = 8
 """Calls at one time at a plain service."""
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/workload.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/workload.py
@@ -9,13 +9,12 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from ragwortwing_policy.clock import Instant
 from ragwortwing_policy.routing import BackendKind
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
 
-    from ragwortwing_policy.clock import Instant
-
 MODEL = "baker-large"
 """The model that all engines of an experiment serve."""
 
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/ejection.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/ejection.py
@@ -40,7 +40,7 @@
     maximum_share: float = 0.34
     """Share of a pool that may be ejected at one time."""
     sample_lifetime: timedelta = timedelta(seconds=30)
-    """Age at which a latency no longer counts."""
+    """Age of an agent's newest latency at which its latencies no longer count."""
     silence: timedelta = timedelta(seconds=3)
     """Time without any progress, while requests run, after which an agent is ejected."""
     first_ejection: timedelta = timedelta(seconds=5)
@@ -52,20 +52,32 @@
     """Time after which a probe that brought no latency makes room for another."""
 
 
-@dataclass(slots=True)
 class _Latencies:
-    """Latest latencies of one kind."""
+    """Latest latencies of one kind, and their median, which is taken once for each change."""
 
-    samples: deque[tuple[Instant, float]] = field(
-        default_factory=lambda: deque(maxlen=SAMPLES_KEPT)
-    )
+    def __init__(self) -> None:
+        self._samples: deque[float] = deque(maxlen=SAMPLES_KEPT)
+        self._median: float | None = None
+        self._newest_at: Instant = 0.0
 
-    def add(self, seconds: float, now: Instant) -> None:
-        self.samples.append((now, seconds))
+    def add(self, seconds: float, now: Instant, since: Instant) -> None:
+        if self._newest_at < since:
+            self._samples.clear()
+        self._samples.append(seconds)
+        self._newest_at = now
+        self._median = None
 
     def median(self, since: Instant, minimum: int) -> float | None:
-        values = [seconds for at, seconds in self.samples if at >= since]
-        return median(values) if len(values) >= minimum else None
+        """Return the median, or None where there are too few samples or the newest is too old."""
+        if len(self._samples) < minimum or self._newest_at < since:
+            return None
+        if self._median is None:
+            self._median = median(self._samples)
+        return self._median
+
+    def clear(self) -> None:
+        self._samples.clear()
+        self._median = None
 
 
 @dataclass(slots=True)
@@ -133,10 +145,11 @@
         circuit = self._circuits_by_id.get(agent_id)
         if circuit is None:
             return
+        since = now - self._settings.sample_lifetime.total_seconds()
         if first_token is not None:
-            circuit.first_token.add(first_token.total_seconds(), now)
+            circuit.first_token.add(first_token.total_seconds(), now, since)
         if between_tokens is not None:
-            circuit.between_tokens.add(between_tokens.total_seconds(), now)
+            circuit.between_tokens.add(between_tokens.total_seconds(), now, since)
         others = [each for each in peers if each != agent_id]
         if circuit.state == "half_open":
             self._judge_probe(circuit, others, between_tokens, first_token, now)
@@ -231,8 +244,8 @@
     def _recover(self, circuit: _Circuit) -> None:
         circuit.state = self._chart.next(circuit.state, "recover")
         circuit.ejections = 0
-        circuit.first_token.samples.clear()
-        circuit.between_tokens.samples.clear()
+        circuit.first_token.clear()
+        circuit.between_tokens.clear()
 
     def _eject(self, circuit: _Circuit, others: list[str], now: Instant) -> None:
         if circuit.state == "closed" and not self._may_eject(others):
