--- a/packages/ragwortwing-lab/src/ragwortwing_lab/__main__.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/__main__.py
@@ -6,6 +6,7 @@
 
 from .fault_proxy import proxy_command
 from .load.command import load_command
+from .measure import measure
 from .standins.engine import engine_command
 from .standins.log import log_command
 from .standins.membership import membership_command
@@ -18,6 +19,7 @@
     """Run and inspect the lab."""
 
 
+main.add_command(measure)
 main.add_command(engine_command)
 main.add_command(load_command)
 main.add_command(log_command)
