Read error bodies by status in the fault runner's callers

An error body was compared with the prompt's answer, and the slow log's delay clashed with the fault's duration: both were faults of the runner, not of the site.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/faults/callers.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/faults/callers.py
@@ -29,6 +29,7 @@
 RESUBMIT_PAUSE = 0.3
 OUTCOME_HEADER = b"x-ragwortwing-outcome"
 REQUEST_ID_HEADER = b"x-request-id"
+FIRST_ERROR_STATUS = 400
 FINAL_OUTCOMES = frozenset({"completed", "failed"})
 
 
@@ -134,8 +135,7 @@
 def _read(answer: Answer, headers: dict[bytes, bytes], body: bytes) -> None:
     if headers.get(b"content-type", b"").startswith(b"text/event-stream"):
         read_stream(body, answer)
+    elif answer.whole and answer.status >= FIRST_ERROR_STATUS:
+        read_error(body, answer)
     elif OUTCOME_HEADER in headers:
         answer.outcomes.append(headers[OUTCOME_HEADER].decode())
-        answer.text = body.decode()
-    elif answer.whole:
-        read_error(body, answer)
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/faults/injector.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/faults/injector.py
@@ -86,10 +86,10 @@
         await trio.sleep(seconds)
         process.thaw()
 
-    async def fault_for(self, name: str, seconds: float, kind: str, **fields: object) -> None:
+    async def fault_for(self, name: str, duration: float, kind: str, **fields: object) -> None:
         """Set a stand-in's fault, and clear it after a while."""
         await self.site.fault(name, kind, **fields)
-        await trio.sleep(seconds)
+        await trio.sleep(duration)
         await self.site.clear(name)
 
 
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/faults/runner.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/faults/runner.py
@@ -25,13 +25,12 @@
     check_revisions,
 )
 from .injector import Injector
-from .schedule import draw_schedule
+from .schedule import PlannedFault, draw_schedule
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from .observations import Answer
-    from .schedule import PlannedFault
 
 SHAPE = SiteShape(
     entries=2,
@@ -93,7 +92,7 @@
         faults=tuple(injector.brought_about),
         requests=len(answers),
         outcomes_by_kind=_count(answers),
-        executions=sum(len(read_journal(each)) for each in directory.glob("*.journal")),
+        executions=len(_executions(directory, "*")),
         violations=tuple(violations),
     )
 
@@ -155,15 +154,16 @@
 
 
 def _check_observations(site: Site, callers: Callers, injector: Injector) -> Iterator[Violation]:
-    def executions(kind: str) -> list[Execution]:
-        paths = sorted(site.directory.glob(f"{kind}-*.journal"))
-        return [each for path in paths for each in read_journal(path)]
-
-    yield from check_orders(callers.orders, executions("desk"))
-    yield from check_chats(callers.chats, executions("engine"))
+    yield from check_orders(callers.orders, _executions(site.directory, "desk-*"))
+    yield from check_chats(callers.chats, _executions(site.directory, "engine-*"))
     yield from check_answers(_answers(callers), injector.stopped_entries)
 
 
+def _executions(directory: Path, backends: str) -> list[Execution]:
+    paths = sorted(directory.glob(f"{backends}.journal"))
+    return [each for path in paths for each in read_journal(path)]
+
+
 def _answers(callers: Callers) -> Iterator[Answer]:
     yield from (chat.answer for chat in callers.chats)
     for order in callers.orders:
@@ -173,6 +173,7 @@
 def _count(answers: list[Answer]) -> dict[str, int]:
     counts: dict[str, int] = {}
     for answer in answers:
-        kind = f"{answer.outcome or 'none'} {answer.reason}".strip()
+        reason = "" if answer.reason == answer.outcome else answer.reason
+        kind = f"{answer.outcome or 'none'} {reason}".strip()
         counts[kind] = counts.get(kind, 0) + 1
     return counts
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/journal.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/journal.py
@@ -25,7 +25,7 @@
         self._file = None if path is None else path.open("ab", buffering=0)
 
     def append(self, execution: Execution) -> None:
-        """Write an execution; it is in the file when this returns, also if the process is killed."""
+        """Write an execution; it is in the file when this returns, even if a crash follows."""
         if self._file is not None:
             self._file.write(msgspec.json.encode(execution) + b"\n")
 
