--- /dev/null
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/commands/_operator.py
@@ -0,0 +1,187 @@
+"""What the operator's commands share: the log's address, the exit codes and the output."""
+
+from __future__ import annotations
+
+import getpass
+import sys
+import tomllib
+from dataclasses import asdict, dataclass
+from enum import IntEnum
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, NoReturn
+
+import click
+import msgspec
+import trio
+
+from ragwortwing_platform.configuration_publisher import (
+    ConfigurationPublisher,
+    PublishResult,
+    PublishUnknown,
+)
+from ragwortwing_platform.log_client import LogClient, LogUnavailable
+from ragwortwing_platform.settings import EntrySettings
+from ragwortwing_platform.settings_reader import FaultySettings, read_settings
+from ragwortwing_platform.system_clock import SystemClock
+from ragwortwing_policy.configuration_checks import Fault
+from ragwortwing_policy.configuration_log import Accepted, Conflict, Invalid
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+
+class ExitCode(IntEnum):
+    """How a command ended."""
+
+    OK = 0
+    REFUSED = 1
+    """Something else is in force than the operator thought, or the state does not allow it."""
+    BAD_INPUT = 2
+    """The file or the arguments have faults."""
+    LOG_UNAVAILABLE = 3
+    """The log could not be used; nothing was changed."""
+    UNKNOWN = 4
+    """The fate of the append is not known; `config history` will show it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Output:
+    """Where and how a command answers."""
+
+    as_json: bool
+
+    def show(self, text: str, value: Any) -> None:
+        """Print a result, as text or as JSON."""
+        click.echo(msgspec.json.encode(value).decode() if self.as_json else text)
+
+    def fail(self, code: ExitCode, text: str, value: dict[str, Any]) -> NoReturn:
+        """Print why a command failed, and end the process."""
+        if self.as_json:
+            click.echo(msgspec.json.encode(value).decode())
+        else:
+            click.echo(text, err=True)
+        sys.exit(code)
+
+    def fail_on_faults(self, faults: tuple[Fault, ...], code: ExitCode) -> NoReturn:
+        """Print every fault of a document, and end the process."""
+        listed = [{"path": fault.path, "message": fault.message} for fault in faults]
+        text = "\n".join(str(fault) for fault in faults)
+        self.fail(code, text, {"result": "invalid", "faults": listed})
+
+
+def _log_address(context: click.Context, _: click.Parameter, value: str | None) -> str | None:
+    settings_path = context.params.get("settings")
+    if value is not None or settings_path is None:
+        return value
+    settings = read_settings(settings_path, EntrySettings)
+    if isinstance(settings, FaultySettings):
+        raise click.BadParameter("\n".join(str(fault) for fault in settings.faults))
+    return str(settings.platform.log.address)
+
+
+settings_option = click.option(
+    "--settings",
+    type=click.Path(path_type=Path),
+    is_eager=True,
+    help="Settings file of an entry, for the log's address.",
+)
+log_option = click.option(
+    "--log",
+    "log_address",
+    metavar="IP:PORT",
+    envvar="RAGWORTWING_LOG",
+    callback=_log_address,
+    help="Address of the platform's log.",
+)
+json_option = click.option("--json", "as_json", is_flag=True, help="Answer as JSON.")
+operator_option = click.option(
+    "--operator", default=getpass.getuser, help="Name for the history; yours if left out."
+)
+note_option = click.option("--note", default="", help="Remark for the history.")
+
+
+def read_file(path: Path, output: Output) -> dict[str, Any]:
+    """Return the document of a TOML file, or end the process."""
+    try:
+        return tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        output.fail_on_faults((Fault(str(path), str(error)),), ExitCode.BAD_INPUT)
+
+
+def with_publisher(
+    log_address: str | None,
+    output: Output,
+    work: Callable[[ConfigurationPublisher], Awaitable[None]],
+    operator: str = "",
+) -> None:
+    """Read the configuration stream to its end and do a command's work on it."""
+    if log_address is None:
+        raise click.UsageError("give --log, --settings or RAGWORTWING_LOG")
+
+    async def run() -> None:
+        client = LogClient(log_address)
+        try:
+            publisher = ConfigurationPublisher(client, SystemClock(), operator)
+            failure = await publisher.catch_up()
+            if failure is not None:
+                fail_unavailable(failure, output)
+            await work(publisher)
+        finally:
+            with trio.CancelScope(shield=True):
+                await client.aclose()
+
+    trio.run(run)
+
+
+def fail_unavailable(failure: LogUnavailable, output: Output) -> NoReturn:
+    """Tell that the log could not be used, and end the process."""
+    text = f"the log cannot be used ({failure.cause}); nothing was changed"
+    value = {"result": "log_unavailable", "cause": failure.cause}
+    output.fail(ExitCode.LOG_UNAVAILABLE, text, value)
+
+
+def tell_result(result: PublishResult, output: Output) -> None:
+    """Print what became of the operator's own record; end the process unless it was accepted."""
+    match result:
+        case Accepted():
+            text = f"accepted: revision {result.revision}, preset {result.preset}"
+            output.show(text, {"result": "accepted"} | asdict(result))
+        case Conflict():
+            text = (
+                f"refused: made from revision {result.base}, but revision "
+                f"{result.revision_in_force} with preset {result.preset_in_force} is in force"
+            )
+            output.fail(ExitCode.REFUSED, text, {"result": "conflict"} | asdict(result))
+        case Invalid():
+            output.fail_on_faults(result.faults, ExitCode.BAD_INPUT)
+        case LogUnavailable():
+            fail_unavailable(result, output)
+        case PublishUnknown():
+            text = f"not known whether record {result.record_id} was appended; see config history"
+            value = {"result": "unknown"} | asdict(result)
+            output.fail(ExitCode.UNKNOWN, text, value)
+        case _:
+            fail_state_lost(output)
+
+
+def fail_state_lost(output: Output) -> NoReturn:
+    """Tell that nobody can know what is in force, and end the process."""
+    text = (
+        "the records that tell what is in force ran out of the log; "
+        "publish a whole configuration with --unconditional"
+    )
+    output.fail(ExitCode.REFUSED, text, {"result": "state_lost"})
+
+
+def require_known_state(publisher: ConfigurationPublisher, output: Output) -> None:
+    """End the process if what is in force is not known."""
+    if not publisher.state.complete:
+        fail_state_lost(output)
+
+
+def require_configuration(publisher: ConfigurationPublisher, output: Output) -> None:
+    """End the process if nothing was published yet."""
+    require_known_state(publisher, output)
+    if publisher.state.configuration is None:
+        text = "no configuration was published yet"
+        output.fail(ExitCode.REFUSED, text, {"result": "unconfigured"})
--- /dev/null
+++ b/packages/ragwortwing-entry/tests/test_operator_commands.py
@@ -0,0 +1,167 @@
+"""Contract of the operator's commands: what they answer and with which exit code, by fault."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from typing import TYPE_CHECKING, Any
+
+import httpcore
+import pytest
+from click.testing import CliRunner, Result
+
+from ragwortwing_entry.__main__ import main
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+DOCUMENT = """
+format = 1
+[classes.chat]
+tier = 0
+[classes.draft]
+tier = 3
+[presets.ordinary]
+[presets.peak.classes.draft]
+admitted = false
+"""
+
+
+class Site:
+    """A log and the commands that are run against it."""
+
+    def __init__(self, listen: dict[str, str], directory: Path) -> None:
+        self.control = listen["control"]
+        self.log = listen["http"]
+        self.file = directory / "site.toml"
+        self.file.write_text(DOCUMENT)
+
+    def fault(self, kind: str, **fields: Any) -> None:
+        content = json.dumps({"kind": kind} | fields).encode()
+        httpcore.request("POST", f"http://{self.control}/fault", content=content)
+
+    def run(self, *arguments: str) -> Result:
+        return CliRunner().invoke(main, [*arguments, "--log", self.log])
+
+    def json(self, *arguments: str) -> tuple[int, Any]:
+        result = self.run(*arguments, "--json")
+        return result.exit_code, json.loads(result.stdout)
+
+    def publish_first(self) -> None:
+        code, value = self.json("config", "publish", str(self.file), "--preset", "ordinary")
+        assert (code, value["revision"]) == (0, 0)
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[Site]:
+    command = [sys.executable, "-m", "ragwortwing_lab", "log"]
+    with subprocess.Popen(command, stdout=subprocess.PIPE) as process:
+        assert process.stdout is not None
+        try:
+            yield Site(json.loads(process.stdout.readline())["listen"], tmp_path)
+        finally:
+            process.terminate()
+
+
+def test_publish_show_switch_and_history(site: Site) -> None:
+    site.publish_first()
+    assert site.json("preset", "use", "peak", "--note", "wedding season") == (
+        0,
+        {"result": "accepted", "revision": 1, "preset": "peak"},
+    )
+    assert site.json("preset", "current") == (0, {"preset": "peak", "revision": 1})
+    assert site.run("preset", "list").stdout == "  ordinary\n* peak\n"
+    shown = site.run("config", "show").stdout
+    assert shown.startswith("# revision 1 in force, preset peak\n")
+    site.file.write_text(shown.replace("tier = 3", "tier = 4"))
+    assert site.json("config", "diff", str(site.file)) == (
+        0,
+        [{"path": "classes.draft.tier", "old": 3, "new": 4}],
+    )
+    assert site.json("config", "publish", str(site.file))[1]["preset"] == "peak"
+    assert site.json("config", "diff", "0", "2")[1][0]["path"] == "classes.draft.tier"
+    code, records = site.json("config", "history")
+    assert [each["verdict"] for each in records] == ["accepted"] * 3
+    assert records[1]["note"] == "wedding season"
+    assert "wedding season" in site.run("config", "history").stdout
+
+
+def test_the_loser_of_a_race_is_told_what_is_in_force(site: Site) -> None:
+    """Two operators look at revision 0; one switches the preset, then the other publishes.
+
+    The second must not undo the switch by accident, and must learn of it.
+    """
+    site.publish_first()
+    assert site.json("preset", "use", "peak", "--base", "0")[0] == 0
+    code, value = site.json("config", "publish", str(site.file), "--base", "0")
+    assert code == 1
+    assert value == {
+        "result": "conflict",
+        "base": 0,
+        "revision_in_force": 1,
+        "preset_in_force": "peak",
+    }
+    assert site.json("preset", "current")[1] == {"preset": "peak", "revision": 1}
+
+
+def test_a_faulty_file_is_refused_with_every_fault(site: Site) -> None:
+    site.file.write_text(DOCUMENT.replace("tier = 0", "tier = 99\ncolour = 1") + "x = 1\n")
+    code, value = site.json("config", "publish", str(site.file), "--preset", "ordinary")
+    assert code == 2
+    assert {fault["path"] for fault in value["faults"]} == {
+        "classes.chat.colour",
+        "presets.peak.classes.draft.x",
+    }
+    result = CliRunner().invoke(main, ["config", "check", str(site.file)])
+    assert result.exit_code == 2
+    assert "classes.chat.colour: unknown key" in result.stderr
+
+
+@pytest.mark.parametrize(
+    ("arguments", "code"),
+    [
+        (("preset", "current"), 1),
+        (("config", "show"), 1),
+        (("preset", "use", "peak"), 1),
+        (("config", "publish", "/nowhere.toml", "--preset", "ordinary"), 2),
+    ],
+)
+def test_before_the_first_publication(site: Site, arguments: tuple[str, ...], code: int) -> None:
+    assert site.run(*arguments).exit_code == code
+
+
+def test_an_unknown_preset_or_revision_is_bad_input(site: Site) -> None:
+    site.publish_first()
+    assert site.run("preset", "use", "nope").exit_code == 2
+    assert site.run("config", "show", "--revision", "9").exit_code == 2
+
+
+def test_an_outage_changes_nothing_and_says_so(site: Site) -> None:
+    site.publish_first()
+    site.fault("outage")
+    code, value = site.json("preset", "use", "peak")
+    assert (code, value) == (3, {"result": "log_unavailable", "cause": "outage"})
+
+
+def test_a_lost_reply_is_settled_by_reading(site: Site) -> None:
+    site.publish_first()
+    site.fault("lose_reply")
+    assert site.json("preset", "use", "peak")[0] == 0
+    assert site.json("preset", "current")[1]["preset"] == "peak"
+    assert len(site.json("config", "history")[1]) == 2
+
+
+def test_what_ran_out_of_the_log_is_not_guessed(site: Site) -> None:
+    """Every process was down for longer than the log keeps records, and no checkpoint is left.
+
+    Nobody can know what was in force; only a whole publication that says so starts anew.
+    """
+    site.publish_first()
+    site.fault("trim", stream="configuration", offset=1)
+    assert site.json("preset", "use", "peak") == (1, {"result": "state_lost"})
+    publish = ("config", "publish", str(site.file), "--preset", "peak")
+    assert site.json(*publish)[0] == 1
+    assert site.json(*publish, "--unconditional")[0] == 0
+    assert site.json("preset", "current")[1] == {"preset": "peak", "revision": 1}
