--- a/packages/ragwortwing-lab/src/ragwortwing_lab/faults/checks.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/faults/checks.py
@@ -14,6 +14,7 @@
 
     from ..standins.journal import Execution
     from .observations import Answer, ChatObservation, OrderObservation
+    from .operators import PresetRace
 
 
 class Promise(StrEnum):
@@ -24,6 +25,7 @@
     WHOLE_AND_OWN = "whole_and_own"
     ONE_OUTCOME = "one_outcome"
     ANSWERED_IN_TIME = "answered_in_time"
+    ONE_OPERATOR_WINS = "one_operator_wins"
     CONFIGURATION_EQUAL = "configuration_equal"
     RECOVERS = "recovers"
 
@@ -111,3 +113,11 @@
     if len({each.revision for each in revisions}) > 1:
         detail = ", ".join(f"{each.process}: {each.revision}" for each in revisions)
         yield Violation(Promise.CONFIGURATION_EQUAL, detail)
+
+
+def check_races(races: Iterable[PresetRace]) -> Iterator[Violation]:
+    """Check that of two operators who start from one revision at most one is told yes."""
+    for race in races:
+        if race.accepted > 1:
+            detail = f"{race.accepted} accepted from revision {race.base}"
+            yield Violation(Promise.ONE_OPERATOR_WINS, detail)
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/faults/injector.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/faults/injector.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from .operators import OperatorResult, race_presets
+from .operators import PresetRace, race_presets
 from .schedule import FaultAction
 
 if TYPE_CHECKING:
@@ -46,7 +46,7 @@
         self.site = site
         self.stopped_entries: set[str] = set()
         """Base URLs of entries that were killed."""
-        self.operator_results: list[OperatorResult] = []
+        self.races: list[PresetRace] = []
         self.brought_about: list[PlannedFault] = []
         self._busy: set[str] = set()
 
@@ -196,7 +196,9 @@
 
 @brings_about(FaultAction.RACE_OPERATORS)
 async def _race(injector: Injector, _: PlannedFault) -> None:
-    injector.operator_results += await race_presets(injector.site)
+    race = await race_presets(injector.site)
+    if race is not None:
+        injector.races.append(race)
 
 
 def _proxy(fault: PlannedFault) -> str:
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/faults/runner.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/faults/runner.py
@@ -22,6 +22,7 @@
     check_answers,
     check_chats,
     check_orders,
+    check_races,
     check_revisions,
 )
 from .injector import Injector
@@ -157,6 +158,7 @@
     yield from check_orders(callers.orders, _executions(site.directory, "desk-*"))
     yield from check_chats(callers.chats, _executions(site.directory, "engine-*"))
     yield from check_answers(_answers(callers), injector.stopped_entries)
+    yield from check_races(injector.races)
 
 
 def _executions(directory: Path, backends: str) -> list[Execution]:
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/site.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/site.py
@@ -49,6 +49,15 @@
     agent_settings: Mapping[str, Any] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class OperatorResult:
+    """What an operator's command answered."""
+
+    code: int
+    output: str
+    errors: str
+
+
 @dataclass(frozen=True, slots=True)
 class Reply:
     """An answer to one of the lab's own HTTP calls."""
@@ -180,26 +189,24 @@
         return "http://" + self.process_by_name[f"entry-{index}"].listen["http"]
 
     @property
-    def log_url(self) -> str:
-        """Base URL of the log's stand-in."""
-        return "http://" + self.process_by_name["log"].listen["http"]
+    def log_address(self) -> str:
+        """The log's stand-in, as `ip:port`."""
+        return self.process_by_name["log"].listen["http"]
 
-    async def operator(self, *arguments: str) -> tuple[int, str]:
-        """Run one of the operator's commands; return its exit code and output."""
-        command = python_command("ragwortwing_entry", *arguments)
+    async def operator(self, *arguments: str) -> OperatorResult:
+        """Run one of the operator's commands against the site's log."""
+        command = python_command("ragwortwing_entry", *arguments, "--log", self.log_address)
         result = await trio.run_process(
             command, capture_stdout=True, capture_stderr=True, check=False
         )
-        return result.returncode, (result.stdout + result.stderr).decode()
+        return OperatorResult(result.returncode, result.stdout.decode(), result.stderr.decode())
 
     async def publish(self, configuration: Any) -> None:
         """Publish a configuration file with the operator's command."""
         with resources.as_file(configuration) as path:
-            code, output = await self.operator(
-                "config", "publish", str(path), "--log", self.log_url, "--preset", "ordinary"
-            )
-        if code != 0:
-            raise SiteNotReadyError(output)
+            result = await self.operator("config", "publish", str(path), "--preset", "ordinary")
+        if result.code != 0:
+            raise SiteNotReadyError(result.errors)
 
     async def wait_ready(self, timeout: float = 30.0) -> None:
         """Wait until every entry takes requests."""
