--- a/packages/ragwortwing-entry/src/ragwortwing_entry/caller_request.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/caller_request.py
@@ -3,14 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
-from ragwortwing_policy.routing import RouteQuery
-
-if TYPE_CHECKING:
-    from ragwortwing_policy.clock import Instant
-    from ragwortwing_policy.routing import BackendKind
-    from ragwortwing_wire.messages import Header
+from ragwortwing_policy.clock import Instant
+from ragwortwing_policy.routing import BackendKind, RouteQuery
+from ragwortwing_wire.messages import Header
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +35,7 @@
     expected_tokens: int = 0
     prefix_hash: int = 0
     order_key: str = ""
-    """Idempotency key, scoped by the client account."""
+    """Idempotency key; the agent scopes it by the client account."""
     body_digest: bytes = b""
     order_time: float = 0.0
     traceparent: str = ""
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/request_run.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/request_run.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 import trio
+
 from ragwortwing_policy.dispatch import (
     Ask,
     Conclude,
@@ -19,10 +20,10 @@
 from ragwortwing_policy.outcomes import Completed, NotRun, NotRunReason, Outcome
 from ragwortwing_policy.routing import BackendKind
 from ragwortwing_wire.connection import ConnectionClosed
+from ragwortwing_wire.delivered_text import DeliveredText
 from ragwortwing_wire.messages import Attach, Credit, Reserve, ResponseHead, Submit, Withdraw
 
 from .answers import DONE_EVENT
-from .delivered_text import DeliveredText
 
 if TYPE_CHECKING:
     from ragwortwing_policy.clock import Clock, Instant
@@ -102,6 +103,11 @@
         """The agent that has the body, if any."""
         return self._dispatch.agent_id
 
+    @property
+    def outcome(self) -> Outcome | None:
+        """How the request ended; None while it is in flight."""
+        return self._outcome
+
     @property
     def tokens(self) -> int:
         """Tokens that came so far."""
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/__main__.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/__main__.py
@@ -5,6 +5,8 @@
 import click
 
 from .fault_proxy import proxy_command
+from .load.command import load_command
+from .measure import measure
 from .standins.engine import engine_command
 from .standins.log import log_command
 from .standins.membership import membership_command
@@ -17,7 +19,9 @@
     """Run and inspect the lab."""
 
 
+main.add_command(measure)
 main.add_command(engine_command)
+main.add_command(load_command)
 main.add_command(log_command)
 main.add_command(membership_command)
 main.add_command(order_desk_command)
--- a/packages/ragwortwing-platform/src/ragwortwing_platform/settings_reader.py
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/settings_reader.py
@@ -14,12 +14,15 @@
 import cattrs
 from cattrs.errors import ClassValidationError, ForbiddenExtraKeysError, IterableValidationError
 
-from .durations import DURATION_FORM, DurationError, format_duration, parse_duration
+from ragwortwing_policy.durations import DurationError, format_duration, parse_duration
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
     from pathlib import Path
 
+DURATION_FORM = 'a duration such as "250ms", "1.5s", "2m" or "1h"'
+"""What is allowed where a duration is wanted."""
+
 FAULTY_SETTINGS_EXIT_CODE = 2
 """Exit code of a process whose settings have faults."""
 
@@ -109,7 +112,7 @@
 
     low: timedelta
 
-    allowed = property(lambda self: f"above {format_duration(self.low)}")
+    allowed = property(lambda self: f"above {format_duration(self.low) if self.low else 'zero'}")
 
     def holds(self, value: Any) -> bool:
         """Return whether a value keeps the rule."""
@@ -242,14 +245,27 @@
         raise NotAllowedError(value, DURATION_FORM) from None
 
 
-def _structure_address(value: Any, _: object) -> Address:
+def parse_address(text: object) -> Address | None:
+    """Return the address that a text names, None where it names none.
+
+    Example:
+        >>> parse_address("10.0.0.1:80")
+        Address(host='10.0.0.1', port=80)
+    """
     try:
-        parts = urlsplit(f"//{value}")
-        if parts.port is None or parts.netloc != value:
-            raise NotAllowedError(value, _describe(Address))
+        parts = urlsplit(f"//{text}")
+        if parts.port is None or parts.netloc != text:
+            return None
         return Address(str(ipaddress.ip_address(parts.hostname or "")), parts.port)
     except ValueError:
-        raise NotAllowedError(value, _describe(Address)) from None
+        return None
+
+
+def _structure_address(value: Any, _: object) -> Address:
+    address = parse_address(value)
+    if address is None:
+        raise NotAllowedError(value, _describe(Address))
+    return address
 
 
 def _structure_url(value: Any, _: object) -> HttpUrl:
