Hold the engine still while the drain test queues its request

Cause: on a busy machine the running answer ended before the second request was queued, so the test waited in vain. The engine is now frozen from before the queueing until after the refusals; the assertions are the same.

--- a/packages/ragwortwing-agent/tests/test_agent_app.py
+++ b/packages/ragwortwing-agent/tests/test_agent_app.py
@@ -236,7 +236,8 @@
     async with agent_bench(backend_limits=limits) as bench, bench.entry() as entry:
         await entry.chat("running", MENU)
         await entry.until(lambda: entry.answer("running").tokens >= 5)
-        await entry.reserve("queued")
+        bench.engine.faults.set(Fault(FaultKind.FREEZE))
+        await entry.reserve("queued", request_class="draft")
         await bench.until(lambda: bench.app.gate.load().queued == 1)
         bench.app.begin_drain()
         bench.app.begin_drain()
@@ -245,6 +246,7 @@
         await entry.until(lambda: entry.heartbeats[-1].leaving)
         await entry.reserve("new")
         await entry.until(lambda: entry.answer("new").refused is not None)
+        bench.engine.faults.clear()
         answer = await entry.ended("running")
         await bench.until(lambda: bench.exit_code is not None)
     assert entry.answer("queued").refused.outcome == NotRun(NotRunReason.DRAINING)
