--- a/packages/ragwortwing-agent/src/ragwortwing_agent/agent_app.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/agent_app.py
@@ -27,10 +27,9 @@
     Heartbeat,
 )
 
-from .backend_client import BackendClient
 from .entry_peer import EntryPeer
 from .request_gate import RequestGate
-from .status_server import start_status_server
+from .status_server import StatusServer
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -43,6 +42,9 @@
     from ragwortwing_policy.reservations import LoadReport
     from ragwortwing_wire.messages import ConfigurationRecord
 
+    from .backend_client import BackendClient
+    from .engine_admin import EngineAdmin
+
 log = logbook.Logger("agent")
 
 TICK_SECONDS = 0.1
@@ -61,9 +63,11 @@
     def __init__(
         self,
         settings: AgentSettings,
+        backend: BackendClient,
         source: ConfigurationFeed,
         members: MembershipFeed | None,
         orders: OrderBook | None,
+        admin: EngineAdmin | None,
         agent_id: str,
         clock: Clock | None = None,
     ) -> None:
@@ -71,9 +75,11 @@
 
         Args:
             settings: The process's settings.
+            backend: The backend server beside the agent.
             source: The configuration in force.
             members: The membership list.
             orders: Claims the keys of orders; only beside a plain service.
+            admin: Gives a model engine its orders.
             agent_id: Name and incarnation, see `new_agent_id`.
             clock: The process's clock.
         """
@@ -86,8 +92,9 @@
         self._source = source
         self._members = members
         self._orders = orders
-        self._backend = BackendClient(settings.backend)
-        self.gate = RequestGate(settings, self._backend, orders, self.telemetry, self.clock)
+        self._admin = admin
+        self.gate = RequestGate(settings, backend, orders, self.telemetry, self.clock)
+        self._status_server = StatusServer(self, settings.listen.http)
         self._peers: set[EntryPeer] = set()
         self._last_load: LoadReport | None = None
         self._stop_asked = False
@@ -107,10 +114,14 @@
         if self._members is not None:
             await self.nursery.start(self._members.run)
             self.nursery.start_soon(self._follow_members, self._members)
+        if self._admin is not None:
+            self.nursery.start_soon(
+                self._admin.run, self.agent_id, self.settings.zone, self.begin_drain
+            )
         self.nursery.start_soon(self._follow_configuration)
         self.nursery.start_soon(self._tick)
         wire = await self._listen()
-        http = await start_status_server(self.nursery, self, self.settings.listen.http)
+        http = await self.nursery.start(self._status_server.run)
         return {"wire": wire, "http": http}
 
     def begin_drain(self) -> None:
@@ -135,9 +146,9 @@
         return tuple(each.request_id for each in requests if each.is_unfinished)
 
     async def unmount(self) -> None:
-        """Send the last spans and close the connections to the backend server."""
+        """Send the last spans and stop to listen."""
         await self.telemetry.flush()
-        await self._backend.aclose()
+        await self._status_server.close()
 
     def status(self) -> dict[str, object]:
         """Return what the agent does now."""
@@ -146,16 +157,18 @@
         return {
             "agent_id": self.agent_id,
             "phase": self.phase,
+            "fencing_number": None if self._admin is None else self._admin.fencing_number,
             "zone": self.settings.zone,
             "backend": str(self.settings.backend.address),
             "targets": list(self.settings.backend.targets),
             "revision": self._source.revision,
+            "members_version": None if self._members is None else self._members.current.version,
             "entries": [peer.name for peer in self._peers],
             "running": load.running,
             "queued": load.queued,
             "limit": load.limit,
             "predicted_wait_ms": round(load.predicted_wait / timedelta(milliseconds=1), 3),
-            "held_bytes": sum(each.held_bytes for each in requests),
+            "held_bytes": self.gate.held_bytes(),
             "requests": [
                 {
                     "id": each.request_id,
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/process.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/process.py
@@ -13,6 +13,8 @@
 from ragwortwing_policy.routing import BackendKind
 
 from .agent_app import AgentApp, new_agent_id
+from .backend_client import BackendClient
+from .engine_admin import EngineAdmin
 
 if TYPE_CHECKING:
     from ragwortwing_platform.settings import AgentSettings
@@ -26,9 +28,16 @@
     log_client = LogClient(str(settings.platform.log.address))
     feed = ConfigurationFeed(log_client, clock, random)
     members = MembershipFeed(str(settings.platform.membership.address), random)
-    orders = None
+    backend = BackendClient(settings.backend)
+    orders: OrderBook | None = None
+    admin: EngineAdmin | None = None
     if settings.backend.kind is BackendKind.SERVICE:
         orders = OrderBook(log_client, clock, random, agent_id)
-    code = await AgentApp(settings, feed, members, orders, agent_id, clock).run_with_signals()
+    else:
+        targets = settings.backend.targets
+        admin = EngineAdmin(backend, log_client, feed, targets, clock, random)
+    app = AgentApp(settings, backend, feed, members, orders, admin, agent_id, clock)
+    code = await app.run_with_signals()
+    await backend.aclose()
     await log_client.aclose()
     return code
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/request_gate.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/request_gate.py
@@ -35,6 +35,7 @@
 )
 
 from . import engine_call, service_call  # noqa: F401
+from .agent_metrics import AgentMetrics
 from .agent_request import AgentRequest
 from .calls import CallResult, CallTools, calls_by_kind
 
@@ -79,6 +80,8 @@
         self._configuration: Configuration | None = None
         self._scheduler: Scheduler | None = None
         self._nursery: trio.Nursery | None = None
+        self._metrics = AgentMetrics(telemetry.meter)
+        self._metrics.watch(self)
         self._settled = trio.Event()
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -105,6 +108,10 @@
             return LoadReport(0, 0, limit, timedelta(0), self.draining)
         return self._scheduler.load(self._now)
 
+    def held_bytes(self) -> int:
+        """Return the bytes of answers that are kept for entries."""
+        return sum(each.held_bytes for each in self.requests_by_id.values())
+
     def tick(self) -> None:
         """Let the scheduler act on time passed, and forget answers that nobody fetches."""
         if self._scheduler is not None:
@@ -324,10 +331,12 @@
         if result is None and request.state == "preempting":
             request.advance("let_go")
             log.info("Preempted", tokens=request.tokens)
+            self._metrics.preempted(request)
             self._execute(self._scheduler.preempted(request.request_id, now))
             return
         if result is not None and request.state != "dropped":
             request.end(result.outcome, now, result.prompt_tokens, result.cached_tokens)
+            self._metrics.ended(request, result.outcome)
             log.info("Request ended", outcome=result.outcome.kind, tokens=request.tokens)
         self._execute(self._scheduler.finished(request.request_id, now))
 
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/status_server.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/status_server.py
@@ -79,23 +79,44 @@
         return 404, JSON_TYPE, b"{}"
 
 
-async def start_status_server(nursery: trio.Nursery, source: StatusSource, address: Address) -> str:
-    """Serve the agent's status in a nursery.
-
-    Returns:
-        The `ip:port` it listens on.
-    """
-    config = Config()
-    config.bind = [str(address)]
-    config.include_server_header = False
-    config.graceful_timeout = CLOSE_SECONDS
-    config.errorlog = None
-    config.accesslog = None
-    application = StatusApplication(source)
-    binds: list[str] = await nursery.start(
-        partial(serve, application, config, shutdown_trigger=trio.sleep_forever, mode="asgi")
-    )
-    return binds[0].removeprefix("http://")
+class StatusServer:
+    """Serves the agent's status until it is closed."""
+
+    def __init__(self, source: StatusSource, address: Address) -> None:
+        self._application = StatusApplication(source)
+        self._address = address
+        self._closing = trio.Event()
+        self._closed = trio.Event()
+        self._closed.set()
+
+    async def run(self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve; the `ip:port` is told once it listens."""
+        self._closed = trio.Event()
+        config = Config()
+        config.bind = [str(self._address)]
+        config.include_server_header = False
+        config.graceful_timeout = CLOSE_SECONDS
+        config.errorlog = None
+        config.accesslog = None
+        try:
+            async with trio.open_nursery() as nursery:
+                binds: list[str] = await nursery.start(
+                    partial(
+                        serve,
+                        self._application,
+                        config,
+                        shutdown_trigger=self._closing.wait,
+                        mode="asgi",
+                    )
+                )
+                task_status.started(binds[0].removeprefix("http://"))
+        finally:
+            self._closed.set()
+
+    async def close(self) -> None:
+        """Let the answers under way end, the one to `drain` among them, and stop."""
+        self._closing.set()
+        await self._closed.wait()
 
 
 async def _acknowledge_lifespan(receive: Receive, send: Send) -> None:
--- /dev/null
+++ b/packages/ragwortwing-agent/tests/test_process.py
@@ -0,0 +1,114 @@
+"""The agent as a process: settings, ready line, status, the ways to stop it."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from contextlib import asynccontextmanager
+
+import httpcore
+import msgspec
+import pytest
+import tomli_w
+import trio
+
+from ragwortwing_lab.processes import python_command, start_process
+
+LIMIT = 30.0
+
+
+def settings(**changes) -> dict:
+    return {
+        "name": "agent-1",
+        "zone": "suva",
+        "listen": {"wire": "127.0.0.1:0", "http": "127.0.0.1:0"},
+        "platform": {"log": "http://127.0.0.1:1", "membership": "http://127.0.0.1:1"},
+        "backend": {"address": "127.0.0.1:1", "kind": "engine", "targets": ["cake-1"]},
+    } | changes
+
+
+@asynccontextmanager
+async def running_agent(tmp_path, **changes):
+    path = tmp_path / "agent.toml"
+    path.write_text(tomli_w.dumps(settings(**changes)))
+    command = python_command("ragwortwing_agent", "run", "--settings", str(path))
+    process = await start_process("agent-1", command, tmp_path / "agent.log")
+    try:
+        yield process
+    finally:
+        if process.handle.poll() is None:
+            process.kill()
+            await process.wait_dead()
+
+
+async def call(method: str, url: str, value: object = None) -> dict:
+    async with httpcore.AsyncConnectionPool() as pool:
+        reply = await pool.request(method, url, content=msgspec.json.encode(value))
+    assert reply.status == 200
+    return msgspec.json.decode(reply.content)
+
+
+async def ended(process) -> int:
+    with trio.fail_after(LIMIT):
+        return await process.handle.wait()
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+async def test_signal_stops_gracefully(tmp_path, number: signal.Signals) -> None:
+    async with running_agent(tmp_path) as process:
+        status = await call("GET", f"http://{process.listen['http']}/status")
+        assert status["phase"] == "serving"
+        assert status["agent_id"].startswith("agent-1/")
+        process.handle.send_signal(number)
+        assert await ended(process) == 0
+
+
+async def test_drain_command_stops_gracefully(tmp_path) -> None:
+    async with running_agent(tmp_path) as process:
+        command = python_command("ragwortwing_agent", "drain", "--address", process.listen["http"])
+        result = await trio.run_process(command, capture_stdout=True)
+        assert msgspec.json.decode(result.stdout)["agent_id"].startswith("agent-1/")
+        assert await ended(process) == 0
+
+
+async def test_leaving_in_the_membership_list_stops_gracefully(tmp_path) -> None:
+    command = python_command("ragwortwing_lab", "membership")
+    members = await start_process("members", command, tmp_path / "members.log")
+    platform = {
+        "log": "http://127.0.0.1:1",
+        "membership": f"http://{members.listen['http']}",
+    }
+    member = f"http://{members.listen['control']}/members/agent-1"
+    fields = {"address": "127.0.0.1:1", "zone": "suva", "role": "agent"}
+    try:
+        async with running_agent(tmp_path, platform=platform) as process:
+            version = (await call("PUT", member, {**fields, "state": "live"}))["version"]
+            status_url = f"http://{process.listen['http']}/status"
+            with trio.fail_after(LIMIT):
+                while (await call("GET", status_url))["members_version"] != version:
+                    await trio.sleep(0.01)
+            await call("PUT", member, {**fields, "state": "leaving"})
+            assert await ended(process) == 0
+    finally:
+        members.kill()
+        await members.wait_dead()
+
+
+@pytest.mark.parametrize(
+    ("changes", "key"),
+    [
+        ({"colour": "red"}, "colour"),
+        ({"zone": 3}, "zone"),
+        ({"backend": {"address": "nowhere", "kind": "engine", "targets": []}}, "backend.address"),
+    ],
+)
+async def test_faulty_settings_are_refused(tmp_path, changes, key) -> None:
+    path = tmp_path / "agent.toml"
+    path.write_text(tomli_w.dumps(settings(**changes)))
+    result = await trio.run_process(
+        [sys.executable, "-m", "ragwortwing_agent", "run", "--settings", str(path)],
+        check=False,
+        capture_stderr=True,
+    )
+    assert result.returncode == 2
+    assert f"{key}:" in result.stderr.decode()
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/engine.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/engine.py
@@ -165,6 +165,8 @@
         self.orders.append(order)
         if order.kind == "load_model" and order.target not in self.models:
             self.models.append(order.target)
+        if self.faults.active(FaultKind.DROP_REPLIES):
+            raise ConnectionCutError
         await exchange.respond_json(200, {})
 
     async def _generate(self, exchange: Exchange, body: ChatBody, resume_at: int) -> None:
--- a/tests/agent_harness.py
+++ b/tests/agent_harness.py
@@ -11,6 +11,7 @@
 import trio
 
 from ragwortwing_agent.agent_app import AgentApp, new_agent_id
+from ragwortwing_agent.backend_client import BackendClient
 from ragwortwing_lab.standins.batching import EngineSettings
 from ragwortwing_lab.standins.engine import EngineStandIn, serve_engine
 from ragwortwing_lab.standins.order_desk import OrderDeskStandIn, serve_order_desk
@@ -271,7 +272,12 @@
 
 @asynccontextmanager
 async def agent_bench(
-    kind: str = "engine", engine: EngineSettings | None = None, orders=None, **tables
+    kind: str = "engine",
+    engine: EngineSettings | None = None,
+    orders=None,
+    source=None,
+    members=None,
+    **tables,
 ) -> AsyncIterator[Bench]:
     """Run a stand-in and an agent beside it."""
     engine_standin = EngineStandIn(engine or EngineSettings(step_seconds=0.002), (MODEL,))
@@ -288,7 +294,10 @@
 
         backend = await nursery.start(serve)
         settings = agent_settings(backend, kind, **tables)
-        app = AgentApp(settings, FixedSource(), None, orders, new_agent_id("agent-1"))
+        client = BackendClient(settings.backend)
+        source = source or FixedSource()
+        agent_id = new_agent_id("agent-1")
+        app = AgentApp(settings, client, source, members, orders, None, agent_id)
         wire: list[str] = []
         listen = app._listen
 
