--- a/packages/ragwortwing-lab/src/ragwortwing_lab/__main__.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/__main__.py
@@ -4,6 +4,7 @@
 
 import click
 
+from .demo import demo_command
 from .fault_proxy import proxy_command
 from .load.command import load_command
 from .measure import measure
@@ -19,10 +20,11 @@
     """Run and inspect the lab."""
 
 
-main.add_command(measure)
+main.add_command(demo_command)
 main.add_command(engine_command)
 main.add_command(load_command)
 main.add_command(log_command)
+main.add_command(measure)
 main.add_command(membership_command)
 main.add_command(order_desk_command)
 main.add_command(proxy_command)
