Wait for tokens without a timer for each wait

Cause (cProfile): of 7.2 s delivering 21,300 pieces, 2.7 s went to a cancel scope for each wait. Change: one ticker looks at the timers of streaming answers; waits before the first token keep theirs.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/entry_app.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/entry_app.py
@@ -43,6 +43,9 @@
 
 log = logbook.Logger("entry")
 
+TICK_SECONDS = 0.1
+"""Time between two looks at the timers of answers that are streaming."""
+
 ROUTE_MODULES = (model_routes, operator_routes)
 """Imported for the routes that they register."""
 
@@ -98,6 +101,7 @@
     async def mount(self) -> Mapping[str, str]:
         """Follow the platform's services and listen for callers."""
         self.nursery.start_soon(self.telemetry.send_spans)
+        self.nursery.start_soon(self._tick)
         await self.nursery.start(self._source.run)
         await self.nursery.start(self._members.run)
         self.nursery.start_soon(self.pool.follow_members, self._members, self.nursery)
@@ -152,6 +156,11 @@
         request_class = configuration.class_in_force(class_name)
         return new_intake(account, request_class, self.clock.monotonic())
 
+    async def _tick(self) -> None:
+        while True:
+            await trio.sleep(TICK_SECONDS)
+            self.journal.tick(self.clock.monotonic())
+
     def _new_run(self, request: CallerRequest) -> RequestRun:
         window = self.settings.connections.stream_window
         return RequestRun(request, self.pool, self._router, self._budget, self.clock, window)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/request_journal.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/request_journal.py
@@ -52,6 +52,11 @@
         """Ids of the requests in flight."""
         return tuple(self._runs_by_id)
 
+    def tick(self, now: Instant) -> None:
+        """Let every request in flight act on time passed."""
+        for run in list(self._runs_by_id.values()):
+            run.tick(now)
+
     def begin(self, run: RequestRun, arrived: datetime, trace_id: str) -> RequestRecord:
         """Open the record of a request."""
         request: CallerRequest = run.request
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/request_run.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/request_run.py
@@ -36,6 +36,8 @@
     from .caller_request import CallerRequest
 
 EVENT_END = b"\n\n"
+STREAMING = "streaming"
+"""State of the dispatch chart in which pieces reach the caller."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -192,16 +194,25 @@
                 return self._take_ready()
             if self._outcome is not None:
                 return Ended(self._outcome)
+            if self._dispatch.state == STREAMING:
+                await self._wait()
+                continue
             now = self._now
             if now >= idle_at:
                 return IDLE
-            wake_at = self._dispatch.wake_at
-            if wake_at is not None and now >= wake_at:
-                self._decide(self._dispatch.on_tick(now))
-                if self._decisions:
-                    continue
-                wake_at = self._dispatch.wake_at
-            await self._wait_until(idle_at if wake_at is None else min(idle_at, wake_at))
+            self.tick(now)
+            if not self._decisions:
+                await self._wait_until(min(idle_at, self._dispatch.wake_at or idle_at))
+
+    def tick(self, now: Instant) -> None:
+        """Let the dispatch act on time passed; called by a shared ticker while streaming.
+
+        A stream waits for its next token thousands of times, and a timer for each wait would cost
+        as much as relaying the token.
+        """
+        wake_at = self._dispatch.wake_at
+        if wake_at is not None and now >= wake_at:
+            self._decide(self._dispatch.on_tick(now))
 
     def close(self) -> None:
         """Forget the request at every link."""
@@ -214,11 +225,12 @@
         return self._clock.monotonic()
 
     async def _wait_until(self, instant: Instant) -> None:
-        if not self._changed.is_set():
-            with trio.move_on_after(max(0.0, instant - self._now)):
-                await self._changed.wait()
-        if self._changed.is_set():
-            self._changed = trio.Event()
+        with trio.move_on_after(max(0.0, instant - self._now)):
+            await self._wait()
+
+    async def _wait(self) -> None:
+        await self._changed.wait()
+        self._changed = trio.Event()
 
     def _take_events(self, agent_id: str, chunk: Chunk) -> None:
         data = self._partial_event + chunk.data
