--- a/packages/ragwortwing-policy/src/ragwortwing_policy/concurrency_limit.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/concurrency_limit.py
@@ -3,19 +3,32 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from statistics import median
+from statistics import fmean, median
 
 from .clock import Instant
 
 WINDOW_SECONDS = 0.5
 """Shortest time over which samples are judged together."""
 
-MINIMUM_SAMPLES = 6
+MINIMUM_SAMPLES = 12
 """Samples without which a window stays open, so that one slow sample decides nothing."""
 
-GROW_BELOW = 0.9
+GROW_BELOW = 0.82
 """The limit grows only while the latency is below this share of the target."""
 
+SHRINK_ABOVE = 0.92
+"""The limit shrinks when the latency is above this share of the target: answers differ, and the
+target is to hold for nearly all of them and not for the mean one."""
+
+SET_POINT = 0.87
+"""Share of the target that a step down aims at."""
+
+OUTLIER_FACTOR = 4.0
+"""A sample counts at most as this many times the median of its window."""
+
+STRICT_SECONDS = 10.0
+"""Time for which the limit stays with the strictest target after the last such request ran."""
+
 SHRINK_FLOOR = 0.5
 """Smallest factor by which one window shrinks the limit."""
 
@@ -55,8 +68,9 @@
 class ConcurrencyLimit:
     """Additive increase while latency holds and the limit is used, proportional decrease if not.
 
-    The verdict of a window is the median of its samples: a single slow stream, or one slow step,
-    does not move the limit. An engine that slowed to a tenth shows in every stream.
+    The verdict of a window is the mean of its samples, as a caller sees it, with outliers cut off:
+    a single slow stream, or one slow step, does not move the limit. An engine that slowed to a
+    tenth shows in every stream.
     """
 
     def __init__(self, initial: int, maximum: int) -> None:
@@ -91,6 +105,13 @@
         """Take in how many slots are used."""
         self._peak_used = max(self._peak_used, used)
 
+    def discard_window(self) -> None:
+        """Drop the samples of the window that is open."""
+        self._window_started_at = None
+        self._between_tokens.clear()
+        self._first_tokens.clear()
+        self._peak_used = 0
+
     def adapt(self, targets: LatencyTargets | None, used: int, now: Instant) -> None:
         """Judge the window if it is long and full enough.
 
@@ -117,14 +138,14 @@
     def _pressure(self, targets: LatencyTargets) -> float:
         pressure = 0.0
         if self._between_tokens:
-            pressure = median(self._between_tokens) / targets.between_tokens
+            pressure = _robust_mean(self._between_tokens) / targets.between_tokens
         if len(self._first_tokens) > 1:
             allowed = targets.first_token * FIRST_TOKEN_SHARE
             pressure = max(pressure, median(self._first_tokens) / allowed)
         return pressure
 
     def _judge(self, pressure: float, now: Instant) -> None:
-        if pressure > 1.0:
+        if pressure > SHRINK_ABOVE:
             if self._shrinking_helps(pressure, now):
                 self._shrink(pressure, now)
         elif pressure < GROW_BELOW and self._peak_used >= self.value:
@@ -154,10 +175,69 @@
         self._slow_start = False
         self._ceiling = max(1.0, used - 1.0)
         self._ceiling_until = now + CEILING_SECONDS
-        self._limit = max(1.0, used * max(SHRINK_FLOOR, min(0.95, 1.0 / pressure)))
+        self._limit = max(1.0, SHRINK_FLOOR * self._limit, used * SET_POINT / pressure)
 
     def _grow(self, now: Instant) -> None:
         if now >= self._ceiling_until:
             self._ceiling = float(self._maximum)
         step = max(1.0, SLOW_START_STEP * self._limit) if self._slow_start else 1.0
         self._limit = min(self._limit + step, max(self._limit, self._ceiling), self._maximum)
+
+
+class EngineLimit:
+    """The limit in force, learned apart for each between-token target.
+
+    A batch that holds the target of narratives is far too large for that of chats. With one limit
+    for both, the first chats after a quiet time would find it too high and miss their target until
+    it had shrunk; so the strictest target that runs, or ran a moment ago, picks the limit.
+    """
+
+    def __init__(self, initial: int, maximum: int) -> None:
+        self._initial = initial
+        self._maximum = maximum
+        self._limit_by_target: dict[float, ConcurrencyLimit] = {}
+        self._target: float | None = None
+        self._strict_at: Instant = 0.0
+        self._limit = ConcurrencyLimit(initial, maximum)
+
+    @property
+    def value(self) -> int:
+        """Requests that may run at one time."""
+        return self._limit.value
+
+    def observe_between_tokens(self, seconds: float) -> None:
+        """Take in the time one token took after the one before it."""
+        self._limit.observe_between_tokens(seconds)
+
+    def observe_first_token(self, seconds: float) -> None:
+        """Take in the time from a request's start to its first token."""
+        self._limit.observe_first_token(seconds)
+
+    def observe_used(self, used: int) -> None:
+        """Take in how many slots are used."""
+        self._limit.observe_used(used)
+
+    def adapt(self, targets: LatencyTargets | None, used: int, now: Instant) -> None:
+        """Pick the limit by the strictest target, and adapt it."""
+        if targets is not None:
+            self._pick(targets.between_tokens, now)
+        self._limit.adapt(targets, used, now)
+
+    def _pick(self, target: float, now: Instant) -> None:
+        if self._target is None or target <= self._target:
+            self._strict_at = now
+        elif now - self._strict_at < STRICT_SECONDS:
+            return
+        if target == self._target:
+            return
+        self._target = target
+        self._strict_at = now
+        if target not in self._limit_by_target:
+            self._limit_by_target[target] = ConcurrencyLimit(self._initial, self._maximum)
+        self._limit = self._limit_by_target[target]
+        self._limit.discard_window()
+
+
+def _robust_mean(samples: list[float]) -> float:
+    most = OUTLIER_FACTOR * median(samples)
+    return fmean(min(each, most) for each in samples)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/engine_state.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/engine_state.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from .concurrency_limit import ConcurrencyLimit
+from .concurrency_limit import EngineLimit
 from .engine_pace import EnginePace
 from .fair_queue import FairQueue, QueuedRequest
 from .running_requests import RunningRequests
@@ -30,7 +30,7 @@
         self.configuration = configuration
         self.queue = FairQueue()
         self.slots = RunningRequests()
-        self.limit = ConcurrencyLimit(initial_limit, maximum)
+        self.limit = EngineLimit(initial_limit, maximum)
         self.estimates = WorkEstimates()
         self.pace = EnginePace()
         self.waits = WaitModel(self.queue, self.slots, self.estimates, self.pace)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/preemption.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/preemption.py
@@ -71,12 +71,13 @@
         return _preempt(self._state.slots.victims(tier, now, spare_protected=False)[:wanted])
 
     def above_limit(self, now: Instant) -> list[Preempt]:
-        """Return the preemption that a limit which fell calls for, one at a time."""
+        """Return the preemptions that a limit which fell calls for."""
         slots = self._state.slots
-        if len(slots) - slots.preempting() <= self._state.limit.value:
+        excess = len(slots) - slots.preempting() - self._state.limit.value
+        if excess <= 0 or not slots.running_by_id:
             return []
         most_urgent = min(each.tier for each in slots.running_by_id.values())
-        return _preempt(slots.victims(most_urgent, now, spare_protected=True)[:1])
+        return _preempt(slots.victims(most_urgent, now, spare_protected=True)[:excess])
 
     def _for_marked(
         self, marked: MarkedRequests, spare_protected: bool, now: Instant
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/scheduler.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/scheduler.py
@@ -107,6 +107,7 @@
             protected=slot.request.protected,
         )
         self._state.waits.forget_running()
+        self._adapt_limit(now)
         return True
 
     def progressed(self, request_id: str, tokens: int, now: Instant) -> None:
@@ -152,7 +153,7 @@
         for slot in self._slots.expire(now):
             self._expired(slot, now)
         self._state.waits.observe_occupancy(self._state.limit.value, now)
-        self._state.limit.adapt(self._slots.strictest_targets(), len(self._slots), now)
+        self._adapt_limit(now)
         decisions = self._refuse_hopeless(now)
         decisions += self._dispatch(now)
         return decisions + list(self._preemption.above_limit(now))
@@ -246,6 +247,9 @@
         self._aging.refused(tier, now)
         return list(self._preemption.for_refusal(tier, now))
 
+    def _adapt_limit(self, now: Instant) -> None:
+        self._state.limit.adapt(self._slots.strictest_targets(), len(self._slots), now)
+
     def _learn(self, running: RunningRequest, now: Instant) -> None:
         name = running.request_class.name
         if running.tokens:
