--- a/packages/ragwortwing-policy/src/ragwortwing_policy/admission.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/admission.py
@@ -22,6 +22,10 @@
 """A queued request is given up when its predicted wait passes the time left by this factor, so
 that the noise of the prediction does not undo an admission a moment later."""
 
+ADMITTED_SHARE = 0.85
+"""Share of the time left that the predicted wait of an arrival may take up: the prediction is a
+mean, and more than half of the admitted ones are to start in time."""
+
 MINIMUM_RETRY_SECONDS = 1.0
 """Least time after which a refused caller is asked to come back."""
 
@@ -57,7 +61,7 @@
         if request.reservation.deadline <= now:
             return Refuse(request.request_id, NotRunReason.DEADLINE)
         wait = self.predicted_wait(request, now)
-        if wait <= request.latest_start - now:
+        if wait <= ADMITTED_SHARE * self._time_left(request, now):
             return None
         return self._overloaded(request, wait)
 
@@ -91,11 +95,30 @@
     def _given_up(self, request: QueuedRequest, wait: float, now: Instant) -> Refuse | None:
         if request.reservation.deadline <= now:
             return Refuse(request.request_id, NotRunReason.DEADLINE)
-        left = request.latest_start - now
+        left = self._time_left(request, now)
         if wait <= 0.0 or wait <= left * HOPELESS_FACTOR:
             return None
         return self._overloaded(request, wait)
 
+    def is_late(self, request: QueuedRequest, now: Instant) -> bool:
+        """Return whether a free slot would come too late for a request, and another can use it.
+
+        A slot given to a caller that has waited too long is taken from one that has not, and in
+        a lasting overload every answer would be a little late.
+        """
+        if request.begun or self._time_left(request, now) >= 0.0:
+            return False
+        return self._state.queue.count_in(request.tier) > 1
+
+    def late(self, request: QueuedRequest, now: Instant) -> Refuse:
+        """Return the refusal of a request whose time was used up in the queue."""
+        ahead = self._state.queue.count_through(request.tier)
+        return self._overloaded(request, self._state.wait_in_tier(request.tier, ahead, now))
+
+    def _time_left(self, request: QueuedRequest, now: Instant) -> float:
+        start = self._state.pace.first_token(request.request_class.name)
+        return request.latest_start - start - now
+
     def _overloaded(self, request: QueuedRequest, wait: float) -> Refuse:
         limit = request.request_class.queue_limit.total_seconds()
         seconds = max(MINIMUM_RETRY_SECONDS, wait - limit)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/aging.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/aging.py
@@ -30,7 +30,7 @@
     def queued(self, request: QueuedRequest) -> None:
         """Take in a request that was queued."""
         bound = request.request_class.aging_bound.total_seconds()
-        self._aged_at.add(request.enqueued_at + bound, request)
+        self._aged_at.add(request.arrived_at + bound, request)
 
     def left(self, request: QueuedRequest) -> None:
         """Take in that a request left the queue."""
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/engine_state.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/engine_state.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     from .clock import Instant
-    from .configuration import Configuration
+    from .configuration import Configuration, RequestClass
     from .reservations import Reservation
 
 STALL_SECONDS = 1.0
@@ -43,11 +43,12 @@
     def queued_request(self, reservation: Reservation, now: Instant) -> QueuedRequest:
         """Return a reservation as it is queued under the preset in force."""
         account = self.configuration.accounts_by_name.get(reservation.account)
+        request_class = self.configuration.class_in_force(reservation.request_class)
         return QueuedRequest(
             reservation=reservation,
-            request_class=self.configuration.class_in_force(reservation.request_class),
+            request_class=request_class,
             account_weight=1.0 if account is None else account.weight,
-            enqueued_at=now,
+            arrived_at=_arrived_at(reservation, request_class, now),
             work=self.estimates.expected_remaining(
                 reservation.request_class,
                 reservation.account,
@@ -65,7 +66,7 @@
         """Return the seconds in which a request must get its slot to meet its target."""
         start = self.pace.first_token(request.request_class.name)
         target = request.request_class.first_token_target.total_seconds()
-        return request.enqueued_at + target - start - now
+        return request.arrived_at + target - start - now
 
     def silence(self, now: Instant) -> float:
         """Return how long all streams have been silent; 0 where that says nothing."""
@@ -78,3 +79,12 @@
     def is_stalled(self, now: Instant) -> bool:
         """Return whether the backend server gives no stream anything."""
         return self.silence(now) > STALL_SECONDS
+
+
+def _arrived_at(reservation: Reservation, request_class: RequestClass, now: Instant) -> Instant:
+    """Return when the caller's request came, which the deadline set from its class tells.
+
+    Without it, a request that was given up elsewhere and asks here would be taken for a new one: it
+    would be queued for its whole limit once more, get a slot, and still miss its target.
+    """
+    return min(now, reservation.deadline - request_class.deadline.total_seconds())
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/fair_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/fair_queue.py
@@ -34,7 +34,8 @@
     reservation: Reservation
     request_class: RequestClass
     account_weight: float
-    enqueued_at: Instant
+    arrived_at: Instant
+    """When the request came to the system, perhaps by way of another agent's queue."""
     work: float
     """Expected tokens still to generate."""
     begun: bool = False
@@ -55,7 +56,7 @@
     @property
     def latest_start(self) -> Instant:
         """When its class's queue limit, or its deadline, is used up."""
-        limit = self.enqueued_at + self.request_class.queue_limit.total_seconds()
+        limit = self.arrived_at + self.request_class.queue_limit.total_seconds()
         return min(limit, self.reservation.deadline)
 
 
@@ -266,6 +267,11 @@
         """Return how many requests more urgent than a tier wait."""
         return self.count_through(tier - 1)
 
+    def count_in(self, tier: int) -> int:
+        """Return how many requests of a tier wait."""
+        queue = self._queue_by_tier.get(tier)
+        return 0 if queue is None else queue.count
+
     def work_through(self, tier: int) -> float:
         """Return the expected tokens of the requests of this tier and more urgent ones."""
         return sum(self._queue_by_tier[each].work for each in self._tiers if each <= tier)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/scheduler.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/scheduler.py
@@ -188,7 +188,12 @@
             request = self._next(now)
             if request is None:
                 break
-            decisions.append(self._grant(request, now))
+            if self._admission.is_late(request, now) and not self._can_make_way(request, now):
+                self._dequeue(request.request_id)
+                self._aging.refused(request.tier, now)
+                decisions.append(self._admission.late(request, now))
+            else:
+                decisions.append(self._grant(request, now))
         self._state.limit.observe_used(len(self._slots))
         decisions += self._preemption.due(now)
         return decisions
@@ -203,6 +208,9 @@
         aged.protected = True
         return aged
 
+    def _can_make_way(self, request: QueuedRequest, now: Instant) -> bool:
+        return bool(self._slots.victims(request.tier, now, spare_protected=False))
+
     def _grant(self, request: QueuedRequest, now: Instant) -> Grant:
         self._queue.take(request)
         self._left(request)
