--- a/packages/ragwortwing-policy/src/ragwortwing_policy/scheduler.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/scheduler.py
@@ -107,6 +107,7 @@
             protected=slot.request.protected,
         )
         self._state.waits.forget_running()
+        self._adapt_limit(now)
         return True
 
     def progressed(self, request_id: str, tokens: int, now: Instant) -> None:
@@ -152,7 +153,7 @@
         for slot in self._slots.expire(now):
             self._expired(slot, now)
         self._state.waits.observe_occupancy(self._state.limit.value, now)
-        self._state.limit.adapt(self._slots.strictest_targets(), len(self._slots), now)
+        self._adapt_limit(now)
         decisions = self._refuse_hopeless(now)
         decisions += self._dispatch(now)
         return decisions + list(self._preemption.above_limit(now))
@@ -187,7 +188,12 @@
             request = self._next(now)
             if request is None:
                 break
-            decisions.append(self._grant(request, now))
+            if self._admission.is_late(request, now) and not self._can_make_way(request, now):
+                self._dequeue(request.request_id)
+                self._aging.refused(request.tier, now)
+                decisions.append(self._admission.late(request, now))
+            else:
+                decisions.append(self._grant(request, now))
         self._state.limit.observe_used(len(self._slots))
         decisions += self._preemption.due(now)
         return decisions
@@ -202,6 +208,9 @@
         aged.protected = True
         return aged
 
+    def _can_make_way(self, request: QueuedRequest, now: Instant) -> bool:
+        return bool(self._slots.victims(request.tier, now, spare_protected=False))
+
     def _grant(self, request: QueuedRequest, now: Instant) -> Grant:
         self._queue.take(request)
         self._left(request)
@@ -246,6 +255,9 @@
         self._aging.refused(tier, now)
         return list(self._preemption.for_refusal(tier, now))
 
+    def _adapt_limit(self, now: Instant) -> None:
+        self._state.limit.adapt(self._slots.strictest_targets(), len(self._slots), now)
+
     def _learn(self, running: RunningRequest, now: Instant) -> None:
         name = running.request_class.name
         if running.tokens:
