--- a/packages/ragwortwing-lab/src/ragwortwing_lab/faults/callers.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/faults/callers.py
@@ -4,22 +4,20 @@
 
 from typing import TYPE_CHECKING
 
-import httpcore
-import msgspec
 import trio
 
-from ..site import MODEL
-from .observations import Answer, ChatObservation, OrderObservation, read_error, read_stream
+from .call import KEY_BY_ACCOUNT, Call, chat_request, order_request
+from .observations import Answer, ChatObservation, OrderObservation
 
 if TYPE_CHECKING:
     from random import Random
 
     from ..site import Site
+    from .call import CallerRequest
 
 PATIENCE = 75.0
 """Seconds after which a caller counts a request as held back for ever; above every deadline."""
 
-KEY_BY_ACCOUNT = {"suva-bakery": "suva-key", "nadi-bakery": "nadi-key"}
 CHAT_CLASSES = ("chat", "chat", "draft")
 LONGEST_ANSWER = 60
 KEYED_SHARE = 0.8
@@ -27,9 +25,6 @@
 """Submissions of one keyed order until a caller stops asking."""
 
 RESUBMIT_PAUSE = 0.3
-OUTCOME_HEADER = b"x-ragwortwing-outcome"
-REQUEST_ID_HEADER = b"x-request-id"
-FIRST_ERROR_STATUS = 400
 FINAL_OUTCOMES = frozenset({"completed", "failed"})
 
 
@@ -54,15 +49,8 @@
     async def chat(self) -> ChatObservation:
         """Stream one answer."""
         prompt, tokens = self._prompt()
-        body = msgspec.json.encode(
-            {
-                "model": MODEL,
-                "stream": True,
-                "messages": [{"role": "user", "content": prompt}],
-            }
-        )
-        headers = [*self._headers(), ("x-request-class", self._random.choice(CHAT_CLASSES))]
-        answer = await self._post(self._entry(), "/v1/chat/completions", headers, body)
+        request = chat_request(prompt, self._account(), self._random.choice(CHAT_CLASSES))
+        answer = await self._send(request)
         observation = ChatObservation(prompt, tokens, answer)
         self.chats.append(observation)
         return observation
@@ -74,12 +62,9 @@
         keyed = self._random.random() < KEYED_SHARE
         observation = OrderObservation(f"key-{number}" if keyed else "")
         self.orders.append(observation)
-        headers = self._headers()
-        if keyed:
-            headers.append(("idempotency-key", observation.key))
-        body = msgspec.json.encode({"cake": number})
+        request = order_request(observation.key, self._account(), number)
         for _ in range(SUBMISSIONS_LIMIT if keyed else 1):
-            answer = await self._post(self._entry(), "/desk/orders", headers, body)
+            answer = await self._send(request)
             observation.answers.append(answer)
             if answer.outcome in FINAL_OUTCOMES:
                 break
@@ -91,51 +76,13 @@
         tokens = self._random.randint(1, LONGEST_ANSWER)
         return f"menu {self._count} for a wedding [tokens={tokens}]", tokens
 
-    def _headers(self) -> list[tuple[str, str]]:
-        account = self._random.choice(sorted(KEY_BY_ACCOUNT))
-        return [
-            ("content-type", "application/json"),
-            ("authorization", f"Bearer {KEY_BY_ACCOUNT[account]}"),
-        ]
+    def _account(self) -> str:
+        return self._random.choice(sorted(KEY_BY_ACCOUNT))
 
-    def _entry(self) -> int:
-        return self._random.randrange(self._site.shape.entries)
-
-    async def _post(
-        self, entry: int, path: str, headers: list[tuple[str, str]], body: bytes
-    ) -> Answer:
-        answer = Answer(self._site.entry_url(entry))
+    async def _send(self, request: CallerRequest) -> Answer:
+        entry = self._random.randrange(self._site.shape.entries)
+        call = Call(Answer(self._site.entry_url(entry)))
         with trio.move_on_after(PATIENCE) as scope:
-            try:
-                await self._exchange(answer, path, headers, body)
-            except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
-                answer.whole = False
-        answer.timed_out = scope.cancelled_caught
-        return answer
-
-    async def _exchange(
-        self, answer: Answer, path: str, headers: list[tuple[str, str]], body: bytes
-    ) -> None:
-        received = bytearray()
-        async with (
-            httpcore.AsyncConnectionPool() as pool,
-            pool.stream("POST", answer.entry + path, headers=headers, content=body) as response,
-        ):
-            answer.status = response.status
-            told = dict(response.headers)
-            answer.request_id = told.get(REQUEST_ID_HEADER, b"").decode()
-            try:
-                async for piece in response.aiter_stream():
-                    received += piece
-                answer.whole = True
-            finally:
-                _read(answer, told, bytes(received))
-
-
-def _read(answer: Answer, headers: dict[bytes, bytes], body: bytes) -> None:
-    if headers.get(b"content-type", b"").startswith(b"text/event-stream"):
-        read_stream(body, answer)
-    elif answer.whole and answer.status >= FIRST_ERROR_STATUS:
-        read_error(body, answer)
-    elif OUTCOME_HEADER in headers:
-        answer.outcomes.append(headers[OUTCOME_HEADER].decode())
+            await call.run(request)
+        call.answer.timed_out = scope.cancelled_caught
+        return call.answer
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/site.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/site.py
@@ -41,6 +41,7 @@
     engines: int = 3
     desks: int = 2
     engine_arguments: tuple[str, ...] = ()
+    desk_arguments: tuple[str, ...] = ()
     log_arguments: tuple[str, ...] = ()
     proxied: bool = False
     """Whether a fault-injecting proxy stands between the entries and each agent."""
@@ -78,7 +79,7 @@
         self.directory = directory
         self.process_by_name: dict[str, Process] = {}
         self._http = httpcore.AsyncConnectionPool(max_connections=64)
-        self._settings_by_name: dict[str, Path] = {}
+        self._member_by_name: dict[str, dict[str, str]] = {}
 
     async def start(self) -> None:
         """Start everything in the order of who needs whom, then publish the configuration."""
@@ -159,6 +160,8 @@
         arguments = ["--name", name, "--port", str(port), "--journal", str(self.journal_path(name))]
         if kind == "engine":
             arguments += ["--model", MODEL, *self.shape.engine_arguments]
+        else:
+            arguments += self.shape.desk_arguments
         return await self._start_lab(name, command, *arguments)
 
     def journal_path(self, backend_name: str) -> Path:
@@ -243,8 +246,16 @@
         self.process_by_name[name] = process
         return process
 
+    async def list_as_leaving(self, name: str) -> None:
+        """Let the membership list say that a VM is leaving."""
+        await self._list(name, self._member_by_name[name] | {"state": "leaving"})
+
     async def _register(self, name: str, address: str, index: int, role: str) -> None:
-        fields = {"address": address, "zone": ZONES[index % len(ZONES)], "role": role}
+        zone = ZONES[index % len(ZONES)]
+        await self._list(name, {"address": address, "zone": zone, "role": role})
+
+    async def _list(self, name: str, fields: dict[str, str]) -> None:
+        self._member_by_name[name] = fields
         url = self._control("membership", f"/members/{name}")
         reply = await self.call("PUT", url, msgspec.json.encode(fields))
         if reply.status != 200:
