--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/registry.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/registry.py
@@ -17,6 +17,7 @@
     "ragwortwing_lab.experiments.yardstick",
     "ragwortwing_lab.experiments.capacity",
     "ragwortwing_lab.experiments.faults",
+    "ragwortwing_lab.experiments.order_claims",
 )
 """Modules whose import registers experiments."""
 
--- a/packages/ragwortwing-platform/src/ragwortwing_platform/order_book.py
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/order_book.py
@@ -7,38 +7,31 @@
 
 from __future__ import annotations
 
-import math
 import uuid
-from collections import OrderedDict, deque
-from dataclasses import dataclass, field
+from collections import OrderedDict
+from dataclasses import dataclass
 from datetime import timedelta
-from itertools import islice
 from typing import TYPE_CHECKING
 
 import trio
 
 from ragwortwing_policy.clock import Instant
 from ragwortwing_policy.order_claims import (
-    DEFAULT_CLOCK_SKEW,
-    DEFAULT_KEY_LIMIT,
-    DEFAULT_WINDOW,
     AlreadyClaimed,
     AlreadySettled,
     Claim,
-    ClaimBatch,
     ClaimVerdict,
     KeyReused,
     OrderKey,
     OrderLedger,
-    Settlement,
     Won,
-    encode_batch,
     settlement_of,
 )
 from ragwortwing_policy.outcomes import NotRun, NotRunReason, Outcome, Unknown, UnknownReason
 
+from ._claim_committer import LOG_RETRY_AFTER, ClaimCommitter, ClaimWaiter, OrderBookSettings
 from .backoff import Backoff
-from .log_client import Appended, AppendUnknown, LogCause, LogPage, LogUnavailable, OffsetExpired
+from .log_client import LogPage, LogUnavailable, OffsetExpired
 
 if TYPE_CHECKING:
     from random import Random
@@ -47,33 +40,10 @@
 
     from .log_client import Log, ReadResult
 
-ORDERS_STREAM = "orders"
-BATCH_LIMIT = 256
-"""Most claims in one record."""
+__all__ = ["KeyedOrder", "OrderBook", "OrderBookSettings", "WonClaim"]
+
 ABANDONED_LIMIT = 10_000
 """Most given-up claims remembered in case they come to stand in the log late."""
-SETTLEMENT_LIMIT = 20_000
-"""Most outcomes that wait for the log; a key whose outcome is dropped stays unknown."""
-APPEND_PAUSE = timedelta(milliseconds=500)
-"""How long new claims are refused without an attempt after the log refused an append."""
-LOG_RETRY_AFTER = timedelta(seconds=2)
-"""When to come back while the log is down."""
-
-
-@dataclass(frozen=True, slots=True)
-class OrderBookSettings:
-    """Limits of an order book."""
-
-    window: timedelta = DEFAULT_WINDOW
-    clock_skew: timedelta = DEFAULT_CLOCK_SKEW
-    key_limit: int = DEFAULT_KEY_LIMIT
-    send_window: timedelta = timedelta(seconds=5)
-    """Longest time from the request to the write to the backend server."""
-    append_interval: timedelta = timedelta(milliseconds=10)
-    """Least time between two appends; with N agents, they share the log's rate by it."""
-    poll_wait: timedelta = timedelta(seconds=10)
-    """How long the log may hold a read while nothing is appended."""
-    stream: str = ORDERS_STREAM
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,20 +69,6 @@
 ClaimResult = WonClaim | AlreadySettled | NotRun | Unknown
 
 
-@dataclass(slots=True)
-class _Waiter:
-    """A submission that waits for its claim to be read back."""
-
-    claim: Claim
-    resolved: trio.Event = field(default_factory=trio.Event)
-    result: ClaimVerdict | NotRun | None = None
-
-    def resolve(self, result: ClaimVerdict | NotRun) -> None:
-        if self.result is None:
-            self.result = result
-            self.resolved.set()
-
-
 class OrderBook:
     """Claims idempotency keys for one agent; `run` must be running."""
 
@@ -141,20 +97,19 @@
         self._ledger = OrderLedger(
             self._settings.window, self._settings.clock_skew, self._settings.key_limit
         )
-        self._queue: deque[_Waiter] = deque()
-        self._settlements_by_claim: OrderedDict[str, Settlement] = OrderedDict()
-        self._waiters_by_claim: dict[str, _Waiter] = {}
+        self._committer = ClaimCommitter(
+            log, clock, random, agent_id, self._settings, self._read_to_end
+        )
+        self._waiters_by_claim: dict[str, ClaimWaiter] = {}
         self._abandoned_by_claim: OrderedDict[str, OrderKey] = OrderedDict()
         self._open_by_claim: dict[str, WonClaim] = {}
-        self._work = trio.Event()
         self._page_read = trio.Event()
         self._caught_up = False
-        self._next_append_at = -math.inf
 
     @property
     def available(self) -> bool:
         """Return whether a new order could be claimed, as far as is known."""
-        return self._caught_up and self._clock.monotonic() >= self._next_append_at
+        return self._caught_up and self._committer.available
 
     @property
     def ledger(self) -> OrderLedger:
@@ -165,7 +120,7 @@
         """Follow the stream and append claims until cancelled."""
         async with trio.open_nursery() as nursery:
             await nursery.start(self._follow)
-            nursery.start_soon(self._commit)
+            nursery.start_soon(self._committer.run)
             task_status.started()
 
     async def claim(self, order: KeyedOrder, deadline: Instant) -> ClaimResult:
@@ -238,7 +193,9 @@
             status: The backend server's status.
             answer: The backend server's answer; kept where it is short.
         """
-        self._queue_settlement(settlement_of(won.claim_id, won.order_key, outcome, status, answer))
+        self._committer.queue_settlement(
+            settlement_of(won.claim_id, won.order_key, outcome, status, answer)
+        )
 
     async def _append_and_wait(
         self, claim: Claim, send_deadline: Instant
@@ -248,10 +205,9 @@
         refusal = self._ledger.admit(claim.order_time, self._clock.utc_now())
         if refusal is not None:
             return refusal
-        waiter = _Waiter(claim)
+        waiter = ClaimWaiter(claim)
         self._waiters_by_claim[claim.claim_id] = waiter
-        self._queue.append(waiter)
-        self._work.set()
+        self._committer.queue_claim(waiter)
         try:
             with trio.move_on_after(max(0.0, send_deadline - self._clock.monotonic())):
                 await waiter.resolved.wait()
@@ -276,7 +232,7 @@
                 await self._page_read.wait()
         return False
 
-    def _give_up(self, waiter: _Waiter) -> None:
+    def _give_up(self, waiter: ClaimWaiter) -> None:
         """Make sure that a submission which no longer waits is never sent.
 
         Its claim may stand in the log or come to stand there; it is released when it is read.
@@ -296,13 +252,7 @@
     def _queue_release(self, claim_id: str, order_key: OrderKey, reason: NotRunReason) -> None:
         # A claim that was appended twice may be read once more after its release, and win again.
         self._note_abandoned(claim_id, order_key)
-        self._queue_settlement(settlement_of(claim_id, order_key, NotRun(reason)))
-
-    def _queue_settlement(self, settlement: Settlement) -> None:
-        self._settlements_by_claim.setdefault(settlement.claim_id, settlement)
-        if len(self._settlements_by_claim) > SETTLEMENT_LIMIT:
-            self._settlements_by_claim.popitem(last=False)
-        self._work.set()
+        self._committer.queue_settlement(settlement_of(claim_id, order_key, NotRun(reason)))
 
     async def _follow(
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -350,7 +300,7 @@
             batch = self._ledger.apply(record.offset, record.payload)
             if batch is not None and batch.holder == self._agent_id:
                 for settlement in batch.settlements:
-                    self._settlements_by_claim.pop(settlement.claim_id, None)
+                    self._committer.settlement_read(settlement)
                 for claim in batch.claims:
                     self._take_own_claim(claim)
         self._ledger.forget_before(page.first_offset)
@@ -364,69 +314,3 @@
             # The record took effect after its submission was answered `NotRun`: without the
             # release, the key would answer `Unknown` until it runs out of the log.
             self._queue_release(claim.claim_id, claim.order_key, NotRunReason.DEADLINE)
-
-    async def _commit(self) -> None:
-        """Append what is queued, one record at a time."""
-        backoff = Backoff(self._random)
-        while True:
-            await self._work.wait()
-            self._work = trio.Event()
-            while self._queue or self._settlements_by_claim:
-                started = self._clock.monotonic()
-                if await self._append_batch():
-                    backoff.reset()
-                    interval = self._settings.append_interval.total_seconds()
-                    pause = started + interval - self._clock.monotonic()
-                    await trio.sleep(max(0.0, pause))
-                else:
-                    await trio.sleep(backoff.next_wait().total_seconds())
-
-    def _next_batch(self) -> tuple[list[_Waiter], list[Settlement]]:
-        waiters: list[_Waiter] = []
-        while self._queue and len(waiters) < BATCH_LIMIT:
-            waiter = self._queue.popleft()
-            if waiter.result is None:
-                waiters.append(waiter)
-        return waiters, list(islice(self._settlements_by_claim.values(), BATCH_LIMIT))
-
-    async def _append_batch(self) -> bool:
-        """Append one record of what is queued; return whether the log took it."""
-        waiters, settlements = self._next_batch()
-        if not waiters and not settlements:
-            return True
-        batch = ClaimBatch(
-            self._agent_id,
-            self._clock.utc_now().timestamp(),
-            tuple(each.claim for each in waiters),
-            tuple(settlements),
-        )
-        result = await self._log.append(self._settings.stream, encode_batch(batch))
-        match result:
-            case Appended():
-                for settlement in settlements:
-                    self._settlements_by_claim.pop(settlement.claim_id, None)
-                return True
-            case AppendUnknown():
-                # A read that begins now shows the record, unless it never came or comes late. What
-                # is not there is appended again: the same claim twice is one claim.
-                await self._read_to_end()
-                self._requeue(waiters)
-                return False
-            case LogUnavailable(cause=LogCause.RATE):
-                self._requeue(waiters)
-                return False
-            case LogUnavailable():
-                # Claims are refused at once until then; the first one after it tries the log.
-                self._next_append_at = self._clock.monotonic() + APPEND_PAUSE.total_seconds()
-                self._refuse([*waiters, *self._queue])
-                self._queue.clear()
-                return False
-
-    def _requeue(self, waiters: list[_Waiter]) -> None:
-        """Queue again what was not read back, under the same claim ids."""
-        unresolved = [each for each in waiters if each.result is None]
-        self._queue.extendleft(reversed(unresolved))
-
-    def _refuse(self, waiters: list[_Waiter]) -> None:
-        for waiter in waiters:
-            waiter.resolve(NotRun(NotRunReason.LOG_UNAVAILABLE, LOG_RETRY_AFTER))
--- a/packages/ragwortwing-platform/tests/test_order_book.py
+++ b/packages/ragwortwing-platform/tests/test_order_book.py
@@ -15,14 +15,13 @@
 from ragwortwing_platform._http import Timeouts
 from ragwortwing_platform.log_client import LogClient
 from ragwortwing_platform.order_book import (
-    AlreadySettled,
     KeyedOrder,
     OrderBook,
     OrderBookSettings,
     WonClaim,
 )
 from ragwortwing_platform.system_clock import SystemClock
-from ragwortwing_policy.order_claims import RecordedAnswer
+from ragwortwing_policy.order_claims import AlreadySettled, RecordedAnswer
 from ragwortwing_policy.outcomes import Completed, NotRun, NotRunReason, Unknown, UnknownReason
 
 if TYPE_CHECKING:
--- a/packages/ragwortwing-platform/tests/test_order_book_faults.py
+++ b/packages/ragwortwing-platform/tests/test_order_book_faults.py
@@ -12,12 +12,12 @@
 from ragwortwing_lab.standins.in_memory import InMemoryLog, LogFaults, TrioClock
 from ragwortwing_lab.standins.log import RecordLog
 from ragwortwing_platform.order_book import (
-    AlreadySettled,
     KeyedOrder,
     OrderBook,
     OrderBookSettings,
     WonClaim,
 )
+from ragwortwing_policy.order_claims import AlreadySettled
 from ragwortwing_policy.outcomes import Completed, NotRun, NotRunReason
 
 FAULTS = LogFaults(refused=0.05, reply_lost=0.1, late=0.1, dropped=0.1)
