--- a/packages/ragwortwing-entry/tests/test_operator_commands.py
+++ b/packages/ragwortwing-entry/tests/test_operator_commands.py
@@ -165,3 +165,20 @@
     assert site.json(*publish)[0] == 1
     assert site.json(*publish, "--unconditional")[0] == 0
     assert site.json("preset", "current")[1] == {"preset": "peak", "revision": 1}
+
+
+def test_the_address_of_the_log_comes_from_an_entry_s_settings(site: Site, tmp_path: Path) -> None:
+    site.publish_first()
+    settings = tmp_path / "entry.toml"
+    settings.write_text(f"""
+name = "entry-1"
+zone = "suva"
+[listen]
+http = "127.0.0.1:0"
+[platform]
+log = "http://{site.log}"
+membership = "http://127.0.0.1:1"
+""")
+    result = CliRunner().invoke(main, ["preset", "current", "--settings", str(settings)])
+    assert (result.exit_code, result.stdout) == (0, "ordinary (revision 0)\n")
+    assert CliRunner().invoke(main, ["preset", "current"]).exit_code == 2
--- /dev/null
+++ b/packages/ragwortwing-policy/tests/test_membership.py
@@ -0,0 +1,117 @@
+"""The list seeds and takes work away, the connection decides, and no agent is taken for another."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ragwortwing_policy.membership import ListedAgent, Membership, MemberState, StateChange
+
+ADDRESS = "10.0.0.1:7000"
+LIVE = ListedAgent("agent-1", ADDRESS)
+LEAVING = ListedAgent("agent-1", ADDRESS, leaving=True)
+
+
+def serving() -> Membership:
+    membership = Membership()
+    membership.set_list([LIVE])
+    membership.connected(ADDRESS, "agent-1/a")
+    return membership
+
+
+def test_a_listed_agent_serves_only_while_it_is_connected() -> None:
+    membership = Membership()
+    assert membership.set_list([LIVE]) == ()
+    assert membership.addresses == {ADDRESS}
+    assert not membership.takes_new_work("agent-1/a")
+    membership.connected(ADDRESS, "agent-1/a")
+    assert membership.takes_new_work("agent-1/a")
+    assert membership.disconnected(ADDRESS)[-1].state is MemberState.JOINING
+    assert not membership.takes_new_work("agent-1/a")
+    membership.connected(ADDRESS, "agent-1/a")
+    assert membership.takes_new_work("agent-1/a")
+
+
+def test_either_word_ends_new_work_at_once() -> None:
+    by_list, by_agent, by_removal = serving(), serving(), serving()
+    by_list.set_list([LEAVING])
+    by_agent.said_leaving("agent-1/a")
+    by_removal.set_list([])
+    for membership in (by_list, by_agent, by_removal):
+        assert membership.state_of("agent-1/a") is MemberState.DRAINING
+        assert membership.addresses == {ADDRESS}
+        membership.disconnected(ADDRESS)
+        assert membership.state_of("agent-1/a") is MemberState.GONE
+
+
+def test_only_the_list_takes_its_word_back() -> None:
+    """The list drops a live agent by mistake and names it again a few seconds later.
+
+    Without the way back, the site would lose the agent's capacity until somebody restarts it.
+    """
+    membership = serving()
+    membership.set_list([])
+    membership.set_list([LIVE])
+    assert membership.takes_new_work("agent-1/a")
+    membership.said_leaving("agent-1/a")
+    membership.set_list([LIVE])
+    assert not membership.takes_new_work("agent-1/a")
+
+
+def test_a_replaced_agent_at_the_same_address_is_another_one() -> None:
+    """A VM is replaced within a second and its successor gets the same address.
+
+    Taken for the old agent, it would be asked to go on with streams that it never had.
+    """
+    membership = serving()
+    changes = membership.connected(ADDRESS, "agent-1/b")
+    assert changes[0] == StateChange("agent-1/a", ADDRESS, MemberState.GONE)
+    assert membership.takes_new_work("agent-1/b")
+    membership.connected(ADDRESS, "agent-1/a")
+    assert membership.state_of("agent-1/a") is MemberState.GONE
+
+
+EVENTS = st.one_of(
+    st.tuples(st.just("list"), st.lists(st.integers(0, 3), max_size=3)),
+    st.tuples(st.just("connect"), st.integers(0, 1), st.integers(0, 3)),
+    st.tuples(st.just("disconnect"), st.integers(0, 1)),
+    st.tuples(st.just("word"), st.integers(0, 3)),
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(st.lists(EVENTS, max_size=30))
+def test_gone_is_for_ever_and_new_work_needs_every_word(events: list[tuple]) -> None:  # type: ignore[type-arg]
+    membership = Membership()
+    gone: set[str] = set()
+    live: set[str] = set()
+    words: set[str] = set()
+    connected: dict[str, str] = {}
+    for kind, *values in events:
+        if kind == "list":
+            agents = [ListedAgent(f"n{v // 2}", f"a{v // 2}", v % 2 == 1) for v in values[0]]
+            live = {a.address for a in {a.address: a for a in agents}.values() if not a.leaving}
+            changes = membership.set_list(agents)
+        elif kind == "connect":
+            address, agent_id = f"a{values[0]}", f"id{values[1]}-{values[0]}"
+            connected[address] = agent_id
+            changes = membership.connected(address, agent_id)
+        elif kind == "disconnect":
+            connected.pop(f"a{values[0]}", None)
+            changes = membership.disconnected(f"a{values[0]}")
+        else:
+            agent_id = f"id{values[0]}-0"
+            if connected.get("a0") == agent_id:
+                words.add(agent_id)
+            changes = membership.said_leaving(agent_id)
+        gone |= {each.agent_id for each in changes if each.state is MemberState.GONE}
+        assert live <= membership.addresses
+        for address in ("a0", "a1"):
+            for number in range(4):
+                agent_id = f"id{number}-{address[1]}"
+                if agent_id in gone:
+                    assert membership.state_of(agent_id) is MemberState.GONE
+                if membership.takes_new_work(agent_id):
+                    assert connected.get(address) == agent_id
+                    assert address in live
+                    assert agent_id not in words
