Let the entry's pool follow the membership policy

An agent's own word that it leaves now outlasts a reconnect. An agent that only left the entry's share of the agents may come back with its id. Changed in the entry's files: agent_pool.py, agent_link.py.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/agent_link.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/agent_link.py
@@ -61,8 +61,6 @@
         self, address: Address, pool: AgentPool, settings: LinkSettings, clock: Clock
     ) -> None:
         self.address = address
-        self.leaving = False
-        """Whether the list or the agent itself says that it leaves."""
         self.listed = True
         """Whether the membership list names the agent."""
         self.view: AgentView | None = None
@@ -148,15 +146,15 @@
     async def _connected(self, hello: AgentHello) -> None:
         if hello.agent_id != self._agent_id:
             self._lose_runs(forced=True)
-            self._pool.agent_replaced(self._agent_id)
         self._agent_id = hello.agent_id
+        self._pool.agent_connected(self.address, hello.agent_id)
         self._lost_at = None
         self.view = AgentView(
             agent_id=hello.agent_id,
             zone=hello.zone,
             kind=hello.kind,
             targets=frozenset(hello.targets),
-            leaving=self.leaving,
+            leaving=not self._pool.takes_new_work(hello.agent_id),
             load=NO_LOAD,
         )
         self._pool.link_changed(self, self.view)
@@ -175,6 +173,7 @@
         self._lost_at = self._clock.monotonic()
         self._pool.link_lost(self.view)
         self.view = None
+        self._pool.agent_disconnected(self.address)
         for run in list(self._runs_by_id.values()):
             if run.attach_message(self._agent_id) is None:
                 self._lose(run)
@@ -245,12 +244,14 @@
         """Take in the agent's load and whether it leaves."""
         if self.view is None:
             return
+        if message.leaving:
+            self._pool.said_leaving(self.view.agent_id)
         self.view = AgentView(
             agent_id=self.view.agent_id,
             zone=self.view.zone,
             kind=self.view.kind,
             targets=self.view.targets,
-            leaving=self.leaving or not self.listed or message.leaving,
+            leaving=not self._pool.takes_new_work(self.view.agent_id),
             load=message.load or self.view.load,
         )
         self._pool.link_changed(self, self.view)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/agent_pool.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/agent_pool.py
@@ -7,6 +7,8 @@
 
 from ragwortwing_platform.membership_feed import MemberRole, MemberState
 from ragwortwing_platform.settings_reader import parse_address
+from ragwortwing_policy.membership import ListedAgent, Membership, StateChange
+from ragwortwing_policy.membership import MemberState as MembershipState
 from ragwortwing_policy.subsets import SubsetAgent, subset, subset_size
 from ragwortwing_wire.messages import (
     ConfigurationRecords,
@@ -97,6 +99,7 @@
         self._clock = clock
         self._links_by_address: dict[Address, AgentLink] = {}
         self._links_by_agent_id: dict[str, AgentLink] = {}
+        self._membership = Membership()
 
     @property
     def agents_by_id(self) -> Mapping[str, AgentView]:
@@ -118,12 +121,17 @@
         for address in self._links_by_address.keys() - leaving_by_address.keys():
             # The list lags and can be wrong: an answer that still comes is not cut for it.
             self._links_by_address[address].listed = False
-        for address, leaving in leaving_by_address.items():
+        for address in leaving_by_address:
             link = self._links_by_address.get(address)
             if link is None:
                 link = self._add(address, nursery)
             link.listed = True
-            link.leaving = leaving
+        self._take_changes(
+            self._membership.set_list(
+                ListedAgent(str(address), str(address), leaving)
+                for address, leaving in leaving_by_address.items()
+            )
+        )
 
     def hello(self) -> EntryHello:
         """Return the first message of a connection."""
@@ -143,9 +151,32 @@
         self._links_by_agent_id.pop(view.agent_id, None)
         self._router.update(replace(view, connected=False), self._clock.monotonic())
 
-    def agent_replaced(self, agent_id: str) -> None:
-        """Forget an agent in whose place another one answered."""
-        self._router.remove(agent_id, self._clock.monotonic())
+    def agent_connected(self, address: Address, agent_id: str) -> None:
+        """Take in which agent answered at an address."""
+        self._take_changes(self._membership.connected(str(address), agent_id))
+
+    def agent_disconnected(self, address: Address) -> None:
+        """Take in that the connection to an address was lost."""
+        self._take_changes(self._membership.disconnected(str(address)))
+
+    def said_leaving(self, agent_id: str) -> None:
+        """Take in an agent's own word that it leaves."""
+        self._take_changes(self._membership.said_leaving(agent_id))
+
+    def takes_new_work(self, agent_id: str) -> bool:
+        """Return whether an agent may be asked for a slot."""
+        return self._membership.takes_new_work(agent_id)
+
+    def _take_changes(self, changes: Iterable[StateChange]) -> None:
+        """Tell the router at once, and not only with the agent's next heartbeat."""
+        for change in changes:
+            link = self._links_by_agent_id.get(change.agent_id)
+            if link is not None and link.view is not None:
+                takes_work = change.state is MembershipState.SERVING
+                link.view = replace(link.view, leaving=not takes_work)
+                self._router.update(link.view, self._clock.monotonic())
+            elif change.state is MembershipState.GONE:
+                self._router.remove(change.agent_id, self._clock.monotonic())
 
     def records_from(self, offset: int) -> ConfigurationRecords:
         """Return the configuration records from an offset on."""
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/membership.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/membership.py
@@ -1,8 +1,9 @@
 """Which agents an entry should know, and which of them take new work.
 
 The platform's list lags: it says which addresses to dial and takes new work away. The connection
-decides the rest: an agent serves only while it is connected, and its id (name and incarnation) comes
-from its first message, so a replaced agent at the same address is never taken for the old one.
+decides the rest: an agent serves only while it is connected, and its id (name and incarnation)
+comes from its first message, so a replaced agent at the same address is never taken for the old
+one.
 """
 
 from __future__ import annotations
@@ -82,7 +83,7 @@
         return frozenset((*self._listed_by_address, *known))
 
     def state_of(self, agent_id: str) -> MemberState:
-        """Return the state of an agent; one that was never connected is joining."""
+        """Return the state of an agent; one that is not known is joining."""
         if agent_id in self._gone_ids:
             return MemberState.GONE
         for member in self._members_by_address.values():
@@ -106,7 +107,7 @@
         if present is not None and present.agent_id != agent_id:
             # The VM was replaced and its successor got the same address. What ran at the old one
             # is lost; shown as the same agent, its streams would be attached to a stranger.
-            changes.append(self._bury(present))
+            changes.append(self._bury(present, final=True))
         if agent_id in self._gone_ids:
             return tuple(changes)
         member = self._members_by_address.get(address)
@@ -150,12 +151,18 @@
             return ()
         member.state = MemberState(self._chart.next(member.state, trigger))
         if member.state is MemberState.GONE:
-            return (self._bury(member),)
+            return (self._bury(member, final=member.leaves_by_own_word),)
         return (StateChange(member.agent_id, member.address, member.state),)
 
-    def _bury(self, member: _Member) -> StateChange:
+    def _bury(self, member: _Member, final: bool) -> StateChange:
+        """Forget an agent.
+
+        One that was only taken off the list may come back with its id, since an entry's share of
+        the agents changes; one that said that it leaves, or was replaced, does not.
+        """
         del self._members_by_address[member.address]
-        self._gone_ids[member.agent_id] = None
+        if final:
+            self._gone_ids[member.agent_id] = None
         if len(self._gone_ids) > GONE_LIMIT:
             self._gone_ids.popitem(last=False)
         return StateChange(member.agent_id, member.address, MemberState.GONE)
