Write a log call's named values into its JSON line

Cause: logbook keeps the keyword arguments of a call in the record's kwargs, and only extra was written, so that no line carried a reason, an outcome or a count.

--- a/packages/ragwortwing-platform/src/ragwortwing_platform/logs.py
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/logs.py
@@ -59,6 +59,7 @@
             "request_id": context.request_id,
             "trace_id": context.trace_id,
         }
+        fields.update(record.kwargs or {})
         fields.update(record.extra)
         if record.exc_info:
             fields["exception"] = record.formatted_exception
