--- a/packages/ragwortwing-entry/src/ragwortwing_entry/request_run.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/request_run.py
@@ -36,6 +36,9 @@
     from .caller_request import CallerRequest
 
 EVENT_END = b"\n\n"
+CREDIT_BYTES = 8_192
+"""Delivered bytes that are confirmed together; the agent keeps what is not confirmed."""
+
 STREAMING = "streaming"
 """State of the dispatch chart in which pieces reach the caller."""
 
@@ -87,6 +90,7 @@
         self._pool = pool
         self._clock = clock
         self._window = window
+        self._credit_bytes = min(CREDIT_BYTES, window // 2)
         self._dispatch = Dispatch(request.route_query(), router, budget, request.deadline)
         self._decisions: deque[DispatchDecision] = deque()
         self._executing = trio.Lock()
@@ -256,7 +260,7 @@
     async def _give_credit(self) -> None:
         # A slow caller holds up only its own stream: what was not yet taken is not credited, so
         # the agent stops at the window and what is kept here is bounded by it.
-        if self._uncredited * 2 < self._window or (self._ready and self.request.streamed):
+        if self._uncredited < self._credit_bytes or (self._ready and self.request.streamed):
             return
         link = self._links_by_agent_id.get(self.agent_id or "")
         if link is None:
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/registry.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/registry.py
@@ -17,6 +17,7 @@
     "ragwortwing_lab.experiments.yardstick",
     "ragwortwing_lab.experiments.capacity",
     "ragwortwing_lab.experiments.faults",
+    "ragwortwing_lab.experiments.relay",
 )
 """Modules whose import registers experiments."""
 
