--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/registry.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/registry.py
@@ -19,6 +19,7 @@
     "ragwortwing_lab.experiments.faults",
     "ragwortwing_lab.experiments.decision_cost",
     "ragwortwing_lab.experiments.order_claims",
+    "ragwortwing_lab.experiments.relay",
 )
 """Modules whose import registers experiments."""
 
