Tell an agent's own reason after the submit; take a refused dial as the agent's end

Causes, each found by a test that failed first: - an order's key used with another body, or a log in outage, is found at the claim, after the submit; the dispatch asked every other agent and then told no_backend. A reason that lies in the request now ends it at once, and the last agent's word is told where no other agent is left. - an entry said that it was ready before it had dialled its agents; now readiness waits for the first dial of each. - a refused dial was treated like a silent one, so an order whose agent was killed was told unknown after 10 s; a repeat of its key waited 20 s. A repeat waits at most 3 s for the first outcome. Ruled out: the harness; its silent fault stayed in force and also befell new connections, which hid nothing but made a resume look impossible (the test now clears it).

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/agent_link.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/agent_link.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum, auto
 from typing import TYPE_CHECKING
 
 import logbook
@@ -43,6 +44,15 @@
 CONNECT_TIMEOUT = timedelta(seconds=1)
 """Time for a new connection; both ends are in one region."""
 
+
+class DialFailure(Enum):
+    """Why there is no new connection to an agent."""
+
+    REFUSED = auto()
+    """The VM answers and no process listens there."""
+    UNREACHABLE = auto()
+
+
 NO_LOAD = LoadReport(0, 0, 1, timedelta(0))
 
 
@@ -63,6 +73,8 @@
         self.address = address
         self.listed = True
         """Whether the membership list names the agent."""
+        self.dialled = False
+        """Whether the first dial has ended, in a connection or not."""
         self.view: AgentView | None = None
         """What is known of the agent while it is connected."""
         self._pool = pool
@@ -100,8 +112,11 @@
         """Keep a connection to the agent until it is listed no more and its connection is lost."""
         while self.listed:
             stream = await self._dial()
-            if stream is None:
-                self._lose_runs()
+            if not isinstance(stream, trio.SocketStream):
+                self.dialled = True
+                # A refused dial shows that the agent's process has ended, and with it all that it
+                # kept; waiting for it would hold back an answer that is given up already.
+                self._lose_runs(forced=stream is DialFailure.REFUSED)
                 await trio.sleep(self._settings.connections.redial_interval.total_seconds())
                 continue
             try:
@@ -112,15 +127,15 @@
                 await trio.sleep(self._settings.connections.redial_interval.total_seconds())
         self._lose_runs(forced=True)
 
-    async def _dial(self) -> trio.SocketStream | None:
+    async def _dial(self) -> trio.SocketStream | DialFailure:
         # A dial that is refused or gets no answer shows that the VM itself is gone, and not only
         # the connection; a lost track between the two ends lets a new connection through.
         with trio.move_on_after(CONNECT_TIMEOUT.total_seconds()):
             try:
                 return await trio.open_tcp_stream(self.address.host, self.address.port)
-            except OSError:
-                return None
-        return None
+            except OSError as error:
+                return _failure_of(error)
+        return DialFailure.UNREACHABLE
 
     async def _use(self, stream: trio.SocketStream) -> None:
         connections = self._settings.connections
@@ -157,6 +172,7 @@
             leaving=not self._pool.takes_new_work(hello.agent_id),
             load=NO_LOAD,
         )
+        self.dialled = True
         self._pool.link_changed(self, self.view)
         log.info("Agent connected", address=self.address, agent=hello.agent_id)
         for run in list(self._runs_by_id.values()):
@@ -271,3 +287,12 @@
         request = self._pool.request_if_behind(peer_revision)
         if request is not None:
             await self.send(request)
+
+
+def _failure_of(error: OSError) -> DialFailure:
+    """Return what a failed dial says of the agent; trio wraps the attempts' own errors."""
+    attempts = error.__cause__
+    errors = attempts.exceptions if isinstance(attempts, BaseExceptionGroup) else (error,)
+    if all(isinstance(each, ConnectionRefusedError) for each in errors):
+        return DialFailure.REFUSED
+    return DialFailure.UNREACHABLE
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/agent_pool.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/agent_pool.py
@@ -5,6 +5,8 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Protocol
 
+import trio
+
 from ragwortwing_platform.membership_feed import MemberRole, MemberState
 from ragwortwing_platform.settings_reader import parse_address
 from ragwortwing_policy.membership import ListedAgent, Membership, StateChange
@@ -22,8 +24,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    import trio
-
     from ragwortwing_platform.membership_feed import Members
     from ragwortwing_platform.settings import ConnectionSettings
     from ragwortwing_platform.settings_reader import Address
@@ -97,6 +97,7 @@
         self._router = router
         self._source = source
         self._clock = clock
+        self._has_dialled = False
         self._links_by_address: dict[Address, AgentLink] = {}
         self._links_by_agent_id: dict[str, AgentLink] = {}
         self._membership = Membership()
@@ -192,12 +193,28 @@
             return None
         return ConfigurationRequest(self._source.state.position)
 
-    async def follow_members(self, source: MemberSource, nursery: trio.Nursery) -> None:
+    @property
+    def has_dialled(self) -> bool:
+        """Whether each agent known at the start was dialled; it stays so."""
+        if not self._has_dialled:
+            links = self._links_by_address.values()
+            self._has_dialled = all(link.dialled for link in links)
+        return self._has_dialled
+
+    async def follow_members(
+        self,
+        source: MemberSource,
+        nursery: trio.Nursery,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
         """Keep the links to the agents of this entry's subset, as the list changes."""
         members = source.current
+        self.set_agents(self._subset(members), nursery)
+        task_status.started()
         while True:
-            self.set_agents(self._subset(members), nursery)
             members = await source.changed()
+            self.set_agents(self._subset(members), nursery)
 
     def _subset(self, members: Members) -> dict[Address, bool]:
         agents = {each.name: each for each in members.with_role(MemberRole.AGENT)}
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/entry_app.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/entry_app.py
@@ -104,7 +104,7 @@
         self.nursery.start_soon(self._tick)
         await self.nursery.start(self._source.run)
         await self.nursery.start(self._members.run)
-        self.nursery.start_soon(self.pool.follow_members, self._members, self.nursery)
+        await self.nursery.start(self.pool.follow_members, self._members, self.nursery)
         listen = self.settings.listen
         http, operator = await self.nursery.start(self._server.run, (listen.http, listen.operator))
         self._operator_port = int(operator.rsplit(":", 1)[1])
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/operator_routes.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/operator_routes.py
@@ -30,8 +30,10 @@
 @route("GET", "/readyz")
 async def readiness(app: EntryApp, call: HttpCall) -> None:
     """Say whether the balancer should send callers here."""
-    ready = app.phase is Phase.SERVING and app.configuration is not None
-    body = {"ready": ready, "phase": app.phase, "configured": app.configuration is not None}
+    configured = app.configuration is not None
+    # An entry that has not dialled its agents yet would refuse what another entry can run.
+    ready = app.phase is Phase.SERVING and configured and app.pool.has_dialled
+    body = {"ready": ready, "phase": app.phase, "configured": configured}
     await call.answer(json_answer(body, 200 if ready else 503))
 
 
--- a/packages/ragwortwing-platform/src/ragwortwing_platform/_claim_committer.py
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/_claim_committer.py
@@ -52,6 +52,9 @@
     key_limit: int = DEFAULT_KEY_LIMIT
     send_window: timedelta = timedelta(seconds=5)
     """Longest time from the request to the write to the backend server."""
+    repeat_wait: timedelta = timedelta(seconds=3)
+    """Longest time that a repeat of a key waits for the first submission's outcome. Its holder may
+    be gone for good; a longer wait would hold back an answer that cannot get better."""
     append_interval: timedelta = timedelta(milliseconds=10)
     """Least time between two appends; with N agents, they share the log's rate by it."""
     batch_limit: int = 256
--- a/packages/ragwortwing-platform/src/ragwortwing_platform/order_book.py
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/order_book.py
@@ -224,7 +224,8 @@
         self, order_key: OrderKey, first_claim_id: str, deadline: Instant
     ) -> bool:
         """Wait until an earlier claim of the key is settled or released; return whether it was."""
-        with trio.move_on_after(max(0.0, deadline - self._clock.monotonic())):
+        wait = self._settings.repeat_wait.total_seconds()
+        with trio.move_on_after(max(0.0, min(wait, deadline - self._clock.monotonic()))):
             while True:
                 record = self._ledger.get(order_key)
                 if record is None or record.claim_id != first_claim_id or record.recorded:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/dispatch.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/dispatch.py
@@ -26,7 +26,7 @@
 from .routing import NO_BACKEND_RETRY_AFTER, BackendKind
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from .retries import RetryBudget
     from .routing import RouteQuery, Router
@@ -220,10 +220,13 @@
         if isinstance(outcome, Completed):
             self._budget.succeeded(now)
             return self._conclude(outcome)
+        if isinstance(outcome, NotRun) and outcome.reason in FINAL_REASONS:
+            return self._conclude(self._unless_ran(outcome))
         if not isinstance(outcome, NotRun):
             self._maybe_ran = True
         decision = decide_after_outcome(outcome, self._interruption(), self._budget, now)
-        return self._carry_on(decision, agent_id, now)
+        refusals = [outcome] if isinstance(outcome, NotRun) else []
+        return self._carry_on(decision, agent_id, now, refusals)
 
     def on_agent_lost(self, agent_id: str, now: Instant) -> list[DispatchDecision]:
         """Take in that nothing more will come from an agent."""
@@ -333,7 +336,11 @@
         return self._carry_on(decide_after_loss(self._interruption(), self._budget, now), lost, now)
 
     def _carry_on(
-        self, decision: RunAgain | Resume | GiveUp, agent_id: str, now: Instant
+        self,
+        decision: RunAgain | Resume | GiveUp,
+        agent_id: str,
+        now: Instant,
+        refusals: Sequence[NotRun] = (),
     ) -> list[DispatchDecision]:
         if isinstance(decision, GiveUp):
             outcome = decision.outcome
@@ -345,7 +352,7 @@
         self._enter("ask_again")
         self._failed.add(agent_id)
         self._asked = set(self._failed)
-        self._refusals.clear()
+        self._refusals = list(refusals)
         return self._ask(now)
 
     def _leave_ejected(self, now: Instant) -> list[DispatchDecision]:
--- a/packages/ragwortwing-policy/tests/test_dispatch.py
+++ b/packages/ragwortwing-policy/tests/test_dispatch.py
@@ -187,6 +187,28 @@
     assert late not in again
 
 
+def test_an_agents_reason_after_the_submit_is_told_where_no_other_agent_is_left() -> None:
+    """An order's claim fails at every agent because the log is down.
+
+    The caller is to hear that, not that no backend server was there: the last agent's word counts.
+    """
+    request = dispatch(1, idempotent=False, kind=BackendKind.SERVICE)
+    agent = run_at_first(request)
+    log_down = NotRun(NotRunReason.LOG_UNAVAILABLE, timedelta(seconds=2))
+    assert outcome(request.on_ended(agent, log_down, 0.2)) == log_down
+
+
+def test_a_reason_that_lies_in_the_request_ends_it_after_the_submit_too() -> None:
+    """An order's key was used with another body, which its agent finds when it claims the key.
+
+    Every other agent would find the same, so the caller is told at once and no other is asked.
+    """
+    request = dispatch(3, idempotent=False, kind=BackendKind.SERVICE)
+    agent = run_at_first(request)
+    reused = NotRun(NotRunReason.KEY_REUSED)
+    assert request.on_ended(agent, reused, 0.2) == [Conclude(reused)]
+
+
 def test_a_caller_who_leaves_cancels_a_stream_but_not_an_order() -> None:
     stream = dispatch(2)
     runner = run_at_first(stream)
--- a/tests/test_orders_at_most_once.py
+++ b/tests/test_orders_at_most_once.py
@@ -7,6 +7,7 @@
 from site_callers import Callers, end, executions, site_callers, until, until_told
 
 from ragwortwing_lab.site import SiteShape
+from ragwortwing_platform.order_book import OrderBookSettings
 
 DESKS = SiteShape(entries=2, engines=0, desks=2)
 SLOW_DESKS = SiteShape(entries=2, engines=0, desks=2, desk_arguments=("--work-seconds", "1.5"))
@@ -131,7 +132,8 @@
         call = callers.order("wedding")
 
         async def claimed() -> bool:
-            return "claims" in str((await site.state("log"))["streams"])
+            streams = (await site.state("log"))["streams"]
+            return streams.get(OrderBookSettings().stream, {}).get("next_offset", 0) > 0
 
         await until_told(claimed)
         agents = [site.process_by_name[f"agent-desk-{index}"] for index in range(2)]
--- a/tests/test_streams_survive.py
+++ b/tests/test_streams_survive.py
@@ -23,6 +23,13 @@
     assert answer.text == answer_text(text, TOKENS)
 
 
+async def silence(callers: Callers, index: int) -> None:
+    """Let the open connections to an agent go silent for good, while new ones work."""
+    proxy = f"proxy-agent-engine-{index}"
+    await callers.site.fault(proxy, "silent")
+    await callers.site.clear(proxy)
+
+
 async def engine_of(callers: Callers, count: int = 1) -> int:
     """Return the index of an engine that runs at least some requests."""
     busy: list[int] = []
@@ -63,7 +70,7 @@
         call = callers.chat(text)
         await until(lambda: call.events >= SOME_EVENTS)
         index = await engine_of(callers)
-        await callers.site.fault(f"proxy-agent-engine-{index}", "silent")
+        await silence(callers, index)
         assert_whole(await end(call), text)
 
 
@@ -100,7 +107,7 @@
         call = callers.chat(text)
         await until(lambda: call.events >= SOME_EVENTS)
         index = await engine_of(callers)
-        await callers.site.fault(f"proxy-agent-engine-{1 - index}", "silent")
+        await silence(callers, 1 - index)
         callers.site.process_by_name[f"engine-{index}"].kill()
         assert_whole(await end(call), text)
 
