--- a/packages/ragwortwing-policy/src/ragwortwing_policy/concurrency_limit.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/concurrency_limit.py
@@ -13,15 +13,25 @@
 MINIMUM_SAMPLES = 12
 """Samples without which a window stays open, so that one slow sample decides nothing."""
 
-GROW_BELOW = 0.82
-"""The limit grows only while the latency is below this share of the target."""
+INITIAL_AIM = 0.87
+"""Share of the target that the mean between-token time is held to at first. Answers scatter about
+the mean, and the target is to hold for nearly all of them."""
 
-SHRINK_ABOVE = 0.92
-"""The limit shrinks when the latency is above this share of the target: answers differ, and the
-target is to hold for nearly all of them and not for the mean one."""
+LOWEST_AIM = 0.8
+HIGHEST_AIM = 0.95
+"""Bounds of the share, which is learned from the answers that miss the target."""
 
-SET_POINT = 0.87
-"""Share of the target that a step down aims at."""
+AIM_STEP_DOWN = 0.01
+"""Step of the share on an answer that missed, at most one in a window."""
+
+AIM_STEP_UP = 0.0001
+"""Step of the share on an answer that held; one miss in a hundred answers keeps the balance."""
+
+GROW_BELOW = 0.95
+"""The limit grows only while the latency is below this share of what is aimed at."""
+
+SHRINK_ABOVE = 1.05
+"""The limit shrinks when the latency is above this multiple of what is aimed at."""
 
 OUTLIER_FACTOR = 4.0
 """A sample counts at most as this many times the median of its window."""
@@ -85,6 +95,8 @@
         self._slow_start = True
         self._last_shrink: _Shrink | None = None
         self._held_until: Instant = 0.0
+        self._aim = INITIAL_AIM
+        self._aim_lowered_at: Instant | None = None
 
     @property
     def value(self) -> int:
@@ -101,6 +113,19 @@
         if len(self._first_tokens) < MAXIMUM_SAMPLES:
             self._first_tokens.append(seconds)
 
+    def observe_answer(self, held: bool, now: Instant) -> None:
+        """Take in whether an answer of the most urgent tier held its between-token target."""
+        if held:
+            self._aim = min(HIGHEST_AIM, self._aim + AIM_STEP_UP)
+            return
+        # Answers that overlap in time miss together; each such moment counts once. While no limit
+        # helps, a miss says nothing about the scatter.
+        lowered_at = self._aim_lowered_at
+        recently = lowered_at is not None and now - lowered_at < WINDOW_SECONDS
+        if not recently and now >= self._held_until:
+            self._aim = max(LOWEST_AIM, self._aim - AIM_STEP_DOWN)
+            self._aim_lowered_at = now
+
     def observe_used(self, used: int) -> None:
         """Take in how many slots are used."""
         self._peak_used = max(self._peak_used, used)
@@ -138,7 +163,7 @@
     def _pressure(self, targets: LatencyTargets) -> float:
         pressure = 0.0
         if self._between_tokens:
-            pressure = _robust_mean(self._between_tokens) / targets.between_tokens
+            pressure = _robust_mean(self._between_tokens) / (self._aim * targets.between_tokens)
         if len(self._first_tokens) > 1:
             allowed = targets.first_token * FIRST_TOKEN_SHARE
             pressure = max(pressure, median(self._first_tokens) / allowed)
@@ -175,7 +200,7 @@
         self._slow_start = False
         self._ceiling = max(1.0, used - 1.0)
         self._ceiling_until = now + CEILING_SECONDS
-        self._limit = max(1.0, SHRINK_FLOOR * self._limit, used * SET_POINT / pressure)
+        self._limit = max(1.0, SHRINK_FLOOR * self._limit, used / pressure)
 
     def _grow(self, now: Instant) -> None:
         if now >= self._ceiling_until:
@@ -213,6 +238,11 @@
         """Take in the time from a request's start to its first token."""
         self._limit.observe_first_token(seconds)
 
+    def observe_answer(self, mean_seconds: float, target: float, now: Instant) -> None:
+        """Take in the mean between-token time of an answer of the most urgent tier."""
+        if target == self._target:
+            self._limit.observe_answer(mean_seconds <= target, now)
+
     def observe_used(self, used: int) -> None:
         """Take in how many slots are used."""
         self._limit.observe_used(used)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/running_requests.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/running_requests.py
@@ -17,6 +17,9 @@
 PROGRESS_TOKENS = 64
 """Tokens of a run that count as real progress and end its protection from preemption."""
 
+ANSWER_TOKENS = 16
+"""Tokens without which the mean between-token time of a run says little."""
+
 PROTECTION_SECONDS = 10.0
 """Longest protection of a run that makes no progress, as on an engine that stalled."""
 
@@ -37,7 +40,9 @@
     request_class: RequestClass
     started_at: Instant
     last_token_at: Instant
+    """Instant of the newest token; of the start while there is none."""
     protected: bool
+    first_token_at: Instant = 0.0
     tokens: int = 0
     """Tokens of this run."""
     preempting: bool = False
@@ -53,6 +58,13 @@
         """Tokens of the whole answer so far."""
         return self.reservation.resumed_tokens + self.tokens
 
+    @property
+    def mean_between_tokens(self) -> float | None:
+        """Mean seconds between the tokens of this run; None where it has too few to tell."""
+        if self.tokens < ANSWER_TOKENS:
+            return None
+        return (self.last_token_at - self.first_token_at) / (self.tokens - 1)
+
     def is_protected(self, now: Instant) -> bool:
         """Return whether it has yet to make the real progress it was promised."""
         if not self.protected or self.tokens >= PROGRESS_TOKENS:
@@ -112,6 +124,10 @@
         ]
         return sorted(candidates, key=_cost_of_preemption)
 
+    def most_urgent_tier(self) -> int | None:
+        """Return the most urgent tier that runs."""
+        return min((each.tier for each in self.running_by_id.values()), default=None)
+
     def strictest_targets(self) -> LatencyTargets | None:
         """Return the strictest latency targets among the running requests."""
         classes = [each.request_class for each in self.running_by_id.values()]
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/scheduler.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/scheduler.py
@@ -120,6 +120,7 @@
         else:
             self._state.pace.observe_first_token(running.request_class.name, elapsed)
             self._state.limit.observe_first_token(elapsed)
+            running.first_token_at = now
         running.tokens += tokens
         running.last_token_at = now
 
@@ -254,6 +255,11 @@
 
     def _learn(self, running: RunningRequest, now: Instant) -> None:
         name = running.request_class.name
+        mean = running.mean_between_tokens
+        most_urgent = self._slots.most_urgent_tier()
+        if mean is not None and (most_urgent is None or running.tier <= most_urgent):
+            target = running.request_class.between_token_target.total_seconds()
+            self._state.limit.observe_answer(mean, target, now)
         if running.tokens:
             self._state.estimates.observe(name, running.reservation.account, running.age)
             return
