Look through the queue in its true service order

Given-up requests waited long: in a lasting overload (endless_top, seed 1) a chat's place was taken from its flow's average share, so the head of a flow that had waited for its turn still counted half a round ahead of it and was given up. The look now follows the queue's own tags.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/admission.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/admission.py
@@ -82,20 +82,18 @@
     def _hopeless_in_tier(self, tier: int, now: Instant) -> list[Refuse]:
         state = self._state
         wait = state.waits.linear_wait(state.waits.tier_load(tier, now), state.limit.value)
-        above = state.queue.count_above(tier)
+        ahead = state.queue.count_above(tier)
         refusals: list[Refuse] = []
-        for position, requests in state.queue.flows(tier):
-            start = state.pace.first_token(requests[0].request_class.name)
-            place = 0
-            for request in requests:
-                seconds = wait(above + position.ahead_in_tier(place))
-                left = request.latest_start - start - now
-                if request.reservation.deadline <= now:
-                    refusals.append(Refuse(request.request_id, NotRunReason.DEADLINE))
-                elif 0.0 < seconds > left * HOPELESS_FACTOR:
-                    refusals.append(self._overloaded(request, seconds))
-                else:
-                    place += 1
+        for request in state.queue.in_service_order(tier):
+            seconds = wait(ahead)
+            if request.begun:
+                ahead += 1
+            elif request.reservation.deadline <= now:
+                refusals.append(Refuse(request.request_id, NotRunReason.DEADLINE))
+            elif 0.0 < seconds > HOPELESS_FACTOR * self._time_left(request, now):
+                refusals.append(self._overloaded(request, seconds))
+            else:
+                ahead += 1
         return refusals
 
     def is_late(self, request: QueuedRequest, now: Instant) -> bool:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/fair_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/fair_queue.py
@@ -10,7 +10,8 @@
 from bisect import insort
 from collections import OrderedDict
 from dataclasses import dataclass, field
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush, heapreplace
+from itertools import chain
 from typing import TYPE_CHECKING
 
 from .clock import Instant
@@ -18,14 +19,11 @@
 from .reservations import Reservation
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Mapping
 
 MINIMUM_WEIGHT = 1e-3
 """Weight below which a flow is not allowed to fall, so that no share is zero."""
 
-MAXIMUM_IDLE_TAGS = 4_096
-"""Finish tags kept of flows that have nothing queued, before those in the past are dropped."""
-
 
 @dataclass(slots=True, eq=False)
 class QueuedRequest:
@@ -59,9 +57,19 @@
         """Tier in force when it was queued."""
         return self.request_class.tier
 
+    @property
+    def charged_work(self) -> float:
+        """Work that a slot is charged with; one that resumes near its end is not free."""
+        return self.work + 1.0
+
 
 class _FairShare:
-    """Start-time fair queueing between named members."""
+    """Start-time fair queueing between named members.
+
+    A member that was served keeps its finish tag while that lies ahead of the virtual time, that
+    is for about one round: it cannot come back as if it had not been served, and it counts among
+    those that a queued request shares with.
+    """
 
     def __init__(self) -> None:
         self._virtual_time = 0.0
@@ -69,7 +77,9 @@
         self._start_by_name: dict[str, float] = {}
         self._finish_by_name: dict[str, float] = {}
         self._weight_by_active_name: dict[str, float] = {}
-        self._active_weight = 0.0
+        self._weight_by_idle_name: dict[str, float] = {}
+        self._idle_heap: list[tuple[float, str]] = []
+        self._round_weight = 0.0
 
     def activate(self, name: str, weight: float) -> None:
         """Let a member that has requests take part."""
@@ -77,18 +87,20 @@
             return
         weight = max(weight, MINIMUM_WEIGHT)
         self._weight_by_active_name[name] = weight
-        self._active_weight += weight
+        self._round_weight += weight - self._weight_by_idle_name.pop(name, 0.0)
         self._push(name, max(self._virtual_time, self._finish_by_name.get(name, 0.0)))
 
     def deactivate(self, name: str) -> None:
         """Take a member out that has nothing left; its place in the heap is dropped when met."""
-        self._active_weight -= self._weight_by_active_name.pop(name)
+        weight = self._weight_by_active_name.pop(name)
         if not self._weight_by_active_name:
-            self._heap.clear()
-            self._start_by_name.clear()
-            self._active_weight = 0.0
-        if len(self._finish_by_name) > MAXIMUM_IDLE_TAGS:
-            self._forget_past_tags()
+            self._begin_anew()
+        elif name in self._finish_by_name:
+            self._weight_by_idle_name[name] = weight
+            heappush(self._idle_heap, (self._finish_by_name[name], name))
+            self._forget_past_members()
+        else:
+            self._round_weight -= weight
 
     def first(self) -> str:
         """Return the member whose turn it is; ties go by name."""
@@ -104,12 +116,29 @@
         self._virtual_time = max(self._virtual_time, min(start, self._heap[0][0]))
         self._finish_by_name[name] = start + work / self._weight_by_active_name[name]
         self._push(name, self._finish_by_name[name])
+        self._forget_past_members()
+
+    def in_service_order(
+        self, requests_by_name: Mapping[str, Iterator[QueuedRequest]]
+    ) -> Iterator[QueuedRequest]:
+        """Yield the members' requests in the order of their turns."""
+        turns = [(self._start_by_name[each], each) for each in self._weight_by_active_name]
+        heapify(turns)
+        while turns:
+            start, name = turns[0]
+            request = next(requests_by_name[name], None)
+            if request is None:
+                heappop(turns)
+                continue
+            yield request
+            finish = start + request.charged_work / self._weight_by_active_name[name]
+            heapreplace(turns, (finish, name))
 
     def share_ratio(self, name: str, weight: float) -> float:
-        """Return the weight of all members, this one included, over the member's own."""
+        """Return the weight of all members of a round, this one included, over its own."""
         own = max(weight, MINIMUM_WEIGHT)
-        others = self._active_weight - self._weight_by_active_name.get(name, 0.0)
-        return (others + own) / own
+        counted = self._weight_by_active_name.get(name) or self._weight_by_idle_name.get(name, 0.0)
+        return (self._round_weight - counted + own) / own
 
     def _push(self, name: str, start: float) -> None:
         if self._start_by_name.get(name) == start:
@@ -120,11 +149,22 @@
     def _is_stale(self, start: float, name: str) -> bool:
         return name not in self._weight_by_active_name or self._start_by_name.get(name) != start
 
-    def _forget_past_tags(self) -> None:
-        for name, tag in list(self._finish_by_name.items()):
-            if tag <= self._virtual_time and name not in self._weight_by_active_name:
+    def _forget_past_members(self) -> None:
+        while self._idle_heap and self._idle_heap[0][0] <= self._virtual_time:
+            finish, name = heappop(self._idle_heap)
+            if name in self._weight_by_idle_name and self._finish_by_name.get(name) == finish:
+                self._round_weight -= self._weight_by_idle_name.pop(name)
                 del self._finish_by_name[name]
 
+    def _begin_anew(self) -> None:
+        self._virtual_time = 0.0
+        self._round_weight = 0.0
+        self._heap.clear()
+        self._idle_heap.clear()
+        self._start_by_name.clear()
+        self._finish_by_name.clear()
+        self._weight_by_idle_name.clear()
+
 
 class _ClassQueue:
     """Requests of one class: begun ones first, then the accounts in fair turns."""
@@ -164,6 +204,11 @@
             return next(iter(self.begun_by_id.values()))
         return next(iter(self.flow_by_account[self.share.first()].values()))
 
+    def in_service_order(self) -> Iterator[QueuedRequest]:
+        """Yield the requests in the order of their turns."""
+        flows = {name: iter(flow.values()) for name, flow in self.flow_by_account.items()}
+        return chain(self.begun_by_id.values(), self.share.in_service_order(flows))
+
 
 class _TierQueue:
     """Classes of one tier in fair turns."""
@@ -196,14 +241,23 @@
         """Take a request out for a slot and account its work to its class and account."""
         queue = self.queue_by_class[request.request_class.name]
         if not request.begun:
-            queue.share.charge(request.reservation.account, request.work + 1.0)
-        self.share.charge(request.request_class.name, request.work + 1.0)
+            queue.share.charge(request.reservation.account, request.charged_work)
+        self.share.charge(request.request_class.name, request.charged_work)
         self.remove(request)
 
     def first(self) -> QueuedRequest:
         """Return the request whose turn it is."""
         return self.queue_by_class[self.share.first()].first()
 
+    def in_service_order(self) -> Iterator[QueuedRequest]:
+        """Yield the requests in the order of their turns."""
+        queues = {
+            name: queue.in_service_order()
+            for name, queue in self.queue_by_class.items()
+            if queue.count
+        }
+        return self.share.in_service_order(queues)
+
 
 class FairQueue:
     """Requests that wait for a slot, in strict tiers and fair shares."""
@@ -291,20 +345,9 @@
         class_ratio = tier_queue.share.share_ratio(request_class.name, request_class.weight)
         return urgent + min(tier_queue.count, (in_class + 0.5) * class_ratio)
 
-    def flows(self, tier: int) -> Iterator[tuple[_FlowPosition, list[QueuedRequest]]]:
-        """Yield the flows of a tier with what their place in the tier follows from."""
-        queue = self._queue_by_tier[tier]
-        for name, class_queue in queue.queue_by_class.items():
-            for account, flow in list(class_queue.flow_by_account.items()):
-                first = next(iter(flow.values()))
-                position = _FlowPosition(
-                    begun=len(class_queue.begun_by_id),
-                    class_count=class_queue.count,
-                    tier_count=queue.count,
-                    account_ratio=class_queue.share.share_ratio(account, first.account_weight),
-                    class_ratio=queue.share.share_ratio(name, first.request_class.weight),
-                )
-                yield position, list(flow.values())
+    def in_service_order(self, tier: int) -> Iterator[QueuedRequest]:
+        """Yield the requests of a tier as they get slots if no other one comes."""
+        return self._queue_by_tier[tier].in_service_order()
 
     @property
     def tiers(self) -> tuple[int, ...]:
@@ -312,22 +355,6 @@
         return tuple(each for each in self._tiers if self._queue_by_tier[each].count)
 
 
-@dataclass(frozen=True, slots=True)
-class _FlowPosition:
-    """Counts and shares that turn a place in a flow into a place in its tier."""
-
-    begun: int
-    class_count: int
-    tier_count: int
-    account_ratio: float
-    class_ratio: float
-
-    def ahead_in_tier(self, place: int) -> float:
-        """Return about how many requests of the tier are served before a place in the flow."""
-        in_class = self.begun + min(self.class_count, (place + 0.5) * self.account_ratio - 0.5)
-        return min(self.tier_count, (in_class + 0.5) * self.class_ratio - 0.5)
-
-
 def _ahead_in_class(queue: _ClassQueue, account: str, weight: float) -> float:
     flow = queue.flow_by_account.get(account)
     place = 0 if flow is None else len(flow)
