--- a/packages/ragwortwing-policy/src/ragwortwing_policy/admission.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/admission.py
@@ -35,6 +35,13 @@
 MAXIMUM_RETRY_SECONDS = 300.0
 """Most time after which a refused caller is asked to come back."""
 
+REFUSED_SMOOTHING = 0.02
+"""Weight of one arrival in the share of a tier's arrivals that is refused."""
+
+MAXIMUM_REFUSED_SHARE = 0.95
+"""Most of that share that counts: the time to come back is the drain time over the chance to be
+admitted then, since those who were refused before come back too."""
+
 RETRY_JITTER = 0.5
 """Largest share added to the time, so that refused callers do not return together."""
 
@@ -46,6 +53,7 @@
         self._state = state
         self._random = random
         self._swept_at: Instant | None = None
+        self._refused_share_by_tier: dict[int, float] = {}
 
     def predicted_wait(self, request: QueuedRequest, now: Instant) -> float:
         """Return the predicted wait of a reservation that just came."""
@@ -64,9 +72,9 @@
         if request.reservation.deadline <= now:
             return Refuse(request.request_id, NotRunReason.DEADLINE)
         wait = self.predicted_wait(request, now)
-        if wait <= ADMITTED_SHARE * self._time_left(request, now):
-            return None
-        return self._overloaded(request, wait)
+        refused = wait > ADMITTED_SHARE * self._time_left(request, now)
+        self._count(request.tier, refused)
+        return self._overloaded(request, wait) if refused else None
 
     def hopeless(self, now: Instant) -> list[Refuse]:
         """Return the refusals of queued reservations that can no longer start in time."""
@@ -115,9 +123,17 @@
         start = self._state.pace.first_token(request.request_class.name)
         return request.latest_start - start - now
 
+    def _count(self, tier: int, refused: bool) -> None:
+        share = self._refused_share(tier)
+        self._refused_share_by_tier[tier] = share + REFUSED_SMOOTHING * (refused - share)
+
+    def _refused_share(self, tier: int) -> float:
+        return self._refused_share_by_tier.get(tier, 0.0)
+
     def _overloaded(self, request: QueuedRequest, wait: float) -> Refuse:
         limit = request.request_class.queue_limit.total_seconds()
         seconds = max(MINIMUM_RETRY_SECONDS, wait - limit)
+        seconds /= 1.0 - min(MAXIMUM_REFUSED_SHARE, self._refused_share(request.tier))
         seconds *= 1.0 + RETRY_JITTER * self._random.random()
         retry_after = timedelta(seconds=min(MAXIMUM_RETRY_SECONDS, seconds))
         return Refuse(request.request_id, NotRunReason.OVERLOADED, retry_after)
