--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/registry.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/registry.py
@@ -17,6 +17,7 @@
     "ragwortwing_lab.experiments.yardstick",
     "ragwortwing_lab.experiments.capacity",
     "ragwortwing_lab.experiments.decision_cost",
+    "ragwortwing_lab.experiments.account_limits",
 )
 """Modules whose import registers experiments."""
 
