--- a/packages/ragwortwing-policy/src/ragwortwing_policy/admission.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/admission.py
@@ -65,14 +65,15 @@
     def refusal(self, request: QueuedRequest, now: Instant) -> Refuse | None:
         """Return the refusal of a reservation that just came; None where it is queued.
 
-        One that has begun is not refused: its caller has part of the answer.
+        One that has begun is not refused: its caller has part of the answer. Nor is one for which
+        a slot is free or can be made free, however late it is.
         """
         if request.begun:
             return None
         if request.reservation.deadline <= now:
             return Refuse(request.request_id, NotRunReason.DEADLINE)
         wait = self.predicted_wait(request, now)
-        refused = wait > ADMITTED_SHARE * self._time_left(request, now)
+        refused = wait > max(0.0, ADMITTED_SHARE * self._time_left(request, now))
         self._count(request.tier, refused)
         return self._overloaded(request, wait) if refused else None
 
--- a/packages/ragwortwing-policy/tests/test_scheduler.py
+++ b/packages/ragwortwing-policy/tests/test_scheduler.py
@@ -191,6 +191,16 @@
     assert all(decisions.index(each) < refused[0] for each in preempted)
 
 
+def test_late_request_is_taken_where_lesser_work_can_make_way() -> None:
+    """A buyer's request, given up elsewhere with its time used up, asks where a draft runs. It
+    is answered late rather than refused beside a draft.
+    """
+    subject = scheduler(limit=1)
+    run(subject, reservation("draft", "draft"))
+    late = replace(reservation("late"), deadline=158.5)
+    assert subject.offer(late, 100.0) == [Preempt("draft")]
+
+
 def test_queued_request_that_turned_hopeless_is_refused_on_the_next_tick() -> None:
     """The engine stops answering while a buyer is queued; the buyer hears within one look through
     the queue after the time has run out, not at the deadline.
