--- a/packages/ragwortwing-policy/src/ragwortwing_policy/dispatch.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/dispatch.py
@@ -34,6 +34,12 @@
 MAXIMUM_ASKED = 16
 """Agents asked for one attempt of a request before it is refused."""
 
+WIDEN_AFTER = timedelta(milliseconds=300)
+"""Time without a grant after which more agents are asked, if any should have a slot at once."""
+
+WIDEN_COUNT = 2
+"""Agents asked more each time."""
+
 RESUME_PAUSE = timedelta(milliseconds=250)
 """Pause before an interrupted answer asks again agents that refused it."""
 
@@ -283,10 +289,9 @@
             return self._ask_those_kept_back(now)
         if len(self._asked) >= MAXIMUM_ASKED:
             return self._refused_by_all(now)
-        query = replace(self._query, excluded=self._query.excluded | self._asked)
         first_round = self._asked == self._failed
         count = None if first_round else MAXIMUM_ASKED - len(self._asked)
-        choice = self._router.choose(query, now, count)
+        choice = self._router.choose(self._next_query(), now, count)
         if isinstance(choice, NotRun):
             if not self._refusals:
                 self._refusals.append(choice)
@@ -297,15 +302,36 @@
             return self._ask_agents(choice.agent_ids[:1], now)
         return self._ask_agents(choice.agent_ids, now)
 
+    def _next_query(self) -> RouteQuery:
+        return replace(self._query, excluded=self._query.excluded | self._asked)
+
     def _ask_those_kept_back(self, now: Instant) -> list[DispatchDecision]:
         self._ask_later_at = None
         agent_ids, self._later = self._later, []
-        return self._ask_agents(agent_ids, now) if agent_ids else self._ask(now)
+        if agent_ids:
+            return self._ask_agents(agent_ids, now)
+        return self._widen(now) if self._pending else self._ask(now)
+
+    def _widen(self, now: Instant) -> list[DispatchDecision]:
+        """Ask more agents for a request that still waits.
+
+        Failure: the agents asked first are full of equally urgent work, or frozen, while others
+        would make room at once; the request would wait there until it is refused. The number of
+        agents asked bounds what this costs under overload.
+        """
+        if len(self._asked) >= MAXIMUM_ASKED:
+            return []
+        agent_ids = self._router.prompt_agents(self._next_query(), WIDEN_COUNT, now)
+        decisions = self._ask_agents(agent_ids, now)
+        self._ask_later_at = now + WIDEN_AFTER.total_seconds()
+        return decisions
 
     def _ask_agents(self, agent_ids: Iterable[str], now: Instant) -> list[DispatchDecision]:
         for agent_id in agent_ids:
             self._pending[agent_id] = now
             self._asked.add(agent_id)
+        if self._ask_later_at is None:
+            self._ask_later_at = now + WIDEN_AFTER.total_seconds()
         return [Ask(each) for each in agent_ids]
 
     def _refused_by_all(self, now: Instant) -> list[DispatchDecision]:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/routing.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/routing.py
@@ -39,6 +39,9 @@
 WAIT_STEP = timedelta(milliseconds=50)
 """Predicted waits closer than this are a near tie."""
 
+PROMPT_WAIT = timedelta(milliseconds=250)
+"""Predicted wait up to which an agent counts as free for the most urgent tier."""
+
 LOAD_STEPS = 8
 """Loads within this part of an agent's limit are a near tie."""
 
@@ -201,6 +204,13 @@
         head_start = HEAD_START if ranked[0].has_free_slot else timedelta(0)
         return Choice(tuple(each.view.agent_id for each in ranked[:count]), head_start)
 
+    def prompt_agents(self, query: RouteQuery, count: int, now: Instant) -> tuple[str, ...]:
+        """Return up to `count` agents that should give the most urgent tier a slot at once."""
+        closed, _ = self._split_by_circuit(self._eligible(query), query, now)
+        prompt = [each for each in closed if each.view.load.predicted_wait <= PROMPT_WAIT]
+        prompt.sort(key=self._load_key)
+        return tuple(each.view.agent_id for each in prompt[:count])
+
     def _index(self, agent: AgentView) -> None:
         for target in agent.targets:
             self._ids_by_target.setdefault((agent.kind, target), {})[agent.agent_id] = None
@@ -259,7 +269,7 @@
         """
         utilisations = [each.utilisation for each in usable]
         mean = sum(utilisations) / len(usable)
-        bound = min(1.0, max(UNBOUNDED_LOAD, LOAD_BOUND * mean))
+        bound = max(UNBOUNDED_LOAD, LOAD_BOUND * mean)
         within = [each for each, used in zip(usable, utilisations, strict=True) if used < bound]
         within.sort(key=lambda each: affinity_score(prefix_hash, each.view.agent_id), reverse=True)
         if len(within) >= count:
