--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/comparison.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/comparison.py
@@ -33,6 +33,14 @@
     met: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Figure:
+    """A measured value that no goal is set for."""
+
+    name: str
+    value: float
+
+
 @dataclass(frozen=True, slots=True)
 class Comparison:
     """One experiment with one seed."""
@@ -41,6 +49,7 @@
     seed: int
     variants: tuple[VariantFigures, ...]
     goals: tuple[Goal, ...] = ()
+    figures: tuple[Figure, ...] = ()
 
     def render(self) -> str:
         """Return the tables by class and over all, and the goals."""
@@ -52,6 +61,8 @@
         for goal in self.goals:
             verdict = "met" if goal.met else "MISSED"
             console.print(f"{goal.name}: {goal.value:.4g} (goal {goal.wanted}): {verdict}")
+        for figure in self.figures:
+            console.print(f"{figure.name}: {figure.value:.4g}")
         return out.getvalue()
 
     def _classes_table(self) -> Table:
@@ -66,12 +77,21 @@
         return table
 
     def _totals_table(self) -> Table:
-        headings = ("variant", "useful tokens", "orders", "wasted tokens", "wasted", "inversions")
+        headings = (
+            "variant",
+            "useful tokens",
+            "attained",
+            "orders",
+            "wasted tokens",
+            "wasted",
+            "inversions",
+        )
         table = Table(*headings, "prefilled", "preemptions", "messages/request")
         for each in self.variants:
             table.add_row(
                 each.variant,
                 str(each.useful_tokens),
+                str(each.attained_tokens),
                 str(each.orders),
                 str(each.wasted_tokens),
                 f"{each.wasted_share:.2%}",
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/figures.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/figures.py
@@ -53,6 +53,8 @@
     classes_by_name: Mapping[str, ClassFigures]
     useful_tokens: int
     """Generated tokens of completed answers."""
+    attained_tokens: int
+    """Generated tokens of answers that attained their class's targets."""
     orders: int
     """Completed orders."""
     generated_tokens: int
@@ -91,6 +93,11 @@
         variant=trace.variant,
         classes_by_name=by_name,
         useful_tokens=useful,
+        attained_tokens=sum(
+            each.tokens
+            for each in engine_records
+            if attained(each, classes_by_name[each.arrival.class_name])
+        ),
         orders=sum(
             _kind(each) is OutcomeKind.COMPLETED
             for each in trace.records
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/ejection.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/ejection.py
@@ -43,11 +43,13 @@
     """Age of an agent's newest latency at which its latencies no longer count."""
     silence: timedelta = timedelta(seconds=3)
     """Time without any progress, while requests run, after which an agent is ejected."""
-    first_ejection: timedelta = timedelta(seconds=5)
+    first_ejection: timedelta = timedelta(seconds=2)
     """Length of a first ejection; each failed probe doubles it."""
     longest_ejection: timedelta = timedelta(seconds=60)
     probes: int = 3
     """Latencies in the peers' range that close the circuit again."""
+    urgent_probe_after: timedelta = timedelta(seconds=10)
+    """Time without a probe after which a request of the most urgent tier may be one."""
     probe_lifetime: timedelta = timedelta(seconds=3)
     """Time after which a probe that brought no latency makes room for another."""
 
@@ -174,9 +176,15 @@
             self._eject(circuit, [each for each in peers if each != agent_id], now)
         return circuit.state
 
-    def wants_probe(self, agent_id: str, now: Instant) -> bool:
-        """Return whether a half-open agent has no probe under way."""
-        return now >= self._circuits_by_id[agent_id].probe_until
+    def wants_probe(self, agent_id: str, urgent: bool, now: Instant) -> bool:
+        """Return whether a request may be the probe of a half-open agent.
+
+        A probe may be stuck at an agent that is no better. Urgent requests are spared it while
+        others may come, and there is one at a time.
+        """
+        circuit = self._circuits_by_id[agent_id]
+        urgent_after = circuit.open_until + self._settings.urgent_probe_after.total_seconds()
+        return now >= (max(circuit.probe_until, urgent_after) if urgent else circuit.probe_until)
 
     def probe_sent(self, agent_id: str, now: Instant) -> None:
         """Note that a request goes to a half-open agent as its probe."""
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/routing.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/routing.py
@@ -9,6 +9,7 @@
 
 from xxhash import xxh64_intdigest
 
+from .configuration import HIGHEST_TIER
 from .ejection import OutlierDetector
 from .outcomes import NotRun, NotRunReason
 from .reservations import LoadReport
@@ -232,7 +233,7 @@
     def _split_by_circuit(
         self, eligible: list[_Known], query: RouteQuery, now: Instant
     ) -> tuple[list[_Known], list[_Known]]:
-        pool = self._ids_by_target[query.kind, query.target]
+        pool = self._ids_by_target.get((query.kind, query.target), {})
         closed: list[_Known] = []
         half_open: list[_Known] = []
         for known in eligible:
@@ -250,7 +251,7 @@
             return None
         for known in half_open:
             agent_id = known.view.agent_id
-            if self._detector.wants_probe(agent_id, now):
+            if self._detector.wants_probe(agent_id, query.tier == HIGHEST_TIER, now):
                 self._detector.probe_sent(agent_id, now)
                 return known
         return None
