--- a/packages/ragwortwing-entry/src/ragwortwing_entry/request_run.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/request_run.py
@@ -20,10 +20,10 @@
 from ragwortwing_policy.outcomes import Completed, NotRun, NotRunReason, Outcome
 from ragwortwing_policy.routing import BackendKind
 from ragwortwing_wire.connection import ConnectionClosed
+from ragwortwing_wire.delivered_text import DeliveredText
 from ragwortwing_wire.messages import Attach, Credit, Reserve, ResponseHead, Submit, Withdraw
 
 from .answers import DONE_EVENT
-from .delivered_text import DeliveredText
 
 if TYPE_CHECKING:
     from ragwortwing_policy.clock import Clock, Instant
@@ -36,6 +36,11 @@
     from .caller_request import CallerRequest
 
 EVENT_END = b"\n\n"
+CREDIT_BYTES = 8_192
+"""Delivered bytes that are confirmed together; the agent keeps what is not confirmed."""
+
+STREAMING = "streaming"
+"""State of the dispatch chart in which pieces reach the caller."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +90,7 @@
         self._pool = pool
         self._clock = clock
         self._window = window
+        self._credit_bytes = min(CREDIT_BYTES, window // 2)
         self._dispatch = Dispatch(request.route_query(), router, budget, request.deadline)
         self._decisions: deque[DispatchDecision] = deque()
         self._executing = trio.Lock()
@@ -192,16 +198,25 @@
                 return self._take_ready()
             if self._outcome is not None:
                 return Ended(self._outcome)
+            if self._dispatch.state == STREAMING:
+                await self._wait()
+                continue
             now = self._now
             if now >= idle_at:
                 return IDLE
-            wake_at = self._dispatch.wake_at
-            if wake_at is not None and now >= wake_at:
-                self._decide(self._dispatch.on_tick(now))
-                if self._decisions:
-                    continue
-                wake_at = self._dispatch.wake_at
-            await self._wait_until(idle_at if wake_at is None else min(idle_at, wake_at))
+            self.tick(now)
+            if not self._decisions:
+                await self._wait_until(min(idle_at, self._dispatch.wake_at or idle_at))
+
+    def tick(self, now: Instant) -> None:
+        """Let the dispatch act on time passed; called by a shared ticker while streaming.
+
+        A stream waits for its next token thousands of times, and a timer for each wait would cost
+        as much as relaying the token.
+        """
+        wake_at = self._dispatch.wake_at
+        if wake_at is not None and now >= wake_at:
+            self._decide(self._dispatch.on_tick(now))
 
     def close(self) -> None:
         """Forget the request at every link."""
@@ -214,11 +229,12 @@
         return self._clock.monotonic()
 
     async def _wait_until(self, instant: Instant) -> None:
-        if not self._changed.is_set():
-            with trio.move_on_after(max(0.0, instant - self._now)):
-                await self._changed.wait()
-        if self._changed.is_set():
-            self._changed = trio.Event()
+        with trio.move_on_after(max(0.0, instant - self._now)):
+            await self._wait()
+
+    async def _wait(self) -> None:
+        await self._changed.wait()
+        self._changed = trio.Event()
 
     def _take_events(self, agent_id: str, chunk: Chunk) -> None:
         data = self._partial_event + chunk.data
@@ -244,7 +260,7 @@
     async def _give_credit(self) -> None:
         # A slow caller holds up only its own stream: what was not yet taken is not credited, so
         # the agent stops at the window and what is kept here is bounded by it.
-        if self._uncredited * 2 < self._window or (self._ready and self.request.streamed):
+        if self._uncredited < self._credit_bytes or (self._ready and self.request.streamed):
             return
         link = self._links_by_agent_id.get(self.agent_id or "")
         if link is None:
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/report.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/report.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from concurrent.futures import ProcessPoolExecutor
 from typing import TYPE_CHECKING
 
 import matplotlib
@@ -11,6 +12,7 @@
 from matplotlib import pyplot as plt  # noqa: E402  # the backend without a screen comes first
 
 from .experiments.comparison import Comparison  # noqa: E402
+from .experiments.registry import load_experiments  # noqa: E402
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -22,27 +24,43 @@
 PLOT_SIZE = (9.0, 4.0)
 
 
-def write_report(experiments: Sequence[Experiment], seeds: Sequence[int], out: Path) -> Path:
+def write_report(
+    experiments: Sequence[Experiment], seeds: Sequence[int], out: Path, jobs: int = 1
+) -> Path:
     """Run every experiment with every seed and write the report.
 
     Args:
         experiments: What to run, in this order.
         seeds: Seeds of the random streams.
         out: Directory for the report and its plots; made where it is missing.
+        jobs: Experiments run at one time, each in its own process; 1 runs them in this one.
 
     Returns:
         The report's path.
     """
     out.mkdir(parents=True, exist_ok=True)
     parts = [f"# Experiments\n\nSeeds {', '.join(map(str, seeds))}; virtual time.\n"]
+    tasks = [(each.name, seed) for each in experiments for seed in seeds]
+    results = iter(_run_all(tasks, jobs))
     for each in experiments:
-        results = [each.function(seed) for seed in seeds]
-        parts.append(_section(each, results, out))
+        parts.append(_section(each, [next(results) for _ in seeds], out))
     path = out / REPORT_NAME
     path.write_text("\n".join(parts), encoding="utf-8")
     return path
 
 
+def _run_all(tasks: Sequence[tuple[str, int]], jobs: int) -> list[Result]:
+    if jobs == 1:
+        return [_run_one(each) for each in tasks]
+    with ProcessPoolExecutor(max_workers=jobs) as pool:
+        return list(pool.map(_run_one, tasks))
+
+
+def _run_one(task: tuple[str, int]) -> Result:
+    name, seed = task
+    return load_experiments()[name].function(seed)
+
+
 def _section(experiment: Experiment, results: Sequence[Result], out: Path) -> str:
     lines = [f"## {experiment.name}\n\n{experiment.summary}\n"]
     comparisons = [each for each in results if isinstance(each, Comparison)]
@@ -81,6 +99,8 @@
             verdict = "met" if goal.met else "missed"
             value = f"{goal.value:.4g} (goal {goal.wanted})"
             lines.append(f"- seed {result.seed}: {goal.name} {value}: {verdict}")
+        for figure in result.figures:
+            lines.append(f"- seed {result.seed}: {figure.name}: {figure.value:.4g}")
     return lines
 
 
