--- a/packages/ragwortwing-agent/tests/test_agent_app.py
+++ b/packages/ragwortwing-agent/tests/test_agent_app.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 import pytest
 import trio
@@ -10,11 +12,15 @@
 from ragwortwing_agent.answer_buffer import UNSENT_LIMIT
 from ragwortwing_lab.fault_proxy import FaultProxy
 from ragwortwing_lab.standins.batching import EngineSettings
+from ragwortwing_lab.standins.engine import EVENT_STREAM
 from ragwortwing_lab.standins.faults import Fault, FaultKind
 from ragwortwing_lab.standins.generation import answer_text
 from ragwortwing_policy.outcomes import Completed, Failed, FailedReason, NotRun, NotRunReason
 from ragwortwing_policy.reservations import Preempt
 
+if TYPE_CHECKING:
+    from ragwortwing_lab.standins.http_server import Exchange
+
 MENU = "a menu [tokens=120]"
 ENDLESS = "a catalogue [tokens=1000000]"
 
@@ -77,6 +83,20 @@
     assert answer.end.outcome == Completed(120)
 
 
+async def test_late_words_of_a_connection_that_was_given_up_are_ignored() -> None:
+    """An entry took its request up on a new connection; then its old one delivers a withdrawal."""
+    async with agent_bench() as bench, bench.entry() as old:
+        old.gives_credit = False
+        await old.chat("r1", MENU)
+        await old.until(lambda: old.answer("r1").tokens >= 10)
+        async with bench.entry() as entry:
+            await entry.attach("r1")
+            await entry.until(lambda: entry.answer("r1").tokens >= 20)
+            await old.withdraw("r1")
+            answer = await entry.ended("r1")
+    assert answer.text == answer_text(MENU, 120)
+
+
 async def test_answer_nobody_fetches_is_cancelled_after_a_while() -> None:
     connections = {"reattach_limit": "200ms"}
     async with agent_bench(connections=connections) as bench:
@@ -125,6 +145,22 @@
     assert bench.engine.state()["counts"]["generated_tokens"] == 120 - cut.tokens
 
 
+async def test_stream_that_ends_early_in_good_order_is_not_complete() -> None:
+    """An engine closes a stream properly but without its last event; the caller lacks the rest."""
+
+    async def answer_half(exchange: Exchange) -> None:
+        await exchange.start(200, EVENT_STREAM)
+        await exchange.write(b'data: {"choices":[{"delta":{"content":" half"}}]}\n\n')
+        await exchange.finish()
+
+    async with agent_bench() as bench, bench.entry() as entry:
+        bench.engine._handlers_by_route["POST", "/v1/chat/completions"] = answer_half
+        await entry.chat("r1", MENU)
+        answer = await entry.ended("r1")
+    assert answer.end.outcome == Failed(FailedReason.BACKEND_LOST)
+    assert answer.text == " half"
+
+
 async def test_engine_that_is_down_has_run_nothing() -> None:
     async with agent_bench() as bench, bench.entry() as entry:
         bench.crash_backend()
--- a/packages/ragwortwing-wire/tests/test_connection.py
+++ b/packages/ragwortwing-wire/tests/test_connection.py
@@ -8,7 +8,7 @@
 import trio
 import trio.testing
 
-from ragwortwing_policy.clock import DEFAULT_EPOCH
+from ragwortwing_policy.clock import DEFAULT_EPOCH, ManualClock
 from ragwortwing_wire.codec import encode
 from ragwortwing_wire.connection import (
     CloseReason,
@@ -69,6 +69,32 @@
     assert 2 <= trio.current_time() - started <= 3
 
 
+async def test_paused_process_does_not_take_its_own_pause_for_silence(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """A process stands still for a minute; its peer was alive all the time.
+
+    Its timers are long past when it goes on, while the peer's bytes still wait to be read.
+    """
+    ours, theirs = trio.testing.memory_stream_pair()
+    await theirs.send_all(with_length(encode(HELLO)))
+    clock = ManualClock()
+    async with open_connection(ours, clock, HELLO) as connection, trio.open_nursery() as nursery:
+
+        async def read() -> None:
+            async for _ in connection:
+                raise AssertionError("nothing was sent")
+
+        nursery.start_soon(read)
+        clock.advance(60)
+        await trio.sleep(0.6)
+        assert connection.closed is None
+        for _ in range(6):
+            clock.advance(0.5)
+            await trio.sleep(0.5)
+        assert connection.closed is CloseReason.SILENT
+
+
 async def test_idle_connection_lives_on_heartbeats(autojump_clock: trio.testing.MockClock) -> None:
     ours, theirs = trio.testing.memory_stream_pair()
     heartbeats = []
