Give each call to a backend server its own connection without a pool

Cause: httpcore's pool looks at all its connections at each call and each end of one, and none is ever used twice here.

--- a/packages/ragwortwing-agent/src/ragwortwing_agent/agent_app.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/agent_app.py
@@ -137,7 +137,6 @@
     async def unmount(self) -> None:
         """Send the last spans and close the connections to the backend server."""
         await self.telemetry.flush()
-        await self._backend.aclose()
 
     def status(self) -> dict[str, object]:
         """Return what the agent does now."""
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/backend_client.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/backend_client.py
@@ -20,9 +20,6 @@
 
     from ragwortwing_platform.settings import BackendSettings
 
-MAXIMUM_CONNECTIONS = 10_000
-"""Above any concurrency limit; the scheduler alone decides how many requests run."""
-
 HOP_HEADERS = frozenset(
     {
         b"connection",
@@ -108,15 +105,9 @@
     def __init__(self, settings: BackendSettings) -> None:
         self._url = f"http://{settings.address}"
         self._connect_seconds = settings.connect_timeout.total_seconds()
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAXIMUM_CONNECTIONS,
-            max_keepalive_connections=0,
-            network_backend=DirectBackend(),
-        )
-
-    async def aclose(self) -> None:
-        """Close every connection."""
-        await self._pool.aclose()
+        address = settings.address
+        self._origin = httpcore.Origin(b"http", address.host.encode(), address.port)
+        self._network = DirectBackend()
 
     @asynccontextmanager
     async def call(
@@ -149,9 +140,12 @@
 
         extensions = {"timeout": {"connect": self._connect_seconds}, "trace": trace}
         deadline = trio.current_time() + self._connect_seconds + silence.total_seconds()
+        # A pool looks at every connection that it has for each call and each end of one; as none is
+        # used twice, the call has its own without a pool.
+        connection = httpcore.AsyncHTTPConnection(self._origin, network_backend=self._network)
         try:
             with trio.CancelScope(deadline=deadline) as scope:
-                async with self._pool.stream(
+                async with connection.stream(
                     method,
                     self._url + path,
                     headers=[(each.name, each.value) for each in end_to_end(headers)],
@@ -163,6 +157,8 @@
             raise BackendCallError(CallFailure.NOT_SENT) from error
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             raise BackendCallError(CallFailure.LOST) from error
+        finally:
+            await connection.aclose()
         if scope.cancelled_caught:
             raise BackendCallError(CallFailure.SILENT)
 
