--- a/packages/ragwortwing-agent/src/ragwortwing_agent/backend_client.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/backend_client.py
@@ -109,6 +109,9 @@
         self._origin = httpcore.Origin(b"http", address.host.encode(), address.port)
         self._network = DirectBackend()
 
+    async def aclose(self) -> None:
+        """Close what is kept between calls, which is nothing."""
+
     @asynccontextmanager
     async def call(
         self,
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/fair_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/fair_queue.py
@@ -9,7 +9,7 @@
 
 from bisect import insort
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from typing import TYPE_CHECKING
 
@@ -34,13 +34,20 @@
     reservation: Reservation
     request_class: RequestClass
     account_weight: float
-    enqueued_at: Instant
+    arrived_at: Instant
+    """When the request came to the system, perhaps by way of another agent's queue."""
     work: float
     """Expected tokens still to generate."""
     begun: bool = False
     """Whether part of the answer was generated, so that it must end and is not refused."""
     protected: bool = False
     """Whether its next run may not be preempted before it made real progress."""
+    latest_start: Instant = field(init=False)
+    """When its class's queue limit, or its deadline, is used up."""
+
+    def __post_init__(self) -> None:
+        limit = self.arrived_at + self.request_class.queue_limit.total_seconds()
+        self.latest_start = min(limit, self.reservation.deadline)
 
     @property
     def request_id(self) -> str:
@@ -52,12 +59,6 @@
         """Tier in force when it was queued."""
         return self.request_class.tier
 
-    @property
-    def latest_start(self) -> Instant:
-        """When its class's queue limit, or its deadline, is used up."""
-        limit = self.enqueued_at + self.request_class.queue_limit.total_seconds()
-        return min(limit, self.reservation.deadline)
-
 
 class _FairShare:
     """Start-time fair queueing between named members."""
@@ -266,6 +267,11 @@
         """Return how many requests more urgent than a tier wait."""
         return self.count_through(tier - 1)
 
+    def count_in(self, tier: int) -> int:
+        """Return how many requests of a tier wait."""
+        queue = self._queue_by_tier.get(tier)
+        return 0 if queue is None else queue.count
+
     def work_through(self, tier: int) -> float:
         """Return the expected tokens of the requests of this tier and more urgent ones."""
         return sum(self._queue_by_tier[each].work for each in self._tiers if each <= tier)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/scheduler.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/scheduler.py
@@ -90,8 +90,7 @@
         """Forget a reservation that is queued or granted; a running one is left to `finished`."""
         if self._dequeue(request_id) is not None:
             self._state.waits.left_queue(with_slot=False)
-        if self._slots.held_by_id.pop(request_id, None) is not None:
-            self._state.waits.forget_running()
+        self._slots.held_by_id.pop(request_id, None)
         return self._dispatch(now)
 
     def started(self, reservation: Reservation, now: Instant) -> bool:
@@ -106,7 +105,7 @@
             last_token_at=now,
             protected=slot.request.protected,
         )
-        self._state.waits.forget_running()
+        self._adapt_limit(now)
         return True
 
     def progressed(self, request_id: str, tokens: int, now: Instant) -> None:
@@ -129,7 +128,6 @@
         running = self._slots.running_by_id.pop(request_id, None)
         if running is None:
             return []
-        self._state.waits.forget_running()
         resumed = replace(running.reservation, resumed_tokens=running.age)
         request = self._state.queued_request(resumed, now)
         request.begun = True
@@ -144,7 +142,6 @@
             self._learn(running, now)
         self._slots.held_by_id.pop(request_id, None)
         self._dequeue(request_id)
-        self._state.waits.forget_running()
         return self._dispatch(now)
 
     def tick(self, now: Instant) -> list[SchedulerDecision]:
@@ -152,7 +149,7 @@
         for slot in self._slots.expire(now):
             self._expired(slot, now)
         self._state.waits.observe_occupancy(self._state.limit.value, now)
-        self._state.limit.adapt(self._slots.strictest_targets(), len(self._slots), now)
+        self._adapt_limit(now)
         decisions = self._refuse_hopeless(now)
         decisions += self._dispatch(now)
         return decisions + list(self._preemption.above_limit(now))
@@ -187,7 +184,12 @@
             request = self._next(now)
             if request is None:
                 break
-            decisions.append(self._grant(request, now))
+            if self._admission.is_late(request, now) and not self._can_make_way(request, now):
+                self._dequeue(request.request_id)
+                self._aging.refused(request.tier, now)
+                decisions.append(self._admission.late(request, now))
+            else:
+                decisions.append(self._grant(request, now))
         self._state.limit.observe_used(len(self._slots))
         decisions += self._preemption.due(now)
         return decisions
@@ -202,13 +204,15 @@
         aged.protected = True
         return aged
 
+    def _can_make_way(self, request: QueuedRequest, now: Instant) -> bool:
+        return bool(self._slots.victims(request.tier, now, spare_protected=False))
+
     def _grant(self, request: QueuedRequest, now: Instant) -> Grant:
         self._queue.take(request)
         self._left(request)
         expires_at = now + GRANT_LIFETIME.total_seconds()
         self._slots.held_by_id[request.request_id] = HeldSlot(request, expires_at)
         self._state.waits.left_queue(with_slot=True)
-        self._state.waits.forget_running()
         return Grant(request.request_id, expires_at)
 
     def _enqueue(self, request: QueuedRequest, now: Instant) -> None:
@@ -227,7 +231,6 @@
         self._aging.left(request)
 
     def _expired(self, slot: HeldSlot, now: Instant) -> None:
-        self._state.waits.forget_running()
         if slot.request.begun:
             self._enqueue(slot.request, now)
 
@@ -246,6 +249,9 @@
         self._aging.refused(tier, now)
         return list(self._preemption.for_refusal(tier, now))
 
+    def _adapt_limit(self, now: Instant) -> None:
+        self._state.limit.adapt(self._slots.strictest_targets(), len(self._slots), now)
+
     def _learn(self, running: RunningRequest, now: Instant) -> None:
         name = running.request_class.name
         if running.tokens:
@@ -265,7 +271,6 @@
             name = running.reservation.request_class
             if name in configuration.classes_by_name:
                 running.request_class = configuration.class_in_force(name)
-        self._state.waits.forget_running()
 
 
 def _shed(reservation: Reservation) -> Refuse:
