Fold a configuration change in the time of what it changes

Now a preset switch replaces two fields, and entries written exactly as in the document before are taken over. 'Exactly' is by their encoded form: Python holds 1, 1.0 and true for equal, and a reader that starts afresh would judge the record differently (tested). Left: checks by entry, so that only changed ones are checked.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/capacity.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/capacity.py
@@ -207,6 +207,17 @@
     return fit("all: fold of a publication, by account", "µs", (500, 1_500, 3_500), cost)
 
 
+def _changed_account_cpu(_: int) -> Slope:
+    def cost(size: int) -> float:
+        state = _folded(size)
+        document = write_document(configuration(size))
+        document["accounts"]["account-00007"]["weight"] = 2.0
+        record = RawRecord(1, encode_entry(Publication("record-2", 0, "ordinary", document)))
+        return cpu_microseconds(lambda: apply(state, record))
+
+    return fit("all: fold of one changed account, by account", "µs", (500, 1_500, 3_500), cost)
+
+
 def _preset_switch_cpu(_: int) -> Slope:
     def cost(size: int) -> float:
         state = _folded(size)
@@ -336,6 +347,7 @@
     _model_memory,
     _publication_bytes,
     _publication_cpu,
+    _changed_account_cpu,
     _preset_switch_cpu,
 )
 """Each measures one slope from a seed."""
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/configuration_document.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/configuration_document.py
@@ -15,6 +15,7 @@
 from typing import Any, TypeVar
 
 import cattrs
+import msgspec
 from cattrs.gen import make_dict_structure_fn, make_dict_unstructure_fn, override
 
 from .configuration import (
@@ -58,23 +59,37 @@
     faults: tuple[Fault, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ReadBefore:
+    """A document and what it was read as; what stands unchanged in the next one is taken over."""
+
+    document: Document
+    configuration: Configuration
+
+
 @dataclass(slots=True)
 class _Reading:
     """What was read of a document so far."""
 
+    before: ReadBefore | None = None
     tables: dict[str, dict[str, Any]] = field(default_factory=dict)
     faults: list[Fault] = field(default_factory=list)
 
 
-def read_document(document: Document, revision: int, preset: str | None) -> Configuration | Refused:
+def read_document(
+    document: Document, revision: int, preset: str | None, before: ReadBefore | None = None
+) -> Configuration | Refused:
     """Check a document and return it as a configuration.
 
     Args:
         document: The document as read from TOML or JSON.
         revision: The revision that the configuration gets.
         preset: The preset in force; None where only the document itself is checked.
+        before: What was read last, so that a change costs the time of what it changes. A process
+            that folds thousands of accounts anew stops its event loop for longer than the time
+            between two tokens.
     """
-    reading = _Reading()
+    reading = _Reading(before)
     _read_top_level(document, reading)
     for table, entry_type in _TABLES.items():
         reading.tables[table] = _read_table(document.get(table, {}), table, entry_type, reading)
@@ -97,10 +112,15 @@
     ]
     faults = [*reading.faults, *semantic]
     if preset is not None and not faults and preset not in configuration.presets_by_name:
-        faults.append(Fault(f"presets.{preset}", "the preset in force is not in the document"))
+        faults.append(missing_preset(preset))
     return Refused(tuple(faults)) if faults else configuration
 
 
+def missing_preset(preset: str) -> Fault:
+    """Return the fault of a preset in force that the document does not have."""
+    return Fault(f"presets.{preset}", "the preset in force is not in the document")
+
+
 def write_document(configuration: Configuration) -> dict[str, Any]:
     """Return the document of a configuration."""
     tables = {
@@ -136,7 +156,11 @@
         reading.faults.append(Fault(table, "must be a table"))
         return {}
     entries: dict[str, T] = {}
+    known = _entries_before(reading.before, table)
     for name, fields in raw.items():
+        if name in known.entries and _same(known.raw[name], fields):
+            entries[name] = known.entries[name]
+            continue
         path = f"{table}.{name}"
         if not isinstance(fields, Mapping):
             reading.faults.append(Fault(path, "must be a table"))
@@ -150,6 +174,28 @@
     return entries
 
 
+@dataclass(frozen=True, slots=True)
+class _TableBefore:
+    raw: Mapping[str, Any]
+    entries: Mapping[str, Any]
+
+
+def _same(one: object, other: object) -> bool:
+    """Return whether two raw entries are written alike.
+
+    Python holds 1, 1.0 and True for equal, and a reader without the entry read before does not: the
+    two would judge one record differently. The encoded forms differ.
+    """
+    return one == other and msgspec.json.encode(one) == msgspec.json.encode(other)
+
+
+def _entries_before(before: ReadBefore | None, table: str) -> _TableBefore:
+    if before is None:
+        return _TableBefore({}, {})
+    entries: Mapping[str, Any] = getattr(before.configuration, f"{table}_by_name")
+    return _TableBefore(before.document.get(table, {}), entries)
+
+
 def _faults_of(error: cattrs.BaseValidationError, path: str) -> list[Fault]:
     """Return a fault for each error that the converter collected."""
     faults: list[Fault] = []
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/configuration_log.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/configuration_log.py
@@ -19,7 +19,7 @@
 
 from .configuration import Configuration
 from .configuration_checks import Fault
-from .configuration_document import Refused, read_document
+from .configuration_document import ReadBefore, Refused, missing_preset, read_document
 
 NO_REVISION = -1
 """Revision before anything was published."""
@@ -216,11 +216,12 @@
     if entry.base is not UNCONDITIONAL and entry.base != state.revision:
         conflict = Conflict(entry.base, state.revision, state.preset)
         return Step(moved, (Judged(record.offset, entry, conflict),))
-    document = entry.document if isinstance(entry, Publication) else state.document
-    if document is None:
-        fault = Fault("", "no configuration is in force whose preset could be switched")
-        return Step(moved, (Judged(record.offset, entry, Invalid((fault,))),))
-    configuration = read_document(document, record.offset, entry.preset)
+    if isinstance(entry, Publication):
+        document: Mapping[str, Any] | None = entry.document
+        configuration = _published(state, entry, record.offset)
+    else:
+        document = state.document
+        configuration = _switched(state, entry, record.offset)
     if isinstance(configuration, Refused):
         return Step(moved, (Judged(record.offset, entry, Invalid(configuration.faults)),))
     accepted = replace(moved, configuration=configuration, document=document)
@@ -228,6 +229,21 @@
     return Step(accepted, (Judged(record.offset, entry, verdict),))
 
 
+def _published(state: FoldState, entry: Publication, revision: int) -> Configuration | Refused:
+    before = None
+    if state.document is not None and state.configuration is not None:
+        before = ReadBefore(state.document, state.configuration)
+    return read_document(entry.document, revision, entry.preset, before)
+
+
+def _switched(state: FoldState, entry: PresetSwitch, revision: int) -> Configuration | Refused:
+    if state.configuration is None:
+        return Refused((Fault("", "no configuration is in force whose preset could be switched"),))
+    if entry.preset not in state.configuration.presets_by_name:
+        return Refused((missing_preset(entry.preset),))
+    return replace(state.configuration, revision=revision, preset=entry.preset)
+
+
 def _collect(state: FoldState, record: RawRecord) -> Step:
     """Take a record after a gap, and judge all since the gap once a checkpoint covers it."""
     pending = (*state.pending, record)[-PENDING_LIMIT:]
--- a/packages/ragwortwing-policy/tests/test_configuration_document.py
+++ b/packages/ragwortwing-policy/tests/test_configuration_document.py
@@ -9,7 +9,12 @@
 import pytest
 
 from ragwortwing_policy.configuration import Configuration
-from ragwortwing_policy.configuration_document import Refused, read_document, write_document
+from ragwortwing_policy.configuration_document import (
+    ReadBefore,
+    Refused,
+    read_document,
+    write_document,
+)
 
 DOCUMENT: dict[str, Any] = {
     "format": 1,
@@ -108,3 +113,38 @@
     refused = read_document(DOCUMENT, 7, "maintenance")
     assert isinstance(refused, Refused)
     assert [fault.path for fault in refused.faults] == ["presets.maintenance"]
+
+
+def test_reading_with_what_was_read_before_changes_nothing_but_the_time() -> None:
+    first = read_document(DOCUMENT, 1, "ordinary")
+    assert isinstance(first, Configuration)
+    changed = deepcopy(DOCUMENT)
+    name = next(iter(changed["accounts"]))
+    changed["accounts"][name]["weight"] = 7.0
+    changed["accounts"]["broken"] = {"classes": ["no-such-class"]}
+    before = ReadBefore(DOCUMENT, first)
+    assert read_document(changed, 2, "ordinary", before) == read_document(changed, 2, "ordinary")
+    del changed["accounts"]["broken"]
+    second = read_document(changed, 2, "ordinary", before)
+    assert second == read_document(changed, 2, "ordinary")
+    assert second.accounts_by_name[name].weight == 7.0
+
+
+@pytest.mark.parametrize("value", [True, 0.0, "0"])
+def test_an_entry_that_only_looks_equal_is_read_anew(value: object) -> None:
+    """A publication writes a tier as 0.0 or true, which Python holds for equal to 0 or 1.
+
+    A process that read the entry before must refuse it just as one that starts afresh does, or the
+    two would have different configurations in force.
+    """
+    first = read_document(DOCUMENT, 1, "ordinary")
+    assert isinstance(first, Configuration)
+    before_document = deepcopy(DOCUMENT)
+    before_document["classes"]["chat"]["tier"] = int(value) if value != "0" else 0
+    before = read_document(before_document, 1, "ordinary")
+    assert isinstance(before, Configuration)
+    changed = deepcopy(before_document)
+    changed["classes"]["chat"]["tier"] = value
+    fresh = read_document(changed, 2, "ordinary")
+    assert read_document(changed, 2, "ordinary", ReadBefore(before_document, before)) == fresh
+    assert isinstance(fresh, Refused)
