Guess short answers while nothing was learned

What is left open: an entry does not ask again an agent that refused it a moment ago, however its queue has changed since.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/work_estimate.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/work_estimate.py
@@ -17,8 +17,9 @@
 MINIMUM_MASS = 8.0
 """Answers that a distribution must hold before it is preferred to a wider one."""
 
-DEFAULT_TOKENS = 200.0
-"""Expected length while nothing at all was learned."""
+DEFAULT_TOKENS = 64.0
+"""Expected length while nothing at all was learned. Rather short: too long a guess would refuse
+requests of a new agent for no reason, while too short a one is corrected in the queue."""
 
 MAXIMUM_DISTRIBUTIONS = 2_048
 """Distributions kept by class and account; the least recently used goes first."""
