--- a/packages/ragwortwing-agent/src/ragwortwing_agent/request_gate.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/request_gate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from datetime import timedelta
+from random import Random
 from typing import TYPE_CHECKING
 
 import logbook
@@ -99,7 +100,7 @@
             return
         backend = self._settings.backend
         limits = SchedulerSettings(backend.initial_concurrency, backend.maximum_concurrency)
-        self._scheduler = Scheduler(limits, configuration)
+        self._scheduler = Scheduler(limits, configuration, Random())
 
     def load(self) -> LoadReport:
         """Return the gate's own counts."""
