Let answers that have begun end under any configuration, and probe a silent engine

Found by reading: (1) a preset that sheds a class, or a configuration without it, refused the resumed rest of an answer, or failed on its preemption; (2) with every stream standing still since its caller reads nothing, no slot was granted any more, and no token could have ended that. After 5 s of silence one request at a time is let through.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/account_limits.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/account_limits.py
@@ -61,10 +61,6 @@
         self._tokens -= 1.0
         return None
 
-    def give_back(self) -> None:
-        """Return a token that was taken for a request that went no further."""
-        self._tokens = min(self._capacity, self._tokens + 1.0)
-
     def resize(self, rate: float, capacity: float, now: Instant) -> None:
         """Change rate and capacity; no token appears by it."""
         self._fill(now)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/engine_state.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/engine_state.py
@@ -19,6 +19,9 @@
 STALL_SECONDS = 1.0
 """Silence of all streams after which the backend server counts as stalled."""
 
+PROBE_SECONDS = 5.0
+"""Silence after which one request at a time is sent all the same, to see whether it is answered."""
+
 STALL_STREAMS = 2
 """Streams that must be silent together; one alone may be silent for a reason of its own."""
 
@@ -35,15 +38,34 @@
         self.pace = EnginePace()
         self.waits = WaitModel(self.queue, self.slots, self.estimates, self.pace)
 
-    def admits(self, name: str) -> bool:
-        """Return whether a request class is known and served by the preset in force."""
-        configuration = self.configuration
-        return name in configuration.classes_by_name and configuration.admits(name)
-
-    def queued_request(self, reservation: Reservation, now: Instant) -> QueuedRequest:
-        """Return a reservation as it is queued under the preset in force."""
+    def admits(self, reservation: Reservation) -> bool:
+        """Return whether a reservation's class is known and served by the preset in force.
+
+        A preset does not end an answer that has begun, perhaps on an engine that was lost.
+        """
+        name = reservation.request_class
+        if name not in self.configuration.classes_by_name:
+            return False
+        return reservation.resumed_tokens > 0 or self.configuration.admits(name)
+
+    def class_in_force(self, name: str, known: RequestClass | None) -> RequestClass:
+        """Return a class under the preset in force; one that is configured no more as it was."""
+        if known is not None and name not in self.configuration.classes_by_name:
+            return known
+        return self.configuration.class_in_force(name)
+
+    def queued_request(
+        self, reservation: Reservation, now: Instant, known: RequestClass | None = None
+    ) -> QueuedRequest:
+        """Return a reservation as it is queued under the preset in force.
+
+        Args:
+            reservation: What asks for a slot.
+            now: The present instant.
+            known: The class that a request which has begun was run under.
+        """
         account = self.configuration.accounts_by_name.get(reservation.account)
-        request_class = self.configuration.class_in_force(reservation.request_class)
+        request_class = self.class_in_force(reservation.request_class, known)
         return QueuedRequest(
             reservation=reservation,
             request_class=request_class,
@@ -80,6 +102,19 @@
         """Return whether the backend server gives no stream anything."""
         return self.silence(now) > STALL_SECONDS
 
+    def may_grant(self, now: Instant) -> bool:
+        """Return whether a slot is free and the backend server answers.
+
+        The streams may all be silent since their callers read nothing, on an engine that is well.
+        No token would ever end such a stall, so after a while one request at a time is let through.
+        """
+        if len(self.slots) >= self.limit.value:
+            return False
+        silence = self.silence(now)
+        if silence <= STALL_SECONDS:
+            return True
+        return silence > PROBE_SECONDS and not self.slots.awaits_first_token()
+
 
 def _arrived_at(reservation: Reservation, request_class: RequestClass, now: Instant) -> Instant:
     """Return when the caller's request came, which the deadline set from its class tells.
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/running_requests.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/running_requests.py
@@ -124,6 +124,10 @@
         ]
         return sorted(candidates, key=_cost_of_preemption)
 
+    def awaits_first_token(self) -> bool:
+        """Return whether a slot is held, or a run has no token yet."""
+        return bool(self.held_by_id) or any(not each.tokens for each in self.running_by_id.values())
+
     def most_urgent_tier(self) -> int | None:
         """Return the most urgent tier that runs."""
         return min((each.tier for each in self.running_by_id.values()), default=None)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/scheduler.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/scheduler.py
@@ -62,10 +62,8 @@
         decisions: list[SchedulerDecision] = []
         for request in list(self._queue):
             self._dequeue(request.request_id)
-            if self._state.admits(request.reservation.request_class):
+            if request.begun or self._state.admits(request.reservation):
                 self._enqueue(self._reclassified(request), now)
-            elif request.begun:
-                self._enqueue(request, now)
             else:
                 decisions.append(_shed(request.reservation))
         self._reclassify_running()
@@ -77,7 +75,7 @@
             return []
         if self._draining:
             return [Refuse(reservation.request_id, NotRunReason.DRAINING)]
-        if not self._state.admits(reservation.request_class):
+        if not self._state.admits(reservation):
             return [_shed(reservation)]
         request = self._state.queued_request(reservation, now)
         refusal = self._admission.refusal(request, now)
@@ -130,7 +128,7 @@
         if running is None:
             return []
         resumed = replace(running.reservation, resumed_tokens=running.age)
-        request = self._state.queued_request(resumed, now)
+        request = self._state.queued_request(resumed, now, running.request_class)
         request.begun = True
         request.protected = True
         self._enqueue(request, now)
@@ -181,7 +179,7 @@
 
     def _dispatch(self, now: Instant) -> list[SchedulerDecision]:
         decisions: list[SchedulerDecision] = []
-        while len(self._slots) < self._state.limit.value and not self._state.is_stalled(now):
+        while self._state.may_grant(now):
             request = self._next(now)
             if request is None:
                 break
@@ -269,14 +267,13 @@
 
     def _reclassified(self, request: QueuedRequest) -> QueuedRequest:
         name = request.reservation.request_class
-        return replace(request, request_class=self._state.configuration.class_in_force(name))
+        in_force = self._state.class_in_force(name, request.request_class)
+        return replace(request, request_class=in_force)
 
     def _reclassify_running(self) -> None:
-        configuration = self._state.configuration
         for running in self._slots.running_by_id.values():
             name = running.reservation.request_class
-            if name in configuration.classes_by_name:
-                running.request_class = configuration.class_in_force(name)
+            running.request_class = self._state.class_in_force(name, running.request_class)
 
 
 def _shed(reservation: Reservation) -> Refuse:
--- a/packages/ragwortwing-policy/tests/test_scheduler.py
+++ b/packages/ragwortwing-policy/tests/test_scheduler.py
@@ -284,6 +284,22 @@
     ]
 
 
+def test_answer_that_has_begun_outlives_its_class() -> None:
+    """Operators shed a class, and later take it out of the configuration, while answers of it are
+    being written. One is preempted and one comes over from a lost engine; both still end.
+    """
+    subject = scheduler(limit=1)
+    run(subject, reservation("draft", "draft"))
+    subject.configure(replace(CONFIGURATION, preset="peak"), 0.1)
+    moved = replace(reservation("moved", "draft"), resumed_tokens=30)
+    assert subject.offer(moved, 0.2) == []
+    subject.configure(replace(CONFIGURATION, classes_by_name={"chat": CHAT}), 0.3)
+    assert subject.offer(reservation("chat"), 0.4) == [Preempt("draft")]
+    assert granted(subject.preempted("draft", 0.5)) == ["chat"]
+    assert granted(subject.finished("chat", 0.6)) == ["moved"]
+    assert granted(subject.finished("moved", 0.7)) == ["draft"]
+
+
 def test_drain_hands_back_what_is_queued_and_lets_begun_answers_end() -> None:
     """An engine's VM is leaving while a draft is parked behind a chat. The queued chat is handed
     back at once; the draft, of which the caller has a part, still gets its slot and ends.
@@ -320,3 +336,20 @@
     assert subject.load(2.5).predicted_wait >= timedelta(seconds=1.5)
     subject.progressed("one", 1, 2.6)
     assert granted(subject.tick(2.6)) == ["new"]
+
+
+def test_engine_whose_callers_read_nothing_is_probed() -> None:
+    """Two callers stop reading, so their streams stand still on an engine that is well. Nobody else
+    would be answered there again; after a while one request at a time is let through.
+    """
+    subject = scheduler(limit=4)
+    for name in ("one", "two"):
+        run(subject, reservation(name))
+        generate(subject, name, 10, until=1.0)
+    subject.offer(reservation("probe", "draft"), 5.0)
+    subject.offer(reservation("next", "draft"), 5.0)
+    assert granted(subject.tick(6.1)) == ["probe"]
+    subject.started(reservation("probe", "draft"), 6.1)
+    assert subject.tick(6.2) == []
+    subject.progressed("probe", 1, 6.3)
+    assert granted(subject.tick(6.3)) == ["next"]
