--- a/packages/ragwortwing-platform/src/ragwortwing_platform/settings.py
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/settings.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import StrEnum
-from typing import Annotated
+from typing import Annotated, ClassVar
 
 from ragwortwing_policy.routing import BackendKind
 
@@ -65,6 +65,8 @@
 class ConnectionSettings:
     """Connections between entry and agent."""
 
+    rising_keys: ClassVar = ("heartbeat_interval", "heartbeat_timeout")
+
     heartbeat_interval: PositiveDuration = timedelta(milliseconds=500)
     heartbeat_timeout: PositiveDuration = timedelta(seconds=2)
     """Silence after which a connection is dropped and dialled anew."""
@@ -138,6 +140,8 @@
 class BackendSettings:
     """The backend server beside an agent."""
 
+    rising_keys: ClassVar = ("initial_concurrency", "maximum_concurrency")
+
     address: Address
     kind: BackendKind
     targets: Annotated[tuple[Text, ...], Between(1, 1_000)]
--- a/packages/ragwortwing-platform/src/ragwortwing_platform/settings_reader.py
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/settings_reader.py
@@ -320,11 +320,23 @@
     def structure(value: Any, _: object) -> Any:
         if not isinstance(value, dict):
             raise NotAllowedError(value, "a table")
-        return structure_table(value, kind)
+        settings = structure_table(value, kind)
+        _check_rising(settings)
+        return settings
 
     return structure
 
 
+def _check_rising(settings: Any) -> None:
+    """Refuse a table whose class names two keys of which the first may not be above the second."""
+    keys = getattr(settings, "rising_keys", None)
+    if keys is None:
+        return
+    low, high = keys
+    if getattr(settings, low) > getattr(settings, high):
+        raise NotAllowedError(f"{low} above {high}", f"{low} up to {high}")
+
+
 def _is_tuple(kind: Any) -> bool:
     return get_origin(kind) is tuple
 
--- a/packages/ragwortwing-platform/tests/test_settings.py
+++ b/packages/ragwortwing-platform/tests/test_settings.py
@@ -96,6 +96,15 @@
     assert keys == {"zone", "colour", "backend.targets[1]", "backend.initial_concurency"}
 
 
+def test_keys_that_contradict_each_other_are_a_fault_of_their_table() -> None:
+    table = tomllib.loads(AGENT)
+    table["connections"] = {"heartbeat_interval": "3s", "heartbeat_timeout": "2s"}
+    table["backend"] |= {"initial_concurrency": 400}
+    faulty = structure_settings(table, AgentSettings)
+    assert isinstance(faulty, FaultySettings)
+    assert {fault.key for fault in faulty.faults} == {"connections", "backend"}
+
+
 @pytest.mark.parametrize("text", ["name = ", b"\xff\xfe"])
 def test_a_file_that_is_not_toml_is_one_fault(tmp_path: Path, text: str | bytes) -> None:
     path = tmp_path / "entry.toml"
