--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/registry.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/registry.py
@@ -18,6 +18,7 @@
     "ragwortwing_lab.experiments.capacity",
     "ragwortwing_lab.experiments.faults",
     "ragwortwing_lab.experiments.decision_cost",
+    "ragwortwing_lab.experiments.account_limits",
     "ragwortwing_lab.experiments.order_claims",
     "ragwortwing_lab.experiments.relay",
 )
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/relay.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/relay.py
@@ -128,7 +128,7 @@
         return rows
 
 
-@experiment("relay")
+@experiment("relay", in_all=False)
 def relay(seed: int) -> RelayResult:
     """Streams through one entry and one agent against straight from the engine (real time)."""
     return trio.run(_measure, seed)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/admission.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/admission.py
@@ -35,6 +35,13 @@
 MAXIMUM_RETRY_SECONDS = 300.0
 """Most time after which a refused caller is asked to come back."""
 
+REFUSED_SMOOTHING = 0.02
+"""Weight of one arrival in the share of a tier's arrivals that is refused."""
+
+MAXIMUM_REFUSED_SHARE = 0.95
+"""Most of that share that counts: the time to come back is the drain time over the chance to be
+admitted then, since those who were refused before come back too."""
+
 RETRY_JITTER = 0.5
 """Largest share added to the time, so that refused callers do not return together."""
 
@@ -46,6 +53,7 @@
         self._state = state
         self._random = random
         self._swept_at: Instant | None = None
+        self._refused_share_by_tier: dict[int, float] = {}
 
     def predicted_wait(self, request: QueuedRequest, now: Instant) -> float:
         """Return the predicted wait of a reservation that just came."""
@@ -57,16 +65,17 @@
     def refusal(self, request: QueuedRequest, now: Instant) -> Refuse | None:
         """Return the refusal of a reservation that just came; None where it is queued.
 
-        One that has begun is not refused: its caller has part of the answer.
+        One that has begun is not refused: its caller has part of the answer. Nor is one for which
+        a slot is free or can be made free, however late it is.
         """
         if request.begun:
             return None
         if request.reservation.deadline <= now:
             return Refuse(request.request_id, NotRunReason.DEADLINE)
         wait = self.predicted_wait(request, now)
-        if wait <= ADMITTED_SHARE * self._time_left(request, now):
-            return None
-        return self._overloaded(request, wait)
+        refused = wait > max(0.0, ADMITTED_SHARE * self._time_left(request, now))
+        self._count(request.tier, refused)
+        return self._overloaded(request, wait) if refused else None
 
     def hopeless(self, now: Instant) -> list[Refuse]:
         """Return the refusals of queued reservations that can no longer start in time."""
@@ -82,20 +91,18 @@
     def _hopeless_in_tier(self, tier: int, now: Instant) -> list[Refuse]:
         state = self._state
         wait = state.waits.linear_wait(state.waits.tier_load(tier, now), state.limit.value)
-        above = state.queue.count_above(tier)
+        ahead = state.queue.count_above(tier)
         refusals: list[Refuse] = []
-        for position, requests in state.queue.flows(tier):
-            start = state.pace.first_token(requests[0].request_class.name)
-            place = 0
-            for request in requests:
-                seconds = wait(above + position.ahead_in_tier(place))
-                left = request.latest_start - start - now
-                if request.reservation.deadline <= now:
-                    refusals.append(Refuse(request.request_id, NotRunReason.DEADLINE))
-                elif 0.0 < seconds > left * HOPELESS_FACTOR:
-                    refusals.append(self._overloaded(request, seconds))
-                else:
-                    place += 1
+        for request in state.queue.in_service_order(tier):
+            seconds = wait(ahead)
+            if request.begun:
+                ahead += 1
+            elif request.reservation.deadline <= now:
+                refusals.append(Refuse(request.request_id, NotRunReason.DEADLINE))
+            elif 0.0 < seconds > HOPELESS_FACTOR * self._time_left(request, now):
+                refusals.append(self._overloaded(request, seconds))
+            else:
+                ahead += 1
         return refusals
 
     def is_late(self, request: QueuedRequest, now: Instant) -> bool:
@@ -117,9 +124,17 @@
         start = self._state.pace.first_token(request.request_class.name)
         return request.latest_start - start - now
 
+    def _count(self, tier: int, refused: bool) -> None:
+        share = self._refused_share(tier)
+        self._refused_share_by_tier[tier] = share + REFUSED_SMOOTHING * (refused - share)
+
+    def _refused_share(self, tier: int) -> float:
+        return self._refused_share_by_tier.get(tier, 0.0)
+
     def _overloaded(self, request: QueuedRequest, wait: float) -> Refuse:
         limit = request.request_class.queue_limit.total_seconds()
         seconds = max(MINIMUM_RETRY_SECONDS, wait - limit)
+        seconds /= 1.0 - min(MAXIMUM_REFUSED_SHARE, self._refused_share(request.tier))
         seconds *= 1.0 + RETRY_JITTER * self._random.random()
         retry_after = timedelta(seconds=min(MAXIMUM_RETRY_SECONDS, seconds))
         return Refuse(request.request_id, NotRunReason.OVERLOADED, retry_after)
