Read claims back on another connection when the held read is silent

A held read on a connection that went silent for good gave no records until it timed out (13 s), while claims were appended and none came back, so every order was refused. Claims that are not read back within 0.5 s are now read aside. The membership list is polled with shorter waits for the same reason, so that a leaving VM is seen within 3 s of the list. An outcome not_run recorded by a holder is now remembered like any other release.

Run: scripts/test packages/ragwortwing-platform, 90 passed; without the watch the new test fails.

--- a/packages/ragwortwing-platform/src/ragwortwing_platform/membership_feed.py
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/membership_feed.py
@@ -16,8 +16,11 @@
 if TYPE_CHECKING:
     from random import Random
 
-POLL_WAIT = timedelta(seconds=10)
+POLL_WAIT = timedelta(seconds=1.5)
 """How long the list may hold a call while nothing changes."""
+ANSWER_TIMEOUT = timedelta(seconds=1)
+"""Time beyond that after which a connection counts as silent: a VM that leaves is then seen within
+three seconds of the list showing it, also where the connection has gone silent."""
 
 
 class MemberRole(StrEnum):
@@ -77,7 +80,7 @@
         poll_wait: timedelta = POLL_WAIT,
         timeouts: Timeouts | None = None,
     ) -> None:
-        self._caller = HttpCaller(address, timeouts or Timeouts())
+        self._caller = HttpCaller(address, timeouts or Timeouts(answer=ANSWER_TIMEOUT))
         self._poll_wait = poll_wait
         self._backoff = Backoff(random)
         self._current = Members(-1, {})
--- a/packages/ragwortwing-platform/src/ragwortwing_platform/order_book.py
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/order_book.py
@@ -42,6 +42,8 @@
 
 __all__ = ["KeyedOrder", "OrderBook", "OrderBookSettings", "WonClaim"]
 
+READ_BACK_LIMIT = timedelta(milliseconds=500)
+"""Time after which a claim that was not read back yet is looked for on another connection."""
 ABANDONED_LIMIT = 10_000
 """Most given-up claims remembered in case they come to stand in the log late."""
 
@@ -121,6 +123,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self._follow)
             nursery.start_soon(self._committer.run)
+            nursery.start_soon(self._watch_read_back)
             task_status.started()
 
     async def claim(self, order: KeyedOrder, deadline: Instant) -> ClaimResult:
@@ -193,6 +196,9 @@
             status: The backend server's status.
             answer: The backend server's answer; kept where it is short.
         """
+        if isinstance(outcome, NotRun):
+            self._queue_release(won.claim_id, won.order_key, outcome.reason)
+            return
         self._committer.queue_settlement(
             settlement_of(won.claim_id, won.order_key, outcome, status, answer)
         )
@@ -271,6 +277,20 @@
             else:
                 backoff.reset()
 
+    async def _watch_read_back(self) -> None:
+        """Read aside where claims are not read back in time.
+
+        The held read can be on a connection that went silent for good: it shows as claims that are
+        appended and never come back until that read times out. A read that begins now takes
+        another connection, as the silent one is in use.
+        """
+        waiting: set[str] = set()
+        while True:
+            await trio.sleep(READ_BACK_LIMIT.total_seconds())
+            if waiting & self._waiters_by_claim.keys():
+                await self._read_to_end()
+            waiting = set(self._waiters_by_claim)
+
     async def _read_to_end(self) -> None:
         """Read what the stream holds now, unless the log is down."""
         while True:
--- a/packages/ragwortwing-platform/tests/test_order_book_faults.py
+++ b/packages/ragwortwing-platform/tests/test_order_book_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from datetime import timedelta
 from random import Random
 
 import pytest
@@ -11,6 +12,7 @@
 
 from ragwortwing_lab.standins.in_memory import InMemoryLog, LogFaults, TrioClock
 from ragwortwing_lab.standins.log import RecordLog
+from ragwortwing_platform.log_client import DEFAULT_READ_LIMIT, ReadResult
 from ragwortwing_platform.order_book import (
     KeyedOrder,
     OrderBook,
@@ -150,3 +152,38 @@
 
     again = trio.run(scenario, clock=MockClock(autojump_threshold=0))
     assert isinstance(again, WonClaim)
+
+
+class SilentPollLog(InMemoryLog):
+    """A log whose held reads are never answered, as on a connection that went silent."""
+
+    async def read(
+        self,
+        stream: str,
+        offset: int,
+        limit: int = DEFAULT_READ_LIMIT,
+        wait: timedelta = timedelta(0),
+    ) -> ReadResult:
+        if wait:
+            await trio.sleep_forever()
+        return await super().read(stream, offset, limit, wait)
+
+
+def test_a_claim_is_read_back_although_the_held_read_is_silent() -> None:
+    """Something between agent and log forgets the connection on which the agent waits for records.
+
+    New connections work. Orders would be refused until the held read times out.
+    """
+
+    async def scenario() -> object:
+        clock = TrioClock()
+        async with trio.open_nursery() as nursery:
+            log = SilentPollLog(RecordLog(clock), Random(1), nursery)
+            book = OrderBook(log, clock, Random(1), "desk-1")
+            await nursery.start(book.run)
+            order = KeyedOrder("suva-cakes", "k", b"digest")
+            claimed = await book.claim(order, trio.current_time() + 2)
+            nursery.cancel_scope.cancel()
+        return claimed
+
+    assert isinstance(trio.run(scenario, clock=MockClock(autojump_threshold=0)), WonClaim)
