--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/capacity.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/capacity.py
@@ -4,13 +4,9 @@
 
 from dataclasses import dataclass, replace
 from datetime import timedelta
-from io import StringIO
 from random import Random
 from typing import TYPE_CHECKING
 
-from rich.console import Console
-from rich.table import Table
-
 from ragwortwing_policy.account_limits import AccountLimiter
 from ragwortwing_policy.configuration import (
     ClientAccount,
@@ -40,6 +36,8 @@
 from ragwortwing_wire.messages import Chunk, Chunks, Credit, Granted, Heartbeat, Reserve, Withdraw
 
 from .capacity_budget import BudgetLine, TargetSize, budget
+from .capacity_connections import connection_memory, heartbeat_cpu
+from .capacity_tables import render_tables
 from .registry import experiment
 from .slopes import MessageCost, Slope, cpu_microseconds, fit, memory_bytes
 
@@ -63,12 +61,7 @@
 
     def render(self) -> str:
         """Return the three tables."""
-        out = StringIO()
-        console = Console(file=out, width=150)
-        console.print(_slope_table(self.slopes))
-        console.print(_message_table(self.messages))
-        console.print(_budget_table(self.lines))
-        return out.getvalue()
+        return render_tables(self.slopes, self.messages, self.lines)
 
 
 @experiment("capacity")
@@ -334,6 +327,8 @@
 
 
 SLOPES: tuple[Callable[[int], Slope], ...] = (
+    connection_memory,
+    heartbeat_cpu,
     _request_memory,
     _member_memory,
     _choice_cpu,
@@ -378,39 +373,3 @@
         cpu_microseconds(lambda: encode(message)),  # type: ignore[arg-type]
         cpu_microseconds(lambda: decode(frame)),
     )
-
-
-def _slope_table(slopes: tuple[Slope, ...]) -> Table:
-    table = Table("what grows", "unit", "sizes", "costs", "slope", "intercept", "fit")
-    for each in slopes:
-        table.add_row(
-            each.name,
-            each.unit,
-            ", ".join(f"{size:,}" for size in each.sizes),
-            ", ".join(f"{cost:,.1f}" for cost in each.costs),
-            f"{each.slope:,.4g}",
-            f"{each.intercept:,.4g}",
-            f"{each.fit:.3f}",
-        )
-    return table
-
-
-def _message_table(messages: tuple[MessageCost, ...]) -> Table:
-    table = Table("message", "bytes on the wire", "encode, µs", "decode, µs")
-    for each in messages:
-        table.add_row(
-            each.name,
-            str(each.wire_bytes),
-            f"{each.encode_microseconds:.1f}",
-            f"{each.decode_microseconds:.1f}",
-        )
-    return table
-
-
-def _budget_table(lines: tuple[BudgetLine, ...]) -> Table:
-    table = Table("role", "quantity", "sum at target", "budget", "unit", "holds")
-    for each in lines:
-        limit = "" if each.limit is None else f"{each.limit:,.4g}"
-        verdict = "" if each.limit is None else ("yes" if each.holds else "NO")
-        table.add_row(each.role, each.quantity, f"{each.value:,.4g}", limit, each.unit, verdict)
-    return table
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/capacity_budget.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/capacity_budget.py
@@ -14,13 +14,15 @@
     from collections.abc import Sequence
 
 SECONDS_A_DAY = 86_400
-BASE_MEMORY_BYTES = 45e6
-"""Resident memory of a process with all libraries imported and no state; measured by `relay`."""
+HEARTBEATS = "all: heartbeats of a second at one end, one each way, by connection"
+CONNECTION = "all: memory of a connection's end"
+BASE_MEMORY_BYTES = 53e6
+"""Resident memory of an idle entry or agent; measured by the experiment `relay`."""
 CONTROL_MEMORY_LIMIT = 64e6
 CONTROL_BYTES_LIMIT = 22_000.0
 CONTROL_CPU_LIMIT = 0.025
-IN_FORCE_LIMIT = 14.0
-"""Seconds until a change of configuration is in force everywhere."""
+BETWEEN_TOKENS_LIMIT = 0.045
+"""Seconds for which nothing may stop the loop that relays tokens."""
 APPENDS_LIMIT = 300.0
 """Appends a second that the platform's log takes; "several hundred", so the low end."""
 
@@ -79,11 +81,6 @@
         """Return the cost of one more."""
         return self.slopes[name].slope
 
-    def both_ways(self, name: str) -> float:
-        """Return the processor time, in microseconds, of sending and receiving a message."""
-        cost = self.messages[name]
-        return cost.encode_microseconds + cost.decode_microseconds
-
 
 def budget(
     slopes: Mapping[str, Slope], messages: Sequence[MessageCost], size: TargetSize
@@ -102,7 +99,7 @@
     change = _change_bytes(measured, size) * size.configuration_changes_a_day / SECONDS_A_DAY
     beats = connections / size.heartbeat_interval
     heartbeat = measured.messages["Heartbeat"].wire_bytes * 2 * beats
-    beat_cpu = measured.both_ways("Heartbeat") * beats / 1e6
+    beat_cpu = measured.slope(HEARTBEATS) * beats / 1e6
     subset_cpu = _subset_cpu(measured, size)
     fold_cpu = _fold_cpu(measured, size)
     return (
@@ -112,6 +109,13 @@
         BudgetLine("entry", "control traffic", heartbeat + change, "B/s", CONTROL_BYTES_LIMIT),
         BudgetLine("entry", "heartbeat processing", beat_cpu, "cores"),
         BudgetLine("entry", "configuration folding", fold_cpu, "cores"),
+        BudgetLine(
+            "entry",
+            "loop stopped by a publication",
+            _publication_seconds(measured, size),
+            "s",
+            BETWEEN_TOKENS_LIMIT,
+        ),
         BudgetLine("entry", "subset assignment", subset_cpu, "cores"),
         BudgetLine(
             "entry",
@@ -137,7 +141,7 @@
     change = _change_bytes(measured, size) * size.configuration_changes_a_day / SECONDS_A_DAY
     beats = connections / size.heartbeat_interval
     heartbeat = measured.messages["Heartbeat"].wire_bytes * 2 * beats
-    beat_cpu = measured.both_ways("Heartbeat") * beats / 1e6
+    beat_cpu = measured.slope(HEARTBEATS) * beats / 1e6
     fold_cpu = _fold_cpu(measured, size)
     keys = size.requests_per_second * size.order_share * size.order_window
     ledger = measured.slope("agent of a service: memory of an order key") * keys
@@ -152,7 +156,9 @@
         BudgetLine(
             "agent",
             "control memory",
-            BASE_MEMORY_BYTES + _configuration_memory(measured, size),
+            BASE_MEMORY_BYTES
+            + _configuration_memory(measured, size)
+            + measured.slope(CONNECTION) * connections,
             "B",
             CONTROL_MEMORY_LIMIT,
         ),
@@ -194,8 +200,12 @@
     return (1 - size.preset_share) * publication
 
 
+def _publication_seconds(measured: Measured, size: TargetSize) -> float:
+    return measured.slopes["all: fold of one changed account, by account"].at(size.accounts) / 1e6
+
+
 def _fold_cpu(measured: Measured, size: TargetSize) -> float:
-    publication = measured.slopes["all: fold of a publication, by account"].at(size.accounts)
+    publication = _publication_seconds(measured, size) * 1e6
     switch = measured.slopes["all: fold of a preset switch, by account"].at(size.accounts)
     mean = (1 - size.preset_share) * publication + size.preset_share * switch
     return mean * size.configuration_changes_a_day / SECONDS_A_DAY / 1e6
@@ -219,5 +229,5 @@
         BASE_MEMORY_BYTES
         + _configuration_memory(measured, size)
         + accounts * size.accounts * size.accounts_in_use
-        + agents * connections
+        + (agents + measured.slope(CONNECTION)) * connections
     )
--- /dev/null
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/capacity_connections.py
@@ -0,0 +1,101 @@
+"""What one more connection between entry and agent costs, with its heartbeats."""
+
+from __future__ import annotations
+
+import gc
+import tracemalloc
+from datetime import timedelta
+from time import process_time
+
+import trio
+from trio.testing import memory_stream_pair
+
+from ragwortwing_platform.system_clock import SystemClock
+from ragwortwing_policy.routing import BackendKind
+from ragwortwing_wire.connection import ConnectionSettings, Hello, open_connection
+from ragwortwing_wire.messages import AgentHello, EntryHello
+
+from .slopes import Slope, fit
+
+SIZES = (16, 64, 192)
+INTERVAL = timedelta(milliseconds=100)
+MEASURED_SECONDS = 2.0
+ENDS = 2
+"""Both ends of each connection live in the measuring process."""
+
+
+def connection_memory(_: int) -> Slope:
+    """Fit the memory of one end of a connection."""
+    return fit(
+        "all: memory of a connection's end", "B", SIZES, lambda size: trio.run(_memory, size)
+    )
+
+
+def heartbeat_cpu(_: int) -> Slope:
+    """Fit the processor time of a second with a heartbeat each way on every connection."""
+    return fit(
+        "all: heartbeats of a second at one end, one each way, by connection",
+        "µs",
+        SIZES,
+        lambda size: trio.run(_heartbeats, size),
+    )
+
+
+async def _memory(size: int) -> float:
+    gc.collect()
+    tracemalloc.start()
+    try:
+        async with trio.open_nursery() as nursery:
+            await _open(size, timedelta(seconds=60), nursery)
+            gc.collect()
+            held, _ = tracemalloc.get_traced_memory()
+            nursery.cancel_scope.cancel()
+    finally:
+        tracemalloc.stop()
+    return held / ENDS
+
+
+async def _heartbeats(size: int) -> float:
+    async with trio.open_nursery() as nursery:
+        await _open(size, INTERVAL, nursery)
+        start = process_time()
+        await trio.sleep(MEASURED_SECONDS)
+        spent = process_time() - start
+        nursery.cancel_scope.cancel()
+    heartbeats_of_each = MEASURED_SECONDS / INTERVAL.total_seconds()
+    return spent / heartbeats_of_each / ENDS * 1e6
+
+
+class _Opened:
+    """Counts the ends that are open and tells when all are."""
+
+    def __init__(self, wanted: int) -> None:
+        self.all_open = trio.Event()
+        self._missing = wanted
+
+    def count(self) -> None:
+        self._missing -= 1
+        if not self._missing:
+            self.all_open.set()
+
+
+async def _open(size: int, interval: timedelta, nursery: trio.Nursery) -> None:
+    settings = ConnectionSettings(heartbeat_interval=interval, silence_timeout=interval * 20)
+    opened = _Opened(size * ENDS)
+    for index in range(size):
+        entry_end, agent_end = memory_stream_pair()
+        agent_id = f"agent-{index}/1"
+        entry_hello = EntryHello("entry-1/1", "zone-1", 1)
+        agent_hello = AgentHello(agent_id, "zone-1", BackendKind.ENGINE, ("model",), 1)
+        nursery.start_soon(_hold, entry_end, entry_hello, settings, opened)
+        nursery.start_soon(_hold, agent_end, agent_hello, settings, opened)
+    await opened.all_open.wait()
+
+
+async def _hold(
+    stream: trio.abc.Stream, hello: Hello, settings: ConnectionSettings, opened: _Opened
+) -> None:
+    async with open_connection(stream, SystemClock(), hello, settings) as connection:
+        opened.count()
+        async for _ in connection:
+            pass
