Give a repeat of a key the first answer as it was, or say that it is not kept

Now the content type is recorded, a header tells that the answer is not kept, and only outcomes that ran to an end carry an answer.

--- a/packages/ragwortwing-agent/src/ragwortwing_agent/service_call.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/service_call.py
@@ -9,7 +9,7 @@
 import trio
 
 from ragwortwing_platform.order_book import KeyedOrder, WonClaim
-from ragwortwing_policy.order_claims import ANSWER_LIMIT_BYTES, AlreadySettled
+from ragwortwing_policy.order_claims import ANSWER_LIMIT_BYTES, AlreadySettled, RecordedAnswer
 from ragwortwing_policy.outcomes import (
     Completed,
     Failed,
@@ -27,7 +27,7 @@
 from .calls import CallResult, calls, wait_room
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from ragwortwing_platform.order_book import OrderBook
 
@@ -39,6 +39,9 @@
 
 SERVER_ERROR = 500
 
+ANSWER_HEADER = b"x-ragwortwing-answer"
+"""Says `not-recorded` where a repeat of a key gets the outcome without the answer's body."""
+
 
 class SendForbiddenError(Exception):
     """The claim of an order no longer allows to write it."""
@@ -54,6 +57,7 @@
 
     status: int = 0
     body: bytes = b""
+    content_type: str = ""
 
 
 @calls(BackendKind.SERVICE)
@@ -74,14 +78,25 @@
         case WonClaim():
             return await _send_won(request, tools, orders, claim)
         case AlreadySettled(recorded):
-            if recorded.status:
-                request.add_head(recorded.status, ())
-                request.add_piece(recorded.answer)
+            _give_again(request, recorded)
             return recorded.outcome
         case _:
             return claim
 
 
+def _give_again(request: AgentRequest, recorded: RecordedAnswer) -> None:
+    """Give a repeat of a key the answer of the first submission, or say that it is not kept."""
+    if not recorded.status:
+        return
+    headers = []
+    if recorded.content_type:
+        headers.append(Header(b"content-type", recorded.content_type.encode("latin-1")))
+    if not recorded.is_whole:
+        headers.append(Header(ANSWER_HEADER, b"not-recorded"))
+    request.add_head(recorded.status, tuple(headers))
+    request.add_piece(recorded.answer)
+
+
 async def _send_won(
     request: AgentRequest, tools: CallTools, orders: OrderBook, won: WonClaim
 ) -> Outcome:
@@ -103,7 +118,7 @@
             orders.record(won, Unknown(UnknownReason.BACKEND_LOST))
         raise
     if request.sent_to_backend:
-        orders.record(won, outcome, kept.status, kept.body)
+        orders.record(won, outcome, kept.status, kept.body, kept.content_type)
     else:
         orders.release(won, NotRunReason.NO_BACKEND)
     return outcome
@@ -129,6 +144,7 @@
             submit.method, submit.path, headers, submit.body, ANSWER_SILENCE, on_send
         ) as answer:
             kept.status = answer.status
+            kept.content_type = _content_type(answer.headers)
             request.add_head(answer.status, answer.headers)
             async for data in answer.pieces():
                 request.add_piece(data)
@@ -142,6 +158,11 @@
     return Completed()
 
 
+def _content_type(headers: Iterable[Header]) -> str:
+    named = (each.value for each in headers if each.name.lower() == b"content-type")
+    return next(named, b"").decode("latin-1")
+
+
 def _outcome_of(failure: CallFailure, request: AgentRequest) -> Outcome:
     if not request.sent_to_backend:
         return NotRun(NotRunReason.NO_BACKEND)
--- a/packages/ragwortwing-agent/tests/test_service_call.py
+++ b/packages/ragwortwing-agent/tests/test_service_call.py
@@ -84,6 +84,7 @@
     assert first.end.outcome == second.end.outcome == Completed()
     assert second.body == first.body
     assert second.head.status == first.head.status == 201
+    assert [each.value for each in second.head.headers] == [b"application/json"]
     assert third.end.outcome == NotRun(NotRunReason.KEY_REUSED)
     assert bench.desk.state()["executions_by_id"] == {"r1": 1}
 
--- a/packages/ragwortwing-platform/src/ragwortwing_platform/order_book.py
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/order_book.py
@@ -187,7 +187,14 @@
         self._queue_release(won.claim_id, won.order_key, reason)
         return True
 
-    def record(self, won: WonClaim, outcome: Outcome, status: int = 0, answer: bytes = b"") -> None:
+    def record(
+        self,
+        won: WonClaim,
+        outcome: Outcome,
+        status: int = 0,
+        answer: bytes = b"",
+        content_type: str = "",
+    ) -> None:
         """Record how a sent order ended; it is appended as soon as the log allows.
 
         Args:
@@ -195,12 +202,13 @@
             outcome: How it ended; `NotRun` only where the write certainly did not happen.
             status: The backend server's status.
             answer: The backend server's answer; kept where it is short.
+            content_type: The answer's content type.
         """
         if isinstance(outcome, NotRun):
             self._queue_release(won.claim_id, won.order_key, outcome.reason)
             return
         self._committer.queue_settlement(
-            settlement_of(won.claim_id, won.order_key, outcome, status, answer)
+            settlement_of(won.claim_id, won.order_key, outcome, status, answer, content_type)
         )
 
     async def _append_and_wait(
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/order_claims.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/order_claims.py
@@ -79,6 +79,9 @@
     """HTTP status of the backend server's answer; 0 where there was none."""
     answer: bytes = b""
     """The backend server's answer, where it is short enough."""
+    is_whole: bool = True
+    """Whether the answer is here; False where it was too long."""
+    content_type: str = ""
 
 
 class ClaimBatch(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -98,7 +101,11 @@
 
     outcome: Outcome
     status: int = 0
+    """0 where there is no answer to give again."""
     answer: bytes = b""
+    is_whole: bool = True
+    """Whether the answer is here; False where it was too long to be recorded."""
+    content_type: str = ""
 
 
 class ClaimState(StrEnum):
@@ -166,7 +173,12 @@
 
 
 def settlement_of(
-    claim_id: str, order_key: OrderKey, outcome: Outcome, status: int = 0, answer: bytes = b""
+    claim_id: str,
+    order_key: OrderKey,
+    outcome: Outcome,
+    status: int = 0,
+    answer: bytes = b"",
+    content_type: str = "",
 ) -> Settlement:
     """Return the settlement that records an outcome.
 
@@ -176,15 +188,41 @@
         outcome: How the order ended.
         status: The backend server's status.
         answer: The backend server's answer; left out where it is too long.
+        content_type: The answer's content type.
     """
-    reason = "" if isinstance(outcome, Completed) else str(outcome.reason)
-    kept = answer if len(answer) <= ANSWER_LIMIT_BYTES else b""
-    return Settlement(claim_id, order_key, outcome.kind, reason, status, kept)
+    if isinstance(outcome, Completed):
+        return _with_answer(
+            Settlement(claim_id, order_key, outcome.kind), status, answer, content_type
+        )
+    settlement = Settlement(claim_id, order_key, outcome.kind, str(outcome.reason))
+    if isinstance(outcome, Failed):
+        return _with_answer(settlement, status, answer, content_type)
+    # What came of an answer before its outcome became unknown would look like a whole one.
+    return settlement
+
+
+def _with_answer(
+    settlement: Settlement, status: int, answer: bytes, content_type: str
+) -> Settlement:
+    is_whole = len(answer) <= ANSWER_LIMIT_BYTES
+    return msgspec.structs.replace(
+        settlement,
+        status=status,
+        answer=answer if is_whole else b"",
+        is_whole=is_whole,
+        content_type=content_type,
+    )
 
 
 def recorded_answer(settlement: Settlement) -> RecordedAnswer:
     """Return what a settlement records."""
-    return RecordedAnswer(_outcome_of(settlement), settlement.status, settlement.answer)
+    return RecordedAnswer(
+        _outcome_of(settlement),
+        settlement.status,
+        settlement.answer,
+        settlement.is_whole,
+        settlement.content_type,
+    )
 
 
 def _outcome_of(settlement: Settlement) -> Outcome:
--- a/packages/ragwortwing-policy/tests/test_order_claims.py
+++ b/packages/ragwortwing-policy/tests/test_order_claims.py
@@ -4,10 +4,12 @@
 
 from datetime import UTC, datetime, timedelta
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from ragwortwing_policy.order_claims import (
+    ANSWER_LIMIT_BYTES,
     AlreadyClaimed,
     AlreadySettled,
     Claim,
@@ -18,9 +20,17 @@
     RecordedAnswer,
     Won,
     encode_batch,
+    recorded_answer,
     settlement_of,
 )
-from ragwortwing_policy.outcomes import Completed, NotRun, NotRunReason
+from ragwortwing_policy.outcomes import (
+    Completed,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    UnknownReason,
+)
 
 KEY = OrderKey("suva-cakes", "wedding-1")
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
@@ -114,3 +124,26 @@
     for offset, payload in [*enumerate(payloads[:split]), *enumerate(payloads)]:
         portions.apply(offset, payload)
     assert portions.get(KEY) == whole.get(KEY)
+
+
+@pytest.mark.parametrize(
+    ("outcome", "answer", "expected"),
+    [
+        (Completed(), b"x", RecordedAnswer(Completed(), 201, b"x", True, "a/b")),
+        (
+            Completed(),
+            b"x" * (ANSWER_LIMIT_BYTES + 1),
+            RecordedAnswer(Completed(), 201, b"", False, "a/b"),
+        ),
+        (
+            Unknown(UnknownReason.BACKEND_LOST),
+            b"the first ha",
+            RecordedAnswer(Unknown(UnknownReason.BACKEND_LOST)),
+        ),
+    ],
+)
+def test_only_a_whole_answer_is_given_again(
+    outcome: Outcome, answer: bytes, expected: RecordedAnswer
+) -> None:
+    """A desk breaks off in mid-answer; a repeat must not get the half as the whole."""
+    assert recorded_answer(settlement_of("a", KEY, outcome, 201, answer, "a/b")) == expected
