Make five tests of the agent fail without their mechanism

Each of 27 mechanisms was switched off in turn. Five tests passed all the same: the stranger's attach failed for another reason, the withdrawn order was counted before it was cut, no outcome was sent into silence, no claim ran out before its write, and the paused reader had not begun to read. They now fail without the account check, the run-on, the resent outcome, the check before the write, and the restart of the timers.

--- a/packages/ragwortwing-agent/tests/test_agent_app.py
+++ b/packages/ragwortwing-agent/tests/test_agent_app.py
@@ -13,7 +13,7 @@
 from ragwortwing_lab.fault_proxy import FaultProxy
 from ragwortwing_lab.standins.batching import EngineSettings
 from ragwortwing_lab.standins.engine import EVENT_STREAM
-from ragwortwing_lab.standins.faults import Fault, FaultKind
+from ragwortwing_lab.standins.faults import Direction, Fault, FaultKind
 from ragwortwing_lab.standins.generation import answer_text
 from ragwortwing_policy.outcomes import Completed, Failed, FailedReason, NotRun, NotRunReason
 from ragwortwing_policy.reservations import Preempt
@@ -83,6 +83,25 @@
     assert answer.end.outcome == Completed(120)
 
 
+async def test_outcome_that_was_sent_into_silence_is_sent_again() -> None:
+    """The whole answer and its outcome left on a connection that had gone silent."""
+    async with agent_bench() as bench:
+        proxy = FaultProxy(bench.wire)
+        address = await bench.nursery.start(proxy.serve)
+        async with bench.entry(address=address) as old:
+            await old.granted("r1")
+            proxy.set_fault(Fault(FaultKind.SILENT, direction=Direction.TO_CLIENT))
+            await old.submit_chat("r1", MENU)
+            request = bench.app.gate.requests_by_id["r1"]
+            await bench.until(lambda: request.state == "ended" and not request.is_unfinished)
+            async with bench.entry() as entry:
+                await entry.attach("r1")
+                answer = await entry.ended("r1")
+    assert answer.text == answer_text(MENU, 120)
+    assert answer.head.status == 200
+    assert answer.end.outcome == Completed(120)
+
+
 async def test_late_words_of_a_connection_that_was_given_up_are_ignored() -> None:
     """An entry took its request up on a new connection; then its old one delivers a withdrawal."""
     async with agent_bench() as bench, bench.entry() as old:
@@ -116,6 +135,7 @@
     It learns nothing, not even that the request exists, and the owner's answer is not disturbed.
     """
     async with agent_bench() as bench, bench.entry() as entry:
+        entry.gives_credit = False
         await entry.chat("r1", MENU)
         await entry.until(lambda: entry.answer("r1").tokens >= 5)
         async with bench.entry() as stranger:
--- a/packages/ragwortwing-agent/tests/test_service_call.py
+++ b/packages/ragwortwing-agent/tests/test_service_call.py
@@ -62,17 +62,33 @@
 
 
 async def test_withdrawn_order_that_was_sent_runs_on() -> None:
-    """A caller hangs up while its order runs. The order cannot be called back, so it ends."""
-    async with agent_bench("service") as bench, bench.entry() as entry:
+    """A caller hangs up while its order runs, and asks again later with its key.
+
+    The order cannot be called back, so it ends and is recorded: the caller gets its answer.
+    """
+    async with order_bench() as (bench, _), bench.entry() as entry:
         bench.desk.faults.set(Fault(FaultKind.FREEZE))
-        await entry.order("r1")
+        await entry.order("r1", **KEYED)
         await bench.until(lambda: bench.app.gate.requests_by_id["r1"].sent_to_backend)
         await entry.withdraw("r1")
+        await entry.order("r2", **KEYED)
         bench.desk.faults.clear()
-        await bench.until(lambda: bench.app.gate.load().running == 0)
+        answer = await entry.ended("r2")
+    assert answer.end.outcome == Completed()
     assert bench.desk.state()["executions_by_id"] == {"r1": 1}
 
 
+async def test_order_whose_claim_ran_out_before_the_write_is_not_sent() -> None:
+    """The process stood still between winning the key and the write; its caller was told."""
+    refusal = NotRun(NotRunReason.DEADLINE)
+    async with order_bench() as (bench, _), bench.entry() as entry:
+        bench.app._orders.begin_send = lambda won: refusal
+        await entry.order("r1", **KEYED)
+        answer = await entry.ended("r1")
+    assert answer.end.outcome == refusal
+    assert bench.desk.state()["executions"] == 0
+
+
 async def test_repeated_key_gets_the_first_answer() -> None:
     async with order_bench() as (bench, _), bench.entry() as entry:
         await entry.order("r1", **KEYED)
--- a/packages/ragwortwing-wire/tests/test_connection.py
+++ b/packages/ragwortwing-wire/tests/test_connection.py
@@ -86,6 +86,7 @@
                 raise AssertionError("nothing was sent")
 
         nursery.start_soon(read)
+        await trio.testing.wait_all_tasks_blocked()
         clock.advance(60)
         await trio.sleep(0.6)
         assert connection.closed is None
