--- a/packages/ragwortwing-entry/src/ragwortwing_entry/agent_pool.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/agent_pool.py
@@ -5,8 +5,12 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Protocol
 
+import trio
+
 from ragwortwing_platform.membership_feed import MemberRole, MemberState
 from ragwortwing_platform.settings_reader import parse_address
+from ragwortwing_policy.membership import ListedAgent, Membership, StateChange
+from ragwortwing_policy.membership import MemberState as MembershipState
 from ragwortwing_policy.subsets import SubsetAgent, subset, subset_size
 from ragwortwing_wire.messages import (
     ConfigurationRecords,
@@ -20,8 +24,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    import trio
-
     from ragwortwing_platform.membership_feed import Members
     from ragwortwing_platform.settings import ConnectionSettings
     from ragwortwing_platform.settings_reader import Address
@@ -95,8 +97,10 @@
         self._router = router
         self._source = source
         self._clock = clock
+        self._has_dialled = False
         self._links_by_address: dict[Address, AgentLink] = {}
         self._links_by_agent_id: dict[str, AgentLink] = {}
+        self._membership = Membership()
 
     @property
     def agents_by_id(self) -> Mapping[str, AgentView]:
@@ -118,12 +122,17 @@
         for address in self._links_by_address.keys() - leaving_by_address.keys():
             # The list lags and can be wrong: an answer that still comes is not cut for it.
             self._links_by_address[address].listed = False
-        for address, leaving in leaving_by_address.items():
+        for address in leaving_by_address:
             link = self._links_by_address.get(address)
             if link is None:
                 link = self._add(address, nursery)
             link.listed = True
-            link.leaving = leaving
+        self._take_changes(
+            self._membership.set_list(
+                ListedAgent(str(address), str(address), leaving)
+                for address, leaving in leaving_by_address.items()
+            )
+        )
 
     def hello(self) -> EntryHello:
         """Return the first message of a connection."""
@@ -143,9 +152,32 @@
         self._links_by_agent_id.pop(view.agent_id, None)
         self._router.update(replace(view, connected=False), self._clock.monotonic())
 
-    def agent_replaced(self, agent_id: str) -> None:
-        """Forget an agent in whose place another one answered."""
-        self._router.remove(agent_id, self._clock.monotonic())
+    def agent_connected(self, address: Address, agent_id: str) -> None:
+        """Take in which agent answered at an address."""
+        self._take_changes(self._membership.connected(str(address), agent_id))
+
+    def agent_disconnected(self, address: Address) -> None:
+        """Take in that the connection to an address was lost."""
+        self._take_changes(self._membership.disconnected(str(address)))
+
+    def said_leaving(self, agent_id: str) -> None:
+        """Take in an agent's own word that it leaves."""
+        self._take_changes(self._membership.said_leaving(agent_id))
+
+    def takes_new_work(self, agent_id: str) -> bool:
+        """Return whether an agent may be asked for a slot."""
+        return self._membership.takes_new_work(agent_id)
+
+    def _take_changes(self, changes: Iterable[StateChange]) -> None:
+        """Tell the router at once, and not only with the agent's next heartbeat."""
+        for change in changes:
+            link = self._links_by_agent_id.get(change.agent_id)
+            if link is not None and link.view is not None:
+                takes_work = change.state is MembershipState.SERVING
+                link.view = replace(link.view, leaving=not takes_work)
+                self._router.update(link.view, self._clock.monotonic())
+            elif change.state is MembershipState.GONE:
+                self._router.remove(change.agent_id, self._clock.monotonic())
 
     def records_from(self, offset: int) -> ConfigurationRecords:
         """Return the configuration records from an offset on."""
@@ -161,12 +193,28 @@
             return None
         return ConfigurationRequest(self._source.state.position)
 
-    async def follow_members(self, source: MemberSource, nursery: trio.Nursery) -> None:
+    @property
+    def has_dialled(self) -> bool:
+        """Whether each agent known at the start was dialled; it stays so."""
+        if not self._has_dialled:
+            links = self._links_by_address.values()
+            self._has_dialled = all(link.dialled for link in links)
+        return self._has_dialled
+
+    async def follow_members(
+        self,
+        source: MemberSource,
+        nursery: trio.Nursery,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
         """Keep the links to the agents of this entry's subset, as the list changes."""
         members = source.current
+        self.set_agents(self._subset(members), nursery)
+        task_status.started()
         while True:
-            self.set_agents(self._subset(members), nursery)
             members = await source.changed()
+            self.set_agents(self._subset(members), nursery)
 
     def _subset(self, members: Members) -> dict[Address, bool]:
         agents = {each.name: each for each in members.with_role(MemberRole.AGENT)}
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/overload.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/overload.py
@@ -24,7 +24,7 @@
         at_load(NARRATIVES, 0.15, backends),
         ORDERS,
     )
-    return compare("burst", Scenario(backends, traffics, duration=100), seed)
+    return compare("burst", Scenario(backends, traffics, duration=100), seed, top_class="chat")
 
 
 @experiment("quarter_end")
@@ -36,7 +36,7 @@
         replace(at_load(NARRATIVES, 0.15, backends), surges=(Surge(15, 75, 10),)),
         ORDERS,
     )
-    return compare("quarter_end", Scenario(backends, traffics, duration=90), seed)
+    return compare("quarter_end", Scenario(backends, traffics, duration=90), seed, top_class="desk")
 
 
 @experiment("wedding")
@@ -48,7 +48,7 @@
         at_load(DRAFTS, 0.7, backends),
         replace(ORDERS, surges=(Surge(15, 75, 4),)),
     )
-    return compare("wedding", Scenario(backends, traffics, duration=90), seed)
+    return compare("wedding", Scenario(backends, traffics, duration=90), seed, top_class="chat")
 
 
 @experiment("storm")
@@ -74,7 +74,9 @@
         at_load(DRAFTS, 0.2, backends),
         at_load(NARRATIVES, 0.1, backends),
     )
-    return compare("endless_top", Scenario(backends, traffics, duration=100), seed)
+    return compare(
+        "endless_top", Scenario(backends, traffics, duration=100), seed, top_class="chat"
+    )
 
 
 @experiment("many_accounts")
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/routing.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/routing.py
@@ -9,6 +9,7 @@
 
 from xxhash import xxh64_intdigest
 
+from .configuration import HIGHEST_TIER
 from .ejection import OutlierDetector
 from .outcomes import NotRun, NotRunReason
 from .reservations import LoadReport
@@ -39,6 +40,9 @@
 WAIT_STEP = timedelta(milliseconds=50)
 """Predicted waits closer than this are a near tie."""
 
+PROMPT_WAIT = timedelta(milliseconds=250)
+"""Predicted wait up to which an agent counts as free for the most urgent tier."""
+
 LOAD_STEPS = 8
 """Loads within this part of an agent's limit are a near tie."""
 
@@ -201,6 +205,13 @@
         head_start = HEAD_START if ranked[0].has_free_slot else timedelta(0)
         return Choice(tuple(each.view.agent_id for each in ranked[:count]), head_start)
 
+    def prompt_agents(self, query: RouteQuery, count: int, now: Instant) -> tuple[str, ...]:
+        """Return up to `count` agents that should give the most urgent tier a slot at once."""
+        closed, _ = self._split_by_circuit(self._eligible(query), query, now)
+        prompt = [each for each in closed if each.view.load.predicted_wait <= PROMPT_WAIT]
+        prompt.sort(key=self._load_key)
+        return tuple(each.view.agent_id for each in prompt[:count])
+
     def _index(self, agent: AgentView) -> None:
         for target in agent.targets:
             self._ids_by_target.setdefault((agent.kind, target), {})[agent.agent_id] = None
@@ -222,7 +233,7 @@
     def _split_by_circuit(
         self, eligible: list[_Known], query: RouteQuery, now: Instant
     ) -> tuple[list[_Known], list[_Known]]:
-        pool = self._ids_by_target[query.kind, query.target]
+        pool = self._ids_by_target.get((query.kind, query.target), {})
         closed: list[_Known] = []
         half_open: list[_Known] = []
         for known in eligible:
@@ -240,7 +251,7 @@
             return None
         for known in half_open:
             agent_id = known.view.agent_id
-            if self._detector.wants_probe(agent_id, now):
+            if self._detector.wants_probe(agent_id, query.tier == HIGHEST_TIER, now):
                 self._detector.probe_sent(agent_id, now)
                 return known
         return None
@@ -259,7 +270,7 @@
         """
         utilisations = [each.utilisation for each in usable]
         mean = sum(utilisations) / len(usable)
-        bound = min(1.0, max(UNBOUNDED_LOAD, LOAD_BOUND * mean))
+        bound = max(UNBOUNDED_LOAD, LOAD_BOUND * mean)
         within = [each for each, used in zip(usable, utilisations, strict=True) if used < bound]
         within.sort(key=lambda each: affinity_score(prefix_hash, each.view.agent_id), reverse=True)
         if len(within) >= count:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/scheduler.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/scheduler.py
@@ -62,10 +62,8 @@
         decisions: list[SchedulerDecision] = []
         for request in list(self._queue):
             self._dequeue(request.request_id)
-            if self._state.admits(request.reservation.request_class):
+            if request.begun or self._state.admits(request.reservation):
                 self._enqueue(self._reclassified(request), now)
-            elif request.begun:
-                self._enqueue(request, now)
             else:
                 decisions.append(_shed(request.reservation))
         self._reclassify_running()
@@ -77,7 +75,7 @@
             return []
         if self._draining:
             return [Refuse(reservation.request_id, NotRunReason.DRAINING)]
-        if not self._state.admits(reservation.request_class):
+        if not self._state.admits(reservation):
             return [_shed(reservation)]
         request = self._state.queued_request(reservation, now)
         refusal = self._admission.refusal(request, now)
@@ -90,8 +88,7 @@
         """Forget a reservation that is queued or granted; a running one is left to `finished`."""
         if self._dequeue(request_id) is not None:
             self._state.waits.left_queue(with_slot=False)
-        if self._slots.held_by_id.pop(request_id, None) is not None:
-            self._state.waits.forget_running()
+        self._slots.held_by_id.pop(request_id, None)
         return self._dispatch(now)
 
     def started(self, reservation: Reservation, now: Instant) -> bool:
@@ -106,7 +103,6 @@
             last_token_at=now,
             protected=slot.request.protected,
         )
-        self._state.waits.forget_running()
         self._adapt_limit(now)
         return True
 
@@ -122,6 +118,7 @@
         else:
             self._state.pace.observe_first_token(running.request_class.name, elapsed)
             self._state.limit.observe_first_token(elapsed)
+            running.first_token_at = now
         running.tokens += tokens
         running.last_token_at = now
 
@@ -130,9 +127,8 @@
         running = self._slots.running_by_id.pop(request_id, None)
         if running is None:
             return []
-        self._state.waits.forget_running()
         resumed = replace(running.reservation, resumed_tokens=running.age)
-        request = self._state.queued_request(resumed, now)
+        request = self._state.queued_request(resumed, now, running.request_class)
         request.begun = True
         request.protected = True
         self._enqueue(request, now)
@@ -145,7 +141,6 @@
             self._learn(running, now)
         self._slots.held_by_id.pop(request_id, None)
         self._dequeue(request_id)
-        self._state.waits.forget_running()
         return self._dispatch(now)
 
     def tick(self, now: Instant) -> list[SchedulerDecision]:
@@ -184,7 +179,7 @@
 
     def _dispatch(self, now: Instant) -> list[SchedulerDecision]:
         decisions: list[SchedulerDecision] = []
-        while len(self._slots) < self._state.limit.value and not self._state.is_stalled(now):
+        while self._state.may_grant(now):
             request = self._next(now)
             if request is None:
                 break
@@ -217,7 +212,6 @@
         expires_at = now + GRANT_LIFETIME.total_seconds()
         self._slots.held_by_id[request.request_id] = HeldSlot(request, expires_at)
         self._state.waits.left_queue(with_slot=True)
-        self._state.waits.forget_running()
         return Grant(request.request_id, expires_at)
 
     def _enqueue(self, request: QueuedRequest, now: Instant) -> None:
@@ -236,7 +230,6 @@
         self._aging.left(request)
 
     def _expired(self, slot: HeldSlot, now: Instant) -> None:
-        self._state.waits.forget_running()
         if slot.request.begun:
             self._enqueue(slot.request, now)
 
@@ -260,6 +253,11 @@
 
     def _learn(self, running: RunningRequest, now: Instant) -> None:
         name = running.request_class.name
+        mean = running.mean_between_tokens
+        most_urgent = self._slots.most_urgent_tier()
+        if mean is not None and (most_urgent is None or running.tier <= most_urgent):
+            target = running.request_class.between_token_target.total_seconds()
+            self._state.limit.observe_answer(mean, target, now)
         if running.tokens:
             self._state.estimates.observe(name, running.reservation.account, running.age)
             return
@@ -269,15 +267,13 @@
 
     def _reclassified(self, request: QueuedRequest) -> QueuedRequest:
         name = request.reservation.request_class
-        return replace(request, request_class=self._state.configuration.class_in_force(name))
+        in_force = self._state.class_in_force(name, request.request_class)
+        return replace(request, request_class=in_force)
 
     def _reclassify_running(self) -> None:
-        configuration = self._state.configuration
         for running in self._slots.running_by_id.values():
             name = running.reservation.request_class
-            if name in configuration.classes_by_name:
-                running.request_class = configuration.class_in_force(name)
-        self._state.waits.forget_running()
+            running.request_class = self._state.class_in_force(name, running.request_class)
 
 
 def _shed(reservation: Reservation) -> Refuse:
