Keep the agent and the tokens of a whole answer in its record

Cause: the record read the agent from the dispatch, which has let go of it at the end, and counted tokens by pieces, of which a whole answer has one without a count. After: both are right; the test fails without the change.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/request_journal.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/request_journal.py
@@ -79,6 +79,8 @@
         record = self._records_by_id[request.request_id]
         self._refresh(record, run)
         record.ended_after = timedelta(seconds=now - request.arrived_at)
+        if isinstance(outcome, Completed):
+            record.tokens = max(record.tokens, outcome.tokens)
         record.outcome = outcome.kind
         record.reason = "" if isinstance(outcome, Completed) else outcome.reason
         self._records_by_id.move_to_end(request.request_id)
@@ -95,7 +97,7 @@
 
     def _refresh(self, record: RequestRecord, run: RequestRun) -> None:
         record.state = run.state
-        record.agent = run.agent_id or record.agent
+        record.agent = run.last_agent_id
         record.tokens = run.tokens
         if run.first_piece_at is not None:
             waited = run.first_piece_at - run.request.arrived_at
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/request_run.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/request_run.py
@@ -95,6 +95,8 @@
         self._decisions: deque[DispatchDecision] = deque()
         self._executing = trio.Lock()
         self._changed = trio.Event()
+        self.last_agent_id = ""
+        """The agent that had the body last, also after the end; empty where none had it."""
         self._links_by_agent_id: dict[str, AgentLink] = {}
         self._ready: list[bytes] = []
         self._partial_event = b""
@@ -340,6 +342,7 @@
             window=self._window,
         )
         self._submitted = True
+        self.last_agent_id = agent_id
         await self._send(link, submit)
 
     def _start_afresh(self, resumed: bool) -> None:
--- a/packages/ragwortwing-entry/tests/test_entry_app.py
+++ b/packages/ragwortwing-entry/tests/test_entry_app.py
@@ -14,6 +14,7 @@
 from ragwortwing_platform.app import CUT_EXIT_CODE
 from ragwortwing_platform.membership_feed import MemberState
 from ragwortwing_policy.outcomes import (
+    Completed,
     Failed,
     FailedReason,
     NotRun,
@@ -74,6 +75,26 @@
     assert b'"type":"completed"' in body
 
 
+async def test_record_of_a_whole_answer_names_its_agent_and_counts_its_tokens(bench: Bench) -> None:
+    """An operator looks up a request that a caller asked for in one piece.
+
+    The agent counts the tokens of such an answer, as the entry sees none of them; the record is to
+    show them and the agent, also after the end.
+    """
+    agent = await bench.add_agent("agent-1")
+    async with trio.open_nursery() as nursery:
+
+        async def serve() -> None:
+            submit = await agent.grant()
+            await agent.answer(submit.request_id, b"{}", outcome=Completed(7))
+
+        nursery.start_soon(serve)
+        answered = await bench.call("POST", CHAT_PATH, CHAT | {"stream": False})
+    request_id = answered.headers["x-request-id"]
+    record = (await bench.call("GET", f"/requests/{request_id}", listener="operator")).json()
+    assert (record["agent"].partition("/")[0], record["tokens"]) == ("agent-1", 7)
+
+
 @pytest.mark.parametrize(
     ("method", "path", "headers", "body", "status", "code"),
     [
