Pass a service's large answer on as it comes instead of keeping it whole

Cause: an answer of a plain service was kept to its end without bound. Above 1 MiB it goes on as it comes; it is then never asked for again, and breaks off where it does not complete.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/delivery.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/delivery.py
@@ -18,7 +18,7 @@
     outcome_headers,
     with_length,
 )
-from .request_run import Ended, Idle, Pieces
+from .request_run import Ended, Idle, Part, Pieces
 
 if TYPE_CHECKING:
     from ragwortwing_policy.clock import Clock
@@ -106,14 +106,16 @@
 
 
 async def _deliver_whole(call: HttpCall, run: RequestRun) -> Outcome:
+    request_id = run.request.request_id
     body = b""
     while True:
         part = await run.next_part(math.inf)
+        if isinstance(part, Pieces) and run.outcome is None:
+            return await _deliver_large(call, run, part)
         if isinstance(part, Pieces):
             body = part.data
         elif not isinstance(part, Idle):
             break
-    request_id = run.request.request_id
     if isinstance(part.outcome, Completed) and run.head is not None:
         headers = [*_relayed_headers(run), *outcome_headers(part.outcome, request_id)]
         await call.answer(with_length(Answer(run.head.status, headers, body)))
@@ -122,6 +124,25 @@
     return part.outcome
 
 
+async def _deliver_large(call: HttpCall, run: RequestRun, first: Pieces) -> Outcome:
+    """Pass a large answer on as it comes, and break it off where it does not complete.
+
+    Its head has gone out before the outcome is known, so a broken body is the only way to say that
+    it is not whole.
+    """
+    assert run.head is not None
+    headers = [*_relayed_headers(run), (b"x-request-id", run.request.request_id.encode())]
+    await call.start(run.head.status, headers)
+    part: Part = first
+    while not isinstance(part, Ended):
+        if isinstance(part, Pieces):
+            await call.send(part.data)
+        part = await run.next_part(math.inf)
+    if isinstance(part.outcome, Completed):
+        await call.finish()
+    return part.outcome
+
+
 def _stream_headers(request_id: str) -> HeaderList:
     return [
         (b"content-type", EVENT_STREAM),
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/request_run.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/request_run.py
@@ -36,6 +36,10 @@
     from .caller_request import CallerRequest
 
 EVENT_END = b"\n\n"
+WHOLE_ANSWER_BYTES = 1_048_576
+"""Size up to which a plain service's answer is kept until its outcome is known; a model's whole
+answer is bounded by its context."""
+
 CREDIT_BYTES = 8_192
 """Delivered bytes that are confirmed together; the agent keeps what is not confirmed."""
 
@@ -97,6 +101,8 @@
         self._changed = trio.Event()
         self._links_by_agent_id: dict[str, AgentLink] = {}
         self._ready: list[bytes] = []
+        self._passes_on = request.streamed
+        self._kept_bytes = 0
         self._partial_event = b""
         self._delivered = DeliveredText()
         self._next_sequence = 0
@@ -159,7 +165,7 @@
         if self.request.streamed:
             self._take_events(agent_id, chunk)
         else:
-            self._ready.append(chunk.data)
+            self._keep(agent_id, chunk.data)
         self._changed.set()
 
     def ended(self, agent_id: str, message: End) -> None:
@@ -194,7 +200,7 @@
         while True:
             await self._execute()
             await self._give_credit()
-            if self._ready and (self.request.streamed or self._outcome is not None):
+            if self._ready and (self._passes_on or self._outcome is not None):
                 return self._take_ready()
             if self._outcome is not None:
                 return Ended(self._outcome)
@@ -236,6 +242,17 @@
         await self._changed.wait()
         self._changed = trio.Event()
 
+    def _keep(self, agent_id: str, data: bytes) -> None:
+        """Keep a piece of a whole answer until its outcome is known, or it grows too large."""
+        self._ready.append(data)
+        self._kept_bytes += len(data)
+        if not self._passes_on and self._kept_bytes > WHOLE_ANSWER_BYTES:
+            # Kept to its end, one large download would take the entry's memory; a part that the
+            # caller has also rules out that the call is made again elsewhere.
+            self._passes_on = self.request.kind is BackendKind.SERVICE
+            if self._passes_on:
+                self._decide(self._dispatch.on_progress(agent_id, 0, self._now))
+
     def _take_events(self, agent_id: str, chunk: Chunk) -> None:
         data = self._partial_event + chunk.data
         self._partial_event = b""
@@ -260,7 +277,7 @@
     async def _give_credit(self) -> None:
         # A slow caller holds up only its own stream: what was not yet taken is not credited, so
         # the agent stops at the window and what is kept here is bounded by it.
-        if self._uncredited < self._credit_bytes or (self._ready and self.request.streamed):
+        if self._uncredited < self._credit_bytes or (self._ready and self._passes_on):
             return
         link = self._links_by_agent_id.get(self.agent_id or "")
         if link is None:
@@ -349,6 +366,7 @@
         if not resumed:
             self.head = None
             self._ready.clear()
+            self._kept_bytes = 0
 
     async def _withdraw_from(self, agent_id: str) -> None:
         link = self._links_by_agent_id.pop(agent_id, None)
--- a/packages/ragwortwing-entry/tests/test_http_server.py
+++ b/packages/ragwortwing-entry/tests/test_http_server.py
@@ -6,10 +6,15 @@
 
 import httpcore
 import msgspec
+import pytest
 import trio
 from entry_bench import AUTHORIZED, CHAT, CHAT_PATH, running_entry
 
+from ragwortwing_entry.request_run import WHOLE_ANSWER_BYTES
 from ragwortwing_platform.app import CUT_EXIT_CODE
+from ragwortwing_policy.outcomes import Completed, Outcome, Unknown, UnknownReason
+from ragwortwing_policy.routing import BackendKind
+from ragwortwing_wire.messages import End, ResponseHead
 
 if TYPE_CHECKING:
     from entry_bench import Bench, FakeAgent
@@ -58,6 +63,31 @@
     assert EVENT + b"event: outcome" in response.content
 
 
+@pytest.mark.parametrize("outcome", [Completed(), Unknown(UnknownReason.BACKEND_LOST)])
+async def test_a_large_answer_is_whole_or_breaks_off(bench: Bench, outcome: Outcome) -> None:
+    """A desk sends a long export, and its VM is gone before the end.
+
+    The export's head is with the caller by then, so only a body that breaks off can tell them.
+    """
+    agent = await bench.add_agent("agent-1", BackendKind.SERVICE, "desk")
+    piece = b"x" * (WHOLE_ANSWER_BYTES // 2 + 1)
+
+    async def serve() -> None:
+        request_id = (await agent.grant()).request_id
+        await agent.send(ResponseHead(request_id, 200, ()))
+        for sequence in range(4):
+            await agent.chunk(request_id, sequence, piece, tokens=0)
+        await agent.send(End(request_id, 4, outcome))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve)
+        if isinstance(outcome, Completed):
+            assert (await bench.call("GET", "/desk/orders/export")).body == piece * 4
+        else:
+            with pytest.raises(httpcore.RemoteProtocolError):
+                await bench.call("GET", "/desk/orders/export")
+
+
 async def test_a_caller_that_does_not_read_holds_up_nobody_else(bench: Bench) -> None:
     """One caller's line stands still in the middle of a long answer, while another one asks.
 
--- a/packages/ragwortwing-entry/tests/test_request_run.py
+++ b/packages/ragwortwing-entry/tests/test_request_run.py
@@ -10,7 +10,7 @@
 import trio
 
 from ragwortwing_entry.caller_request import CallerRequest
-from ragwortwing_entry.request_run import Ended, Idle, Pieces, RequestRun
+from ragwortwing_entry.request_run import WHOLE_ANSWER_BYTES, Ended, Idle, Pieces, RequestRun
 from ragwortwing_platform.system_clock import SystemClock
 from ragwortwing_policy.retries import RetryBudget
 from ragwortwing_policy.routing import AgentView, BackendKind, Router
@@ -52,17 +52,19 @@
         return self.link
 
 
-async def started_run(link: FakeLink, streamed: bool = True) -> RequestRun:
+async def started_run(
+    link: FakeLink, streamed: bool = True, kind: BackendKind = BackendKind.ENGINE
+) -> RequestRun:
     clock = SystemClock()
     now = clock.monotonic()
     router = Router("suva", Random(1))
-    router.update(AgentView(AGENT, "suva", BackendKind.ENGINE, frozenset({"writer"})), now)
+    router.update(AgentView(AGENT, "suva", kind, frozenset({"writer"})), now)
     request = CallerRequest(
         request_id="r",
         account="suva",
         request_class="chat",
         tier=0,
-        kind=BackendKind.ENGINE,
+        kind=kind,
         target="writer",
         method="POST",
         path="/v1/chat/completions",
@@ -118,6 +120,18 @@
     assert run.tokens == 1
 
 
+async def test_a_large_answer_of_a_service_is_not_kept_whole() -> None:
+    link = FakeLink()
+    run = await started_run(link, streamed=False, kind=BackendKind.SERVICE)
+    piece = b"x" * (WHOLE_ANSWER_BYTES // 2 + 1)
+    run.chunk_came(AGENT, Chunk("r", 0, piece, 0))
+    assert isinstance(await run.next_part(0.0), Idle)
+    run.chunk_came(AGENT, Chunk("r", 1, piece, 0))
+    assert await run.next_part(0.0) == Pieces(piece * 2)
+    run.agent_lost(AGENT)
+    assert isinstance(await run.next_part(0.0), Ended)
+
+
 async def test_a_whole_answer_is_kept_until_its_outcome() -> None:
     run = await started_run(FakeLink(), streamed=False)
     run.chunk_came(AGENT, Chunk("r", 0, b'{"a":', 0))
