--- a/packages/ragwortwing-entry/src/ragwortwing_entry/request_run.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/request_run.py
@@ -99,6 +99,8 @@
         self._decisions: deque[DispatchDecision] = deque()
         self._executing = trio.Lock()
         self._changed = trio.Event()
+        self.last_agent_id = ""
+        """The agent that had the body last, also after the end; empty where none had it."""
         self._links_by_agent_id: dict[str, AgentLink] = {}
         self._ready: list[bytes] = []
         self._passes_on = request.streamed
@@ -357,6 +359,7 @@
             window=self._window,
         )
         self._submitted = True
+        self.last_agent_id = agent_id
         await self._send(link, submit)
 
     def _start_afresh(self, resumed: bool) -> None:
