Test that a record read again reverts nothing

Cause: switching mechanisms off one by one, for the table of promises, showed that no test failed when the fold took earlier records again. The new test does: an unconditional publication came back.

--- a/packages/ragwortwing-policy/tests/test_configuration_log.py
+++ b/packages/ragwortwing-policy/tests/test_configuration_log.py
@@ -155,3 +155,16 @@
     old = Checkpoint("c", 5, 0, "ordinary", document())
     after = apply(state, RawRecord(5, encode_entry(old))).state
     assert (after.revision, after.preset, after.complete) == (1, "peak", False)
+
+
+def test_a_record_that_comes_again_never_reverts_a_newer_state() -> None:
+    """A peer sends the records from the start, with a publication that needs no base among them.
+
+    The process has long had a newer revision in force; taking the old one again would put a preset
+    back that an operator has left.
+    """
+    first = publication(UNCONDITIONAL)
+    *_, state = fold([first, PresetSwitch("a", 0, "peak")])
+    again = apply(state, RawRecord(0, encode_entry(first)))
+    assert again.state == state
+    assert not again.judged
