--- a/packages/ragwortwing-policy/src/ragwortwing_policy/ejection.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/ejection.py
@@ -48,7 +48,7 @@
     longest_ejection: timedelta = timedelta(seconds=60)
     probes: int = 3
     """Latencies in the peers' range that close the circuit again."""
-    urgent_probe_after: timedelta = timedelta(seconds=10)
+    urgent_probe_after: timedelta = timedelta(seconds=4)
     """Time without a probe after which a request of the most urgent tier may be one."""
     probe_lifetime: timedelta = timedelta(seconds=3)
     """Time after which a probe that brought no latency makes room for another."""
