--- a/packages/ragwortwing-lab/src/ragwortwing_lab/site.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/site.py
@@ -26,6 +26,10 @@
 SERVICE = "order-desk"
 ZONES = ("suva", "nadi", "lautoka")
 
+KEPT_ALIVE = 1.0
+"""Seconds for which a connection is used again; below the time after which the servers close it,
+or a call could be sent into a connection that is just being closed."""
+
 _JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
@@ -78,7 +82,7 @@
         self.shape = shape
         self.directory = directory
         self.process_by_name: dict[str, Process] = {}
-        self._http = httpcore.AsyncConnectionPool(max_connections=64)
+        self._http = httpcore.AsyncConnectionPool(max_connections=64, keepalive_expiry=KEPT_ALIVE)
         self._member_by_name: dict[str, dict[str, str]] = {}
 
     async def start(self) -> None:
