--- /dev/null
+++ b/packages/ragwortwing-entry/tests/test_request_run.py
@@ -0,0 +1,142 @@
+"""One request in flight: back-pressure by credit, nothing twice, nothing cut in an event."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+import pytest
+import trio
+
+from ragwortwing_entry.caller_request import CallerRequest
+from ragwortwing_entry.request_run import WHOLE_ANSWER_BYTES, Ended, Idle, Pieces, RequestRun
+from ragwortwing_platform.system_clock import SystemClock
+from ragwortwing_policy.retries import RetryBudget
+from ragwortwing_policy.routing import AgentView, BackendKind, Router
+from ragwortwing_wire.messages import Chunk, Credit, End, Granted, Submit
+
+WINDOW = 4_096
+AGENT = "agent-1/1"
+EVENT = b'data: {"choices":[{"delta":{"content":" x"}}]}\n\n'
+
+
+class FakeLink:
+    """Takes what a run sends to its agent."""
+
+    is_open = True
+
+    def __init__(self) -> None:
+        self.sent: list[Any] = []
+
+    def remember(self, run: RequestRun) -> None:
+        pass
+
+    def forget(self, request_id: str) -> None:
+        pass
+
+    async def send(self, message: Any) -> None:
+        self.sent.append(message)
+
+    def credits(self) -> list[Credit]:
+        return [each for each in self.sent if isinstance(each, Credit)]
+
+
+class FakePool:
+    """Knows one agent."""
+
+    def __init__(self, link: FakeLink) -> None:
+        self.link = link
+
+    def link_of(self, agent_id: str) -> FakeLink:
+        return self.link
+
+
+async def started_run(
+    link: FakeLink, streamed: bool = True, kind: BackendKind = BackendKind.ENGINE
+) -> RequestRun:
+    clock = SystemClock()
+    now = clock.monotonic()
+    router = Router("suva", Random(1))
+    router.update(AgentView(AGENT, "suva", kind, frozenset({"writer"})), now)
+    request = CallerRequest(
+        request_id="r",
+        account="suva",
+        request_class="chat",
+        tier=0,
+        kind=kind,
+        target="writer",
+        method="POST",
+        path="/v1/chat/completions",
+        headers=(),
+        body=b"{}",
+        arrived_at=now,
+        deadline=now + 60,
+        streamed=streamed,
+    )
+    pool: Any = FakePool(link)
+    run = RequestRun(request, pool, router, RetryBudget(), clock, WINDOW)
+    run.start()
+    assert isinstance(await run.next_part(now), Idle)
+    run.granted(AGENT, Granted("r", timedelta(seconds=1)))
+    assert isinstance(await run.next_part(now), Idle)
+    assert isinstance(link.sent[-1], Submit)
+    return run
+
+
+async def test_credit_comes_only_for_what_the_caller_took() -> None:
+    """A caller reads slowly while its engine writes on.
+
+    The agent may send a window and then has to stop; so what waits in the entry is bounded, and the
+    agent goes on as soon as the caller has taken what waited.
+    """
+    link = FakeLink()
+    run = await started_run(link)
+    count = WINDOW // len(EVENT)
+    for sequence in range(count):
+        run.chunk_came(AGENT, Chunk("r", sequence, EVENT, 1))
+    assert await run.next_part(0.0) == Pieces(EVENT * count)
+    assert link.credits() == []
+    with trio.move_on_after(0):
+        await run.next_part(0.0)
+    assert link.credits() == [Credit("r", count, WINDOW)]
+
+
+@pytest.mark.parametrize("cut", [1, 20, len(EVENT) - 1])
+async def test_only_whole_events_go_out(cut: int) -> None:
+    run = await started_run(FakeLink())
+    run.chunk_came(AGENT, Chunk("r", 0, EVENT + EVENT[:cut], 1))
+    assert await run.next_part(0.0) == Pieces(EVENT)
+    run.chunk_came(AGENT, Chunk("r", 1, EVENT[cut:], 1))
+    assert await run.next_part(0.0) == Pieces(EVENT)
+
+
+async def test_a_repeat_and_another_agents_piece_are_passed_over() -> None:
+    run = await started_run(FakeLink())
+    run.chunk_came(AGENT, Chunk("r", 0, EVENT, 1))
+    run.chunk_came(AGENT, Chunk("r", 0, EVENT, 1))
+    run.chunk_came("agent-2/1", Chunk("r", 1, EVENT, 1))
+    assert await run.next_part(0.0) == Pieces(EVENT)
+    assert run.tokens == 1
+
+
+async def test_a_large_answer_of_a_service_is_not_kept_whole() -> None:
+    link = FakeLink()
+    run = await started_run(link, streamed=False, kind=BackendKind.SERVICE)
+    piece = b"x" * (WHOLE_ANSWER_BYTES // 2 + 1)
+    run.chunk_came(AGENT, Chunk("r", 0, piece, 0))
+    assert isinstance(await run.next_part(0.0), Idle)
+    run.chunk_came(AGENT, Chunk("r", 1, piece, 0))
+    assert await run.next_part(0.0) == Pieces(piece * 2)
+    run.agent_lost(AGENT)
+    assert isinstance(await run.next_part(0.0), Ended)
+
+
+async def test_a_whole_answer_is_kept_until_its_outcome() -> None:
+    run = await started_run(FakeLink(), streamed=False)
+    run.chunk_came(AGENT, Chunk("r", 0, b'{"a":', 0))
+    assert isinstance(await run.next_part(0.0), Idle)
+    run.chunk_came(AGENT, Chunk("r", 1, b"1}", 0))
+    run.ended(AGENT, End("r", 2))
+    assert await run.next_part(0.0) == Pieces(b'{"a":1}')
+    assert isinstance(await run.next_part(0.0), Ended)
--- a/packages/ragwortwing-platform/src/ragwortwing_platform/order_book.py
+++ b/packages/ragwortwing-platform/src/ragwortwing_platform/order_book.py
@@ -42,6 +42,8 @@
 
 __all__ = ["KeyedOrder", "OrderBook", "OrderBookSettings", "WonClaim"]
 
+READ_BACK_LIMIT = timedelta(milliseconds=500)
+"""Time after which a claim that was not read back yet is looked for on another connection."""
 ABANDONED_LIMIT = 10_000
 """Most given-up claims remembered in case they come to stand in the log late."""
 
@@ -121,6 +123,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self._follow)
             nursery.start_soon(self._committer.run)
+            nursery.start_soon(self._watch_read_back)
             task_status.started()
 
     async def claim(self, order: KeyedOrder, deadline: Instant) -> ClaimResult:
@@ -184,7 +187,14 @@
         self._queue_release(won.claim_id, won.order_key, reason)
         return True
 
-    def record(self, won: WonClaim, outcome: Outcome, status: int = 0, answer: bytes = b"") -> None:
+    def record(
+        self,
+        won: WonClaim,
+        outcome: Outcome,
+        status: int = 0,
+        answer: bytes = b"",
+        content_type: str = "",
+    ) -> None:
         """Record how a sent order ended; it is appended as soon as the log allows.
 
         Args:
@@ -192,9 +202,13 @@
             outcome: How it ended; `NotRun` only where the write certainly did not happen.
             status: The backend server's status.
             answer: The backend server's answer; kept where it is short.
+            content_type: The answer's content type.
         """
+        if isinstance(outcome, NotRun):
+            self._queue_release(won.claim_id, won.order_key, outcome.reason)
+            return
         self._committer.queue_settlement(
-            settlement_of(won.claim_id, won.order_key, outcome, status, answer)
+            settlement_of(won.claim_id, won.order_key, outcome, status, answer, content_type)
         )
 
     async def _append_and_wait(
@@ -224,7 +238,8 @@
         self, order_key: OrderKey, first_claim_id: str, deadline: Instant
     ) -> bool:
         """Wait until an earlier claim of the key is settled or released; return whether it was."""
-        with trio.move_on_after(max(0.0, deadline - self._clock.monotonic())):
+        wait = self._settings.repeat_wait.total_seconds()
+        with trio.move_on_after(max(0.0, min(wait, deadline - self._clock.monotonic()))):
             while True:
                 record = self._ledger.get(order_key)
                 if record is None or record.claim_id != first_claim_id or record.recorded:
@@ -270,6 +285,20 @@
             else:
                 backoff.reset()
 
+    async def _watch_read_back(self) -> None:
+        """Read aside where claims are not read back in time.
+
+        The held read can be on a connection that went silent for good: it shows as claims that are
+        appended and never come back until that read times out. A read that begins now takes
+        another connection, as the silent one is in use.
+        """
+        waiting: set[str] = set()
+        while True:
+            await trio.sleep(READ_BACK_LIMIT.total_seconds())
+            if waiting & self._waiters_by_claim.keys():
+                await self._read_to_end()
+            waiting = set(self._waiters_by_claim)
+
     async def _read_to_end(self) -> None:
         """Read what the stream holds now, unless the log is down."""
         while True:
