Join doubled logic: models of backend servers, tables of a document

Cause: the duplicates report; two constructors and two lists of tables stood twice. No behaviour changes.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/engine.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/engine.py
@@ -103,8 +103,8 @@
         """Return the requests being worked on."""
 
 
-class EngineModel:
-    """Continuous batching: each step gives every stream of the batch one token."""
+class BackendModel:
+    """What every model of a backend server has: its place in time, its speed and its runs."""
 
     def __init__(
         self, loop: VirtualLoop, spec: BackendSpec, on_output: Callable[[list[Output]], None]
@@ -117,6 +117,15 @@
         self._spec = spec
         self._on_output = on_output
         self._runs_by_id: dict[str, Run] = {}
+
+
+class EngineModel(BackendModel):
+    """Continuous batching: each step gives every stream of the batch one token."""
+
+    def __init__(
+        self, loop: VirtualLoop, spec: BackendSpec, on_output: Callable[[list[Output]], None]
+    ) -> None:
+        super().__init__(loop, spec, on_output)
         self._prefixes: OrderedDict[int, None] = OrderedDict()
         self._cancelled: OrderedDict[str, int] = OrderedDict()
         self._stepping = False
@@ -204,21 +213,9 @@
                 self._prefixes.popitem(last=False)
 
 
-class ServiceModel:
+class ServiceModel(BackendModel):
     """A plain service: each call takes its time, whatever runs beside it."""
 
-    def __init__(
-        self, loop: VirtualLoop, spec: BackendSpec, on_output: Callable[[list[Output]], None]
-    ) -> None:
-        self.generated = 0
-        self.prefilled = 0
-        self.speed_factor = 1.0
-        self.frozen_until: Instant = 0.0
-        self._loop = loop
-        self._spec = spec
-        self._on_output = on_output
-        self._runs_by_id: dict[str, Run] = {}
-
     def submit(self, run: Run) -> None:
         """Begin a call."""
         self._runs_by_id[run.request_id] = run
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/configuration_checks.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/configuration_checks.py
@@ -4,7 +4,7 @@
 
 import re
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -50,6 +50,17 @@
     return function
 
 
+def tables_of(configuration: Configuration) -> dict[str, Mapping[str, object]]:
+    """Return the entries of each top-level table of a document."""
+    return {
+        "classes": configuration.classes_by_name,
+        "accounts": configuration.accounts_by_name,
+        "models": configuration.models_by_name,
+        "services": configuration.services_by_name,
+        "presets": configuration.presets_by_name,
+    }
+
+
 def check(configuration: Configuration, before: Configuration | None = None) -> tuple[Fault, ...]:
     """Return every fault of a configuration.
 
@@ -73,14 +84,7 @@
 @_registered
 def _check_names(subject: Subject) -> Iterator[Fault]:
     configuration = subject.configuration
-    tables = {
-        "classes": configuration.classes_by_name,
-        "accounts": configuration.accounts_by_name,
-        "models": configuration.models_by_name,
-        "services": configuration.services_by_name,
-        "presets": configuration.presets_by_name,
-    }
-    for table, entries in tables.items():
+    for table, entries in tables_of(configuration).items():
         for name in entries:
             if not _NAME.fullmatch(name):
                 yield Fault(f"{table}.{name}", "must be of lower-case letters, digits and ._-")
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/configuration_document.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/configuration_document.py
@@ -28,7 +28,7 @@
     Service,
     ServiceRoute,
 )
-from .configuration_checks import Fault, check
+from .configuration_checks import Fault, check, tables_of
 from .durations import DurationError, format_duration, parse_duration
 
 FORMAT = 1
@@ -123,15 +123,8 @@
 
 def write_document(configuration: Configuration) -> dict[str, Any]:
     """Return the document of a configuration."""
-    tables = {
-        "classes": configuration.classes_by_name,
-        "accounts": configuration.accounts_by_name,
-        "models": configuration.models_by_name,
-        "services": configuration.services_by_name,
-        "presets": configuration.presets_by_name,
-    }
     document: dict[str, Any] = {"format": FORMAT}
-    for table, entries_by_name in tables.items():
+    for table, entries_by_name in tables_of(configuration).items():
         document[table] = {
             name: _without_name(_converter.unstructure(entry))
             for name, entry in entries_by_name.items()
