End a replaced proxy with its successor's start

A replaced agent gets a new proxy of the same name, and the site forgot the old one without ending it. Not looked at before they were ended: whether other kinds of processes were among those left.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/site.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/site.py
@@ -246,6 +246,11 @@
         return await self._started(name, python_command(module, *command, "--settings", str(path)))
 
     async def _started(self, name: str, command: list[str]) -> Process:
+        # A proxy outlives the agent behind it; its successor takes its name, and one that nobody
+        # knows any more would run on after the site.
+        before = self.process_by_name.get(name)
+        if before is not None and before.handle.poll() is None:
+            before.kill()
         process = await start_process(name, command, self.directory / f"{name}.log")
         self.process_by_name[name] = process
         return process
