Count three agents of each model in an entry's subset

Cause: the sums took 16 agents an entry, which cannot reach 27 models, and the processes assign subsets by zone only, since the membership list names no models.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/capacity_budget.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/capacity_budget.py
@@ -40,6 +40,9 @@
     tokens_per_second: float = 3.6e6
     accounts: int = 3_500
     models: int = 27
+    agents_of_a_model: int = 3
+    """Agents of each model that an entry must be connected to, so that it can serve the model when
+    one is lost and another is full."""
     configuration_changes_a_day: int = 1_600
     replaced_a_day: int = 112
     """VMs that fail and VMs that are replaced."""
@@ -98,7 +101,7 @@
 
 
 def _entry_lines(measured: Measured, size: TargetSize) -> tuple[BudgetLine, ...]:
-    connections = subset_size(size.entries, size.agents)
+    connections = _connections(size)
     change = _change_bytes(measured, size) * size.configuration_changes_a_day / SECONDS_A_DAY
     beats = connections / size.heartbeat_interval
     heartbeat = measured.messages["Heartbeat"].wire_bytes * 2 * beats
@@ -140,7 +143,7 @@
 
 
 def _agent_lines(measured: Measured, size: TargetSize) -> tuple[BudgetLine, ...]:
-    connections = subset_size(size.entries, size.agents) * size.entries / size.agents
+    connections = _connections(size) * size.entries / size.agents
     change = _change_bytes(measured, size) * size.configuration_changes_a_day / SECONDS_A_DAY
     beats = connections / size.heartbeat_interval
     heartbeat = measured.messages["Heartbeat"].wire_bytes * 2 * beats
@@ -197,6 +200,10 @@
     )
 
 
+def _connections(size: TargetSize) -> int:
+    return max(subset_size(size.entries, size.agents), size.models * size.agents_of_a_model)
+
+
 def _change_bytes(measured: Measured, size: TargetSize) -> float:
     """Return the mean bytes of a change; a publication holds the whole configuration."""
     publication = measured.slopes["all: bytes of a publication, by account"].at(size.accounts)
