Record who switched a preset

Found while reading the two commands, which the duplicates report names as alike. The new test failed before (no operator=litia) and passes now. Ruled out: the record and the history, which hold the name for publications.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/commands/preset.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/commands/preset.py
@@ -97,4 +97,4 @@
         made_from = state.revision if base is None else base
         tell_result(await publisher.use_preset(name, made_from, note), output)
 
-    with_publisher(log_address, output, work)
+    with_publisher(log_address, output, work, operator)
--- a/packages/ragwortwing-entry/tests/test_operator_commands.py
+++ b/packages/ragwortwing-entry/tests/test_operator_commands.py
@@ -182,3 +182,13 @@
     result = CliRunner().invoke(main, ["preset", "current", "--settings", str(settings)])
     assert (result.exit_code, result.stdout) == (0, "ordinary (revision 0)\n")
     assert CliRunner().invoke(main, ["preset", "current"]).exit_code == 2
+
+
+def test_the_history_names_who_switched_the_preset(site: Site) -> None:
+    """An operator switches the preset and gives a name; a colleague reads the history.
+
+    The switch stands there with that name, as a publication does.
+    """
+    site.publish_first()
+    assert site.run("preset", "use", "peak", "--operator", "litia").exit_code == 0
+    assert "operator=litia" in site.run("config", "history").stdout
