Remove code that nothing calls

Cause: a look for names that stand once in the source found a state enumeration of order keys, a header constant, a query of the model's open requests, and a hang-up with its cancel scope in the fault runner's calls; each was left by a change that made it needless. No behaviour changes. Checked: lint, 109 tests of the parts touched. Left: WeightStoreClient and list_as_leaving are used by tests only.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/model_routes.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/model_routes.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from ragwortwing_policy.routing import BackendKind
-from ragwortwing_wire.messages import Header
 
 from .accounts import authenticate, class_of_request
 from .answers import json_answer
@@ -22,7 +21,6 @@
     from .http_call import CallerLeft, HttpCall
 
 CHAT_PATH = "/v1/chat/completions"
-JSON_HEADER = Header(b"content-type", b"application/json")
 
 
 @route("GET", "/v1/models")
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/faults/call.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/faults/call.py
@@ -60,22 +60,16 @@
     received: bytearray = field(default_factory=bytearray)
     headers: dict[bytes, bytes] = field(default_factory=dict)
     ended: trio.Event = field(default_factory=trio.Event)
-    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     @property
     def events(self) -> int:
         """Events received so far."""
         return self.received.count(b"\n\n")
 
-    def hang_up(self) -> None:
-        """Close the connection as a caller does who no longer waits."""
-        self.scope.cancel()
-
     async def run(self, request: CallerRequest) -> None:
         """Send the request and receive the answer, however it ends."""
         try:
-            with self.scope:
-                await self._exchange(request)
+            await self._exchange(request)
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
             self.answer.whole = False
         finally:
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/entry.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/entry.py
@@ -154,10 +154,6 @@
             decisions = request.dispatch.on_agent_lost(agent_id, self._loop.now)
             self._carry_out(request_id, decisions)
 
-    def open_records(self) -> list[Record]:
-        """Return the requests that have not ended."""
-        return [each.record for each in self._open_by_id.values()]
-
     def _wake(self, request_id: str) -> None:
         request = self._open_by_id.get(request_id)
         if request is None or request.wake_at is None or request.wake_at > self._loop.now:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/order_claims.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/order_claims.py
@@ -11,7 +11,6 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 from datetime import timedelta
-from enum import StrEnum
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -108,13 +107,6 @@
     content_type: str = ""
 
 
-class ClaimState(StrEnum):
-    """How far a key is."""
-
-    CLAIMED = "claimed"
-    SETTLED = "settled"
-
-
 @dataclass(frozen=True, slots=True)
 class KeyRecord:
     """The winner of a key."""
