--- a/packages/ragwortwing-agent/src/ragwortwing_agent/__main__.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/__main__.py
@@ -25,9 +25,9 @@
     """Run the agent until SIGTERM, a drain, or the membership list's word."""
     import trio
 
-    from ragwortwing_platform.logs import install_logs
-    from ragwortwing_platform.settings import AgentSettings
-    from ragwortwing_platform.settings_reader import (
+    from ragwortwing_runtime.logs import install_logs
+    from ragwortwing_runtime.settings import AgentSettings
+    from ragwortwing_runtime.settings_reader import (
         FAULTY_SETTINGS_EXIT_CODE,
         FaultySettings,
         read_settings,
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/agent_app.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/agent_app.py
@@ -9,10 +9,10 @@
 import logbook
 import trio
 
-from ragwortwing_platform.app import App, Phase
-from ragwortwing_platform.membership_feed import MemberState
-from ragwortwing_platform.message_handlers import MessageHandlers, on
-from ragwortwing_platform.telemetry import Telemetry
+from ragwortwing_runtime.app import App, Phase
+from ragwortwing_runtime.membership_feed import MemberState
+from ragwortwing_runtime.message_handlers import MessageHandlers, on
+from ragwortwing_runtime.telemetry import Telemetry
 from ragwortwing_wire.connection import (
     Connection,
     ConnectionClosed,
@@ -34,10 +34,10 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from ragwortwing_platform.configuration_feed import ConfigurationFeed
-    from ragwortwing_platform.membership_feed import MembershipFeed
-    from ragwortwing_platform.order_book import OrderBook
-    from ragwortwing_platform.settings import AgentSettings
+    from ragwortwing_runtime.configuration_feed import ConfigurationFeed
+    from ragwortwing_runtime.membership_feed import MembershipFeed
+    from ragwortwing_runtime.order_book import OrderBook
+    from ragwortwing_runtime.settings import AgentSettings
     from ragwortwing_policy.clock import Clock
     from ragwortwing_policy.reservations import LoadReport
     from ragwortwing_wire.messages import ConfigurationRecord
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/backend_client.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/backend_client.py
@@ -18,7 +18,7 @@
     from collections.abc import AsyncIterator, Callable
     from datetime import timedelta
 
-    from ragwortwing_platform.settings import BackendSettings
+    from ragwortwing_runtime.settings import BackendSettings
 
 HOP_HEADERS = frozenset(
     {
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/calls.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/calls.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeVar
 
-from ragwortwing_platform.order_book import OrderBook
+from ragwortwing_runtime.order_book import OrderBook
 from ragwortwing_policy.clock import Clock
 from ragwortwing_policy.outcomes import Outcome
 
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/engine_admin.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/engine_admin.py
@@ -9,8 +9,8 @@
 import msgspec
 import trio
 
-from ragwortwing_platform.fencing import AGENT_STARTS_STREAM, AgentStart, take_fencing_number
-from ragwortwing_platform.log_client import LogPage, OffsetExpired
+from ragwortwing_runtime.fencing import AGENT_STARTS_STREAM, AgentStart, take_fencing_number
+from ragwortwing_runtime.log_client import LogPage, OffsetExpired
 from ragwortwing_policy.engine_orders import EngineOrders, desired_engine
 from ragwortwing_wire.messages import Header
 
@@ -20,8 +20,8 @@
     from collections.abc import Callable
     from random import Random
 
-    from ragwortwing_platform.configuration_feed import ConfigurationFeed
-    from ragwortwing_platform.log_client import Log
+    from ragwortwing_runtime.configuration_feed import ConfigurationFeed
+    from ragwortwing_runtime.log_client import Log
     from ragwortwing_policy.clock import Clock
     from ragwortwing_policy.engine_orders import EngineOrder
 
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/process.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/process.py
@@ -5,11 +5,11 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from ragwortwing_platform.configuration_feed import ConfigurationFeed
-from ragwortwing_platform.log_client import LogClient
-from ragwortwing_platform.membership_feed import MembershipFeed
-from ragwortwing_platform.order_book import OrderBook
-from ragwortwing_platform.system_clock import SystemClock
+from ragwortwing_runtime.configuration_feed import ConfigurationFeed
+from ragwortwing_runtime.log_client import LogClient
+from ragwortwing_runtime.membership_feed import MembershipFeed
+from ragwortwing_runtime.order_book import OrderBook
+from ragwortwing_runtime.system_clock import SystemClock
 from ragwortwing_policy.routing import BackendKind
 
 from .agent_app import AgentApp, new_agent_id
@@ -17,7 +17,7 @@
 from .engine_admin import EngineAdmin
 
 if TYPE_CHECKING:
-    from ragwortwing_platform.settings import AgentSettings
+    from ragwortwing_runtime.settings import AgentSettings
 
 
 async def run_agent(settings: AgentSettings) -> int:
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/request_gate.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/request_gate.py
@@ -10,9 +10,9 @@
 import trio
 from opentelemetry.trace import SpanKind
 
-from ragwortwing_platform.logs import LogContext, set_log_context
-from ragwortwing_platform.message_handlers import MessageHandlers, on
-from ragwortwing_platform.telemetry import trace_id_of, traceparent_of
+from ragwortwing_runtime.logs import LogContext, set_log_context
+from ragwortwing_runtime.message_handlers import MessageHandlers, on
+from ragwortwing_runtime.telemetry import trace_id_of, traceparent_of
 from ragwortwing_policy.outcomes import NotRun, NotRunReason
 from ragwortwing_policy.reservations import (
     Grant,
@@ -43,9 +43,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ragwortwing_platform.order_book import OrderBook
-    from ragwortwing_platform.settings import AgentSettings
-    from ragwortwing_platform.telemetry import Telemetry
+    from ragwortwing_runtime.order_book import OrderBook
+    from ragwortwing_runtime.settings import AgentSettings
+    from ragwortwing_runtime.telemetry import Telemetry
     from ragwortwing_policy.clock import Clock, Instant
     from ragwortwing_policy.configuration import Configuration
     from ragwortwing_policy.reservations import SchedulerDecision
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/service_call.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/service_call.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from ragwortwing_platform.order_book import KeyedOrder, WonClaim
+from ragwortwing_runtime.order_book import KeyedOrder, WonClaim
 from ragwortwing_policy.order_claims import ANSWER_LIMIT_BYTES, AlreadySettled, RecordedAnswer
 from ragwortwing_policy.outcomes import (
     Completed,
@@ -29,7 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from ragwortwing_platform.order_book import OrderBook
+    from ragwortwing_runtime.order_book import OrderBook
 
     from .agent_request import AgentRequest
     from .calls import CallTools
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/status_server.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/status_server.py
@@ -11,10 +11,10 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
-from ragwortwing_platform.telemetry import METRICS_CONTENT_TYPE
+from ragwortwing_runtime.telemetry import METRICS_CONTENT_TYPE
 
 if TYPE_CHECKING:
-    from ragwortwing_platform.settings_reader import Address
+    from ragwortwing_runtime.settings_reader import Address
 
 JSON_TYPE = "application/json"
 CLOSE_SECONDS = 0.2
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/agent_link.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/agent_link.py
@@ -10,8 +10,8 @@
 import logbook
 import trio
 
-from ragwortwing_platform.message_handlers import MessageHandlers, on
-from ragwortwing_platform.settings import ConnectionSettings
+from ragwortwing_runtime.message_handlers import MessageHandlers, on
+from ragwortwing_runtime.settings import ConnectionSettings
 from ragwortwing_policy.reservations import LoadReport
 from ragwortwing_policy.routing import AgentView
 from ragwortwing_wire.connection import Connection, ConnectionClosed, open_connection
@@ -32,7 +32,7 @@
 )
 
 if TYPE_CHECKING:
-    from ragwortwing_platform.settings_reader import Address
+    from ragwortwing_runtime.settings_reader import Address
     from ragwortwing_policy.clock import Clock, Instant
     from ragwortwing_wire.messages import Message
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/commands/_operator.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/commands/_operator.py
@@ -14,15 +14,15 @@
 import msgspec
 import trio
 
-from ragwortwing_platform.configuration_publisher import (
+from ragwortwing_runtime.configuration_publisher import (
     ConfigurationPublisher,
     PublishResult,
     PublishUnknown,
 )
-from ragwortwing_platform.log_client import LogClient, LogUnavailable
-from ragwortwing_platform.settings import EntrySettings
-from ragwortwing_platform.settings_reader import FaultySettings, read_settings
-from ragwortwing_platform.system_clock import SystemClock
+from ragwortwing_runtime.log_client import LogClient, LogUnavailable
+from ragwortwing_runtime.settings import EntrySettings
+from ragwortwing_runtime.settings_reader import FaultySettings, read_settings
+from ragwortwing_runtime.system_clock import SystemClock
 from ragwortwing_policy.configuration_checks import Fault
 from ragwortwing_policy.configuration_log import Accepted, Conflict, Invalid
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/commands/config.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/commands/config.py
@@ -42,7 +42,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from ragwortwing_platform.configuration_publisher import ConfigurationPublisher
+    from ragwortwing_runtime.configuration_publisher import ConfigurationPublisher
 
 FILE = click.Path(path_type=Path, dir_okay=False)
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/commands/entry.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/commands/entry.py
@@ -9,17 +9,17 @@
 import click
 import trio
 
-from ragwortwing_platform.configuration_feed import ConfigurationFeed
-from ragwortwing_platform.log_client import LogClient
-from ragwortwing_platform.logs import install_logs
-from ragwortwing_platform.membership_feed import MembershipFeed
-from ragwortwing_platform.settings import EntrySettings
-from ragwortwing_platform.settings_reader import (
+from ragwortwing_runtime.configuration_feed import ConfigurationFeed
+from ragwortwing_runtime.log_client import LogClient
+from ragwortwing_runtime.logs import install_logs
+from ragwortwing_runtime.membership_feed import MembershipFeed
+from ragwortwing_runtime.settings import EntrySettings
+from ragwortwing_runtime.settings_reader import (
     FAULTY_SETTINGS_EXIT_CODE,
     FaultySettings,
     read_settings,
 )
-from ragwortwing_platform.system_clock import SystemClock
+from ragwortwing_runtime.system_clock import SystemClock
 
 from ..entry_app import EntryApp
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/commands/preset.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/commands/preset.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-    from ragwortwing_platform.configuration_publisher import ConfigurationPublisher
+    from ragwortwing_runtime.configuration_publisher import ConfigurationPublisher
 
 
 @click.group()
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/entry_app.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/entry_app.py
@@ -9,9 +9,9 @@
 import logbook
 import trio
 
-from ragwortwing_platform.app import App
-from ragwortwing_platform.logs import LogContext, set_log_context
-from ragwortwing_platform.telemetry import Telemetry
+from ragwortwing_runtime.app import App
+from ragwortwing_runtime.logs import LogContext, set_log_context
+from ragwortwing_runtime.telemetry import Telemetry
 from ragwortwing_policy.outcomes import NotRun, NotRunReason
 from ragwortwing_policy.retries import RetryBudget
 from ragwortwing_policy.routing import Router
@@ -34,7 +34,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Mapping
 
-    from ragwortwing_platform.settings import EntrySettings
+    from ragwortwing_runtime.settings import EntrySettings
     from ragwortwing_policy.clock import Clock
     from ragwortwing_policy.configuration import Configuration
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/http_server.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/http_server.py
@@ -14,7 +14,7 @@
 from hypercorn.typing import ConnectionState
 from hypercorn.utils import wrap_app
 
-from ragwortwing_platform.settings_reader import Address
+from ragwortwing_runtime.settings_reader import Address
 
 if TYPE_CHECKING:
     from hypercorn.events import Event
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/operator_routes.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/operator_routes.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from ragwortwing_platform.app import Phase
-from ragwortwing_platform.telemetry import METRICS_CONTENT_TYPE
+from ragwortwing_runtime.app import Phase
+from ragwortwing_runtime.telemetry import METRICS_CONTENT_TYPE
 
 from .answers import Answer, json_answer, with_length
 from .caller_faults import CallerFault, CallerFaultCode
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/request_server.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/request_server.py
@@ -10,8 +10,8 @@
 import trio
 from opentelemetry.trace import SpanKind
 
-from ragwortwing_platform.logs import LogContext, set_log_context
-from ragwortwing_platform.telemetry import trace_id_of, traceparent_of
+from ragwortwing_runtime.logs import LogContext, set_log_context
+from ragwortwing_runtime.telemetry import trace_id_of, traceparent_of
 from ragwortwing_policy.outcomes import Completed, Failed, FailedReason, NotRun, NotRunReason
 
 from .answers import outcome_answer
@@ -23,8 +23,8 @@
 
     from opentelemetry.trace import Span
 
-    from ragwortwing_platform.settings import EntrySettings
-    from ragwortwing_platform.telemetry import Telemetry
+    from ragwortwing_runtime.settings import EntrySettings
+    from ragwortwing_runtime.telemetry import Telemetry
     from ragwortwing_policy.clock import Clock
     from ragwortwing_policy.configuration import Configuration
     from ragwortwing_policy.outcomes import Outcome
--- a/packages/ragwortwing-entry/tests/test_entry_app.py
+++ b/packages/ragwortwing-entry/tests/test_entry_app.py
@@ -11,8 +11,8 @@
 from entry_bench import CHAT, CHAT_PATH, running_entry
 
 from ragwortwing_entry.answers import KEEP_ALIVE_COMMENT
-from ragwortwing_platform.app import CUT_EXIT_CODE
-from ragwortwing_platform.membership_feed import MemberState
+from ragwortwing_runtime.app import CUT_EXIT_CODE
+from ragwortwing_runtime.membership_feed import MemberState
 from ragwortwing_policy.outcomes import (
     Completed,
     Failed,
--- a/packages/ragwortwing-entry/tests/test_entry_command.py
+++ b/packages/ragwortwing-entry/tests/test_entry_command.py
@@ -7,7 +7,7 @@
 from click.testing import CliRunner
 
 from ragwortwing_entry.__main__ import main
-from ragwortwing_platform.settings_reader import FAULTY_SETTINGS_EXIT_CODE
+from ragwortwing_runtime.settings_reader import FAULTY_SETTINGS_EXIT_CODE
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/packages/ragwortwing-entry/tests/test_pages.py
+++ b/packages/ragwortwing-entry/tests/test_pages.py
@@ -8,8 +8,8 @@
 
 from ragwortwing_entry.answers import status_of
 from ragwortwing_entry.caller_faults import STATUS_BY_FAULT
-from ragwortwing_platform.settings import AgentSettings, EntrySettings
-from ragwortwing_platform.settings_reader import settings_keys
+from ragwortwing_runtime.settings import AgentSettings, EntrySettings
+from ragwortwing_runtime.settings_reader import settings_keys
 from ragwortwing_policy.outcomes import (
     Failed,
     FailedReason,
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/order_claims.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/order_claims.py
@@ -10,7 +10,7 @@
 import trio
 from trio.testing import MockClock
 
-from ragwortwing_platform.order_book import KeyedOrder, OrderBook, OrderBookSettings, WonClaim
+from ragwortwing_runtime.order_book import KeyedOrder, OrderBook, OrderBookSettings, WonClaim
 from ragwortwing_policy.outcomes import Completed
 
 from ..standins.in_memory import InMemoryLog, TrioClock
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/in_memory.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/in_memory.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from ragwortwing_platform.log_client import (
+from ragwortwing_runtime.log_client import (
     DEFAULT_READ_LIMIT,
     Appended,
     AppendResult,
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/in_process.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/in_process.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from ragwortwing_platform.system_clock import SystemClock
+from ragwortwing_runtime.system_clock import SystemClock
 
 from .log import DEFAULT_APPENDS_PER_SECOND, DEFAULT_RETENTION, LogStandIn, RecordLog
 from .membership import MembershipStandIn
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/membership.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/membership.py
@@ -18,7 +18,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from ragwortwing_platform.system_clock import SystemClock
+from ragwortwing_runtime.system_clock import SystemClock
 from ragwortwing_policy.clock import Instant
 
 from .faults import FaultKind, Faults, control_app
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/configuration.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/configuration.py
@@ -1,7 +1,7 @@
 """The published configuration: request classes, client accounts, models, services and presets.
 
 Durations are `timedelta` everywhere; collections are named by their key. The process settings of a
-single VM (addresses, zone, log level) are not here: see `ragwortwing_platform.settings`.
+single VM (addresses, zone, log level) are not here: see `ragwortwing_runtime.settings`.
 """
 
 from __future__ import annotations
--- a/packages/ragwortwing-platform/tests/test_configuration_feed.py
+++ b/packages/ragwortwing-runtime/tests/test_configuration_feed.py
@@ -11,9 +11,9 @@
 
 from ragwortwing_lab.standins.faults import Fault, FaultKind
 from ragwortwing_lab.standins.in_process import running_log
-from ragwortwing_platform.configuration_feed import ConfigurationFeed
-from ragwortwing_platform.log_client import LogClient
-from ragwortwing_platform.system_clock import SystemClock
+from ragwortwing_runtime.configuration_feed import ConfigurationFeed
+from ragwortwing_runtime.log_client import LogClient
+from ragwortwing_runtime.system_clock import SystemClock
 from ragwortwing_policy.configuration_log import (
     NO_REVISION,
     Checkpoint,
--- a/packages/ragwortwing-platform/tests/test_fencing.py
+++ b/packages/ragwortwing-runtime/tests/test_fencing.py
@@ -9,7 +9,7 @@
 
 from ragwortwing_lab.standins.in_memory import InMemoryLog, LogFaults, TrioClock
 from ragwortwing_lab.standins.log import RecordLog
-from ragwortwing_platform.fencing import take_fencing_number
+from ragwortwing_runtime.fencing import take_fencing_number
 
 
 def test_numbers_rise_under_faults() -> None:
--- a/packages/ragwortwing-platform/tests/test_log_client.py
+++ b/packages/ragwortwing-runtime/tests/test_log_client.py
@@ -9,8 +9,8 @@
 
 from ragwortwing_lab.standins.faults import Fault, FaultKind
 from ragwortwing_lab.standins.in_process import running_log
-from ragwortwing_platform._http import Timeouts
-from ragwortwing_platform.log_client import (
+from ragwortwing_runtime._http import Timeouts
+from ragwortwing_runtime.log_client import (
     Appended,
     AppendUnknown,
     LogCause,
--- a/packages/ragwortwing-platform/tests/test_logs.py
+++ b/packages/ragwortwing-runtime/tests/test_logs.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from ragwortwing_platform.logs import JsonLinesHandler, LogContext, set_log_context
+from ragwortwing_runtime.logs import JsonLinesHandler, LogContext, set_log_context
 
 
 async def test_each_task_logs_its_own_request_and_trace() -> None:
--- a/packages/ragwortwing-platform/tests/test_membership_feed.py
+++ b/packages/ragwortwing-runtime/tests/test_membership_feed.py
@@ -18,7 +18,7 @@
     MembershipStandIn,
     Snapshot,
 )
-from ragwortwing_platform.membership_feed import MemberRole, MembershipFeed, MemberState
+from ragwortwing_runtime.membership_feed import MemberRole, MembershipFeed, MemberState
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/packages/ragwortwing-platform/tests/test_order_book.py
+++ b/packages/ragwortwing-runtime/tests/test_order_book.py
@@ -12,15 +12,15 @@
 
 from ragwortwing_lab.standins.faults import Fault, FaultKind
 from ragwortwing_lab.standins.in_process import running_log
-from ragwortwing_platform._http import Timeouts
-from ragwortwing_platform.log_client import LogClient
-from ragwortwing_platform.order_book import (
+from ragwortwing_runtime._http import Timeouts
+from ragwortwing_runtime.log_client import LogClient
+from ragwortwing_runtime.order_book import (
     KeyedOrder,
     OrderBook,
     OrderBookSettings,
     WonClaim,
 )
-from ragwortwing_platform.system_clock import SystemClock
+from ragwortwing_runtime.system_clock import SystemClock
 from ragwortwing_policy.order_claims import AlreadySettled, RecordedAnswer
 from ragwortwing_policy.outcomes import Completed, NotRun, NotRunReason, Unknown, UnknownReason
 
--- a/packages/ragwortwing-platform/tests/test_order_book_faults.py
+++ b/packages/ragwortwing-runtime/tests/test_order_book_faults.py
@@ -12,8 +12,8 @@
 
 from ragwortwing_lab.standins.in_memory import InMemoryLog, LogFaults, TrioClock
 from ragwortwing_lab.standins.log import RecordLog
-from ragwortwing_platform.log_client import DEFAULT_READ_LIMIT, ReadResult
-from ragwortwing_platform.order_book import (
+from ragwortwing_runtime.log_client import DEFAULT_READ_LIMIT, ReadResult
+from ragwortwing_runtime.order_book import (
     KeyedOrder,
     OrderBook,
     OrderBookSettings,
--- a/packages/ragwortwing-platform/tests/test_settings.py
+++ b/packages/ragwortwing-runtime/tests/test_settings.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from ragwortwing_platform.settings import AgentSettings, EntrySettings
-from ragwortwing_platform.settings_reader import (
+from ragwortwing_runtime.settings import AgentSettings, EntrySettings
+from ragwortwing_runtime.settings_reader import (
     Address,
     FaultySettings,
     SettingsFault,
--- a/packages/ragwortwing-platform/tests/test_telemetry.py
+++ b/packages/ragwortwing-runtime/tests/test_telemetry.py
@@ -12,9 +12,9 @@
 from opentelemetry.proto.collector.trace.v1.trace_service_pb2 import ExportTraceServiceRequest
 from opentelemetry.trace import SpanKind
 
-from ragwortwing_platform.settings import TelemetrySettings
-from ragwortwing_platform.settings_reader import Address, HttpUrl
-from ragwortwing_platform.telemetry import Telemetry, trace_id_of, traceparent_of
+from ragwortwing_runtime.settings import TelemetrySettings
+from ragwortwing_runtime.settings_reader import Address, HttpUrl
+from ragwortwing_runtime.telemetry import Telemetry, trace_id_of, traceparent_of
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/packages/ragwortwing-platform/tests/test_weight_store_client.py
+++ b/packages/ragwortwing-runtime/tests/test_weight_store_client.py
@@ -9,8 +9,8 @@
 from ragwortwing_lab.standins.faults import Fault, FaultKind
 from ragwortwing_lab.standins.in_process import running_weight_store
 from ragwortwing_lab.standins.weight_store import DEFAULT_SIZE_BYTES, weight_bytes
-from ragwortwing_platform._http import Timeouts
-from ragwortwing_platform.weight_store_client import (
+from ragwortwing_runtime._http import Timeouts
+from ragwortwing_runtime.weight_store_client import (
     WeightCause,
     Weights,
     WeightStoreClient,
--- a/tests/entry_bench.py
+++ b/tests/entry_bench.py
@@ -13,10 +13,10 @@
 
 from ragwortwing_entry.accounts import digest_of_key
 from ragwortwing_entry.entry_app import EntryApp
-from ragwortwing_platform.membership_feed import Member, MemberRole, Members, MemberState
-from ragwortwing_platform.settings import EntrySettings
-from ragwortwing_platform.settings_reader import structure_settings
-from ragwortwing_platform.system_clock import SystemClock
+from ragwortwing_runtime.membership_feed import Member, MemberRole, Members, MemberState
+from ragwortwing_runtime.settings import EntrySettings
+from ragwortwing_runtime.settings_reader import structure_settings
+from ragwortwing_runtime.system_clock import SystemClock
 from ragwortwing_policy.configuration import (
     ClassOverride,
     ClientAccount,
--- a/tests/test_orders_at_most_once.py
+++ b/tests/test_orders_at_most_once.py
@@ -7,7 +7,7 @@
 from site_callers import Callers, end, executions, site_callers, until, until_told
 
 from ragwortwing_lab.site import SiteShape
-from ragwortwing_platform.order_book import OrderBookSettings
+from ragwortwing_runtime.order_book import OrderBookSettings
 
 DESKS = SiteShape(entries=2, engines=0, desks=2)
 SLOW_DESKS = SiteShape(entries=2, engines=0, desks=2, desk_arguments=("--work-seconds", "1.5"))
