Put the adapter under the linter, the type checker and the import contracts

Cause: the adapter and the direct entry were written before their checks ran. Checked: scripts/lint passes.

--- a/packages/ragwortwing-agent/src/ragwortwing_agent/agent_app.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/agent_app.py
@@ -34,12 +34,12 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from ragwortwing_policy.clock import Clock
+    from ragwortwing_policy.reservations import LoadReport
     from ragwortwing_runtime.configuration_feed import ConfigurationFeed
     from ragwortwing_runtime.membership_feed import MembershipFeed
     from ragwortwing_runtime.order_book import OrderBook
     from ragwortwing_runtime.settings import AgentSettings
-    from ragwortwing_policy.clock import Clock
-    from ragwortwing_policy.reservations import LoadReport
     from ragwortwing_wire.messages import ConfigurationRecord
 
     from .backend_client import BackendClient
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/calls.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/calls.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeVar
 
-from ragwortwing_runtime.order_book import OrderBook
 from ragwortwing_policy.clock import Clock
 from ragwortwing_policy.outcomes import Outcome
+from ragwortwing_runtime.order_book import OrderBook
 
 from .agent_request import AgentRequest
 from .backend_client import BackendAnswer, BackendClient
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/process.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/process.py
@@ -5,12 +5,12 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from ragwortwing_policy.routing import BackendKind
 from ragwortwing_runtime.configuration_feed import ConfigurationFeed
 from ragwortwing_runtime.log_client import LogClient
 from ragwortwing_runtime.membership_feed import MembershipFeed
 from ragwortwing_runtime.order_book import OrderBook
 from ragwortwing_runtime.system_clock import SystemClock
-from ragwortwing_policy.routing import BackendKind
 
 from .agent_app import AgentApp, new_agent_id
 from .backend_client import BackendClient
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/request_gate.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/request_gate.py
@@ -10,9 +10,6 @@
 import trio
 from opentelemetry.trace import SpanKind
 
-from ragwortwing_runtime.logs import LogContext, set_log_context
-from ragwortwing_runtime.message_handlers import MessageHandlers, on
-from ragwortwing_runtime.telemetry import trace_id_of, traceparent_of
 from ragwortwing_policy.outcomes import NotRun, NotRunReason
 from ragwortwing_policy.reservations import (
     Grant,
@@ -23,6 +20,9 @@
     Reservation,
 )
 from ragwortwing_policy.scheduler import Scheduler, SchedulerSettings
+from ragwortwing_runtime.logs import LogContext, set_log_context
+from ragwortwing_runtime.message_handlers import MessageHandlers, on
+from ragwortwing_runtime.telemetry import trace_id_of, traceparent_of
 from ragwortwing_wire.messages import (
     Attach,
     Credit,
@@ -43,12 +43,12 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ragwortwing_runtime.order_book import OrderBook
-    from ragwortwing_runtime.settings import AgentSettings
-    from ragwortwing_runtime.telemetry import Telemetry
     from ragwortwing_policy.clock import Clock, Instant
     from ragwortwing_policy.configuration import Configuration
     from ragwortwing_policy.reservations import SchedulerDecision
+    from ragwortwing_runtime.order_book import OrderBook
+    from ragwortwing_runtime.settings import AgentSettings
+    from ragwortwing_runtime.telemetry import Telemetry
     from ragwortwing_wire.messages import Message
 
     from .backend_client import BackendClient
--- a/packages/ragwortwing-agent/src/ragwortwing_agent/service_call.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/service_call.py
@@ -8,7 +8,6 @@
 
 import trio
 
-from ragwortwing_runtime.order_book import KeyedOrder, WonClaim
 from ragwortwing_policy.order_claims import ANSWER_LIMIT_BYTES, AlreadySettled, RecordedAnswer
 from ragwortwing_policy.outcomes import (
     Completed,
@@ -21,6 +20,7 @@
     UnknownReason,
 )
 from ragwortwing_policy.routing import BackendKind
+from ragwortwing_runtime.order_book import KeyedOrder, WonClaim
 from ragwortwing_wire.messages import Header
 
 from .backend_client import BackendCallError, CallFailure
--- a/packages/ragwortwing-agent/tests/test_engine_admin.py
+++ b/packages/ragwortwing-agent/tests/test_engine_admin.py
@@ -17,9 +17,9 @@
 from ragwortwing_lab.standins.engine import EngineStandIn, serve_engine
 from ragwortwing_lab.standins.faults import Fault, FaultKind
 from ragwortwing_lab.standins.in_process import running_log
+from ragwortwing_policy.configuration import Model
 from ragwortwing_runtime.log_client import LogClient
 from ragwortwing_runtime.system_clock import SystemClock
-from ragwortwing_policy.configuration import Model
 
 SOURCE = FixedSource(replace(CONFIGURATION, models_by_name={MODEL: Model(MODEL, version="7")}))
 
--- a/packages/ragwortwing-agent/tests/test_service_call.py
+++ b/packages/ragwortwing-agent/tests/test_service_call.py
@@ -10,9 +10,6 @@
 
 from ragwortwing_lab.standins.faults import Fault, FaultKind
 from ragwortwing_lab.standins.in_process import running_log
-from ragwortwing_runtime.log_client import LogClient
-from ragwortwing_runtime.order_book import OrderBook
-from ragwortwing_runtime.system_clock import SystemClock
 from ragwortwing_policy.outcomes import (
     Completed,
     NotRun,
@@ -21,6 +18,9 @@
     Unknown,
     UnknownReason,
 )
+from ragwortwing_runtime.log_client import LogClient
+from ragwortwing_runtime.order_book import OrderBook
+from ragwortwing_runtime.system_clock import SystemClock
 
 KEYED = {"order_key": "wedding-1", "body_digest": b"digest"}
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/agent_link.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/agent_link.py
@@ -10,10 +10,10 @@
 import logbook
 import trio
 
-from ragwortwing_runtime.message_handlers import MessageHandlers, on
-from ragwortwing_runtime.settings import ConnectionSettings
 from ragwortwing_policy.reservations import LoadReport
 from ragwortwing_policy.routing import AgentView
+from ragwortwing_runtime.message_handlers import MessageHandlers, on
+from ragwortwing_runtime.settings import ConnectionSettings
 from ragwortwing_wire.connection import Connection, ConnectionClosed, open_connection
 from ragwortwing_wire.connection import ConnectionSettings as WireSettings
 from ragwortwing_wire.messages import (
@@ -32,8 +32,8 @@
 )
 
 if TYPE_CHECKING:
-    from ragwortwing_runtime.settings_reader import Address
     from ragwortwing_policy.clock import Clock, Instant
+    from ragwortwing_runtime.settings_reader import Address
     from ragwortwing_wire.messages import Message
 
     from .agent_pool import AgentPool
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/agent_pool.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/agent_pool.py
@@ -7,11 +7,11 @@
 
 import trio
 
-from ragwortwing_runtime.membership_feed import MemberRole, MemberState
-from ragwortwing_runtime.settings_reader import parse_address
 from ragwortwing_policy.membership import ListedAgent, Membership, StateChange
 from ragwortwing_policy.membership import MemberState as MembershipState
 from ragwortwing_policy.subsets import SubsetAgent, subset, subset_size
+from ragwortwing_runtime.membership_feed import MemberRole, MemberState
+from ragwortwing_runtime.settings_reader import parse_address
 from ragwortwing_wire.messages import (
     ConfigurationRecords,
     ConfigurationRequest,
@@ -24,13 +24,13 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from ragwortwing_runtime.membership_feed import Members
-    from ragwortwing_runtime.settings import ConnectionSettings
-    from ragwortwing_runtime.settings_reader import Address
     from ragwortwing_policy.clock import Clock
     from ragwortwing_policy.configuration import Configuration
     from ragwortwing_policy.configuration_log import FoldState
     from ragwortwing_policy.routing import AgentView, Router
+    from ragwortwing_runtime.membership_feed import Members
+    from ragwortwing_runtime.settings import ConnectionSettings
+    from ragwortwing_runtime.settings_reader import Address
     from ragwortwing_wire.messages import ConfigurationRecord
 
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/commands/_operator.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/commands/_operator.py
@@ -14,6 +14,8 @@
 import msgspec
 import trio
 
+from ragwortwing_policy.configuration_checks import Fault
+from ragwortwing_policy.configuration_log import Accepted, Conflict, Invalid
 from ragwortwing_runtime.configuration_publisher import (
     ConfigurationPublisher,
     PublishResult,
@@ -23,8 +25,6 @@
 from ragwortwing_runtime.settings import EntrySettings
 from ragwortwing_runtime.settings_reader import FaultySettings, read_settings
 from ragwortwing_runtime.system_clock import SystemClock
-from ragwortwing_policy.configuration_checks import Fault
-from ragwortwing_policy.configuration_log import Accepted, Conflict, Invalid
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/decision_log.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/decision_log.py
@@ -1,4 +1,4 @@
-"""One structured line for each decision that touches a request or changes what the entry believes."""
+"""One structured line for each decision on a request and each change of belief."""
 
 from __future__ import annotations
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from datetime import timedelta
-from random import Random
 from typing import TYPE_CHECKING
 
 import trio
@@ -13,6 +12,8 @@
 from .waiting_room import WaitingRoom
 
 if TYPE_CHECKING:
+    from random import Random
+
     from ragwortwing_policy.clock import Instant
     from ragwortwing_policy.direct.backend_list import BackendServer
     from ragwortwing_policy.direct.routing_table import Route
@@ -44,9 +45,7 @@
     @property
     def is_leaving(self) -> bool:
         """Whether new requests are refused because the process ends soon."""
-        return self._takes_until is not None and (
-            self.state.clock.monotonic() > self._takes_until
-        )
+        return self._takes_until is not None and (self.state.clock.monotonic() > self._takes_until)
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Run what the requests need in the background."""
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -1,4 +1,4 @@
-"""What an entry knows: the configuration, the backend servers, their load, and what it may repeat."""
+"""What an entry knows: configuration, backend servers, their load, and what it may repeat."""
 
 from __future__ import annotations
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
@@ -1,4 +1,4 @@
-"""What an adapter gives the direct entry: requests of callers, ways to answer, calls to backends."""
+"""What an adapter gives the direct entry: callers' requests, ways to answer, backend calls."""
 
 from __future__ import annotations
 
@@ -7,15 +7,15 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING, Any, Protocol
 
+from ragwortwing_policy.clock import Instant
+from ragwortwing_policy.direct.backend_list import BackendServer
+from ragwortwing_policy.direct.prompt_parts import Prompt
 from ragwortwing_policy.outcomes import NotRunReason, UnknownReason
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
     from contextlib import AbstractAsyncContextManager
 
-    from ragwortwing_policy.clock import Instant
-    from ragwortwing_policy.direct.backend_list import BackendServer
-    from ragwortwing_policy.direct.prompt_parts import Prompt
     from ragwortwing_policy.direct.send_state import Send
 
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -8,7 +8,6 @@
 
 import trio
 
-from ragwortwing_policy.direct.prompt_parts import Prompt
 from ragwortwing_policy.direct.routing_table import Repetition
 from ragwortwing_policy.direct.send_state import Send, SendHistory, SendState
 from ragwortwing_policy.outcomes import NotRunReason, UnknownReason
@@ -22,6 +21,7 @@
 
     from ragwortwing_policy.clock import Instant
     from ragwortwing_policy.direct.backend_list import BackendServer
+    from ragwortwing_policy.direct.prompt_parts import Prompt
     from ragwortwing_policy.direct.routing_table import ClientAccount, Route, RoutingTable
 
     from .direct_entry import DirectEntry
@@ -258,9 +258,7 @@
         self._history = self._history.after(send)
         if self._state.trust.failed(backend.id, self._now()):
             decided("backend_rests", backend=backend.id, cause=cause)
-        warned(
-            "send_failed", self._request.id, backend=backend.id, state=send.state, cause=cause
-        )
+        warned("send_failed", self._request.id, backend=backend.id, state=send.state, cause=cause)
         return cause
 
     def _may_send_again(self) -> bool:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/waiting_room.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/waiting_room.py
@@ -7,8 +7,10 @@
 
 import trio
 
+from ragwortwing_policy.clock import Instant
 from ragwortwing_policy.direct.backend_list import BackendServer
 from ragwortwing_policy.direct.placement import NoRoom, Placed, PlacementQuestion
+from ragwortwing_policy.direct.prompt_parts import Prompt
 from ragwortwing_policy.direct.waiting_order import (
     Waiter,
     must_give_up,
@@ -21,8 +23,6 @@
 from .ports import Refused
 
 if TYPE_CHECKING:
-    from ragwortwing_policy.clock import Instant
-    from ragwortwing_policy.direct.prompt_parts import Prompt
     from ragwortwing_policy.direct.routing_table import EngineTraits
 
     from .entry_state import EntryState
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/entry_app.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/entry_app.py
@@ -9,12 +9,12 @@
 import logbook
 import trio
 
-from ragwortwing_runtime.app import App
-from ragwortwing_runtime.logs import LogContext, set_log_context
-from ragwortwing_runtime.telemetry import Telemetry
 from ragwortwing_policy.outcomes import NotRun, NotRunReason
 from ragwortwing_policy.retries import RetryBudget
 from ragwortwing_policy.routing import Router
+from ragwortwing_runtime.app import App
+from ragwortwing_runtime.logs import LogContext, set_log_context
+from ragwortwing_runtime.telemetry import Telemetry
 
 from . import model_routes, operator_routes
 from .account_gate import AccountGate
@@ -34,9 +34,9 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Mapping
 
-    from ragwortwing_runtime.settings import EntrySettings
     from ragwortwing_policy.clock import Clock
     from ragwortwing_policy.configuration import Configuration
+    from ragwortwing_runtime.settings import EntrySettings
 
     from .agent_pool import ConfigurationSource, MemberSource
     from .caller_request import CallerRequest
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/request_server.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/request_server.py
@@ -10,9 +10,9 @@
 import trio
 from opentelemetry.trace import SpanKind
 
+from ragwortwing_policy.outcomes import Completed, Failed, FailedReason, NotRun, NotRunReason
 from ragwortwing_runtime.logs import LogContext, set_log_context
 from ragwortwing_runtime.telemetry import trace_id_of, traceparent_of
-from ragwortwing_policy.outcomes import Completed, Failed, FailedReason, NotRun, NotRunReason
 
 from .answers import outcome_answer
 from .delivery import deliver
@@ -23,11 +23,11 @@
 
     from opentelemetry.trace import Span
 
-    from ragwortwing_runtime.settings import EntrySettings
-    from ragwortwing_runtime.telemetry import Telemetry
     from ragwortwing_policy.clock import Clock
     from ragwortwing_policy.configuration import Configuration
     from ragwortwing_policy.outcomes import Outcome
+    from ragwortwing_runtime.settings import EntrySettings
+    from ragwortwing_runtime.telemetry import Telemetry
 
     from .account_gate import AccountGate
     from .caller_request import CallerRequest
--- a/packages/ragwortwing-entry/tests/test_entry_app.py
+++ b/packages/ragwortwing-entry/tests/test_entry_app.py
@@ -11,8 +11,6 @@
 from entry_bench import CHAT, CHAT_PATH, running_entry
 
 from ragwortwing_entry.answers import KEEP_ALIVE_COMMENT
-from ragwortwing_runtime.app import CUT_EXIT_CODE
-from ragwortwing_runtime.membership_feed import MemberState
 from ragwortwing_policy.outcomes import (
     Completed,
     Failed,
@@ -23,6 +21,8 @@
     UnknownReason,
 )
 from ragwortwing_policy.routing import BackendKind
+from ragwortwing_runtime.app import CUT_EXIT_CODE
+from ragwortwing_runtime.membership_feed import MemberState
 from ragwortwing_wire.messages import (
     Attach,
     ConfigurationRecord,
--- a/packages/ragwortwing-entry/tests/test_http_server.py
+++ b/packages/ragwortwing-entry/tests/test_http_server.py
@@ -11,9 +11,9 @@
 from entry_bench import AUTHORIZED, CHAT, CHAT_PATH, running_entry
 
 from ragwortwing_entry.request_run import WHOLE_ANSWER_BYTES
-from ragwortwing_runtime.app import CUT_EXIT_CODE
 from ragwortwing_policy.outcomes import Completed, Outcome, Unknown, UnknownReason
 from ragwortwing_policy.routing import BackendKind
+from ragwortwing_runtime.app import CUT_EXIT_CODE
 from ragwortwing_wire.messages import End, ResponseHead
 
 if TYPE_CHECKING:
--- a/packages/ragwortwing-entry/tests/test_pages.py
+++ b/packages/ragwortwing-entry/tests/test_pages.py
@@ -8,8 +8,6 @@
 
 from ragwortwing_entry.answers import status_of
 from ragwortwing_entry.caller_faults import STATUS_BY_FAULT
-from ragwortwing_runtime.settings import AgentSettings, EntrySettings
-from ragwortwing_runtime.settings_reader import settings_keys
 from ragwortwing_policy.outcomes import (
     Failed,
     FailedReason,
@@ -19,6 +17,8 @@
     Unknown,
     UnknownReason,
 )
+from ragwortwing_runtime.settings import AgentSettings, EntrySettings
+from ragwortwing_runtime.settings_reader import settings_keys
 
 PAGES = Path(__file__).parents[3] / "docs" / "operators"
 UNSEEN = {NotRunReason.WITHDRAWN, FailedReason.CALLER_GONE}
--- a/packages/ragwortwing-entry/tests/test_request_run.py
+++ b/packages/ragwortwing-entry/tests/test_request_run.py
@@ -11,9 +11,9 @@
 
 from ragwortwing_entry.caller_request import CallerRequest
 from ragwortwing_entry.request_run import WHOLE_ANSWER_BYTES, Ended, Idle, Pieces, RequestRun
-from ragwortwing_runtime.system_clock import SystemClock
 from ragwortwing_policy.retries import RetryBudget
 from ragwortwing_policy.routing import AgentView, BackendKind, Router
+from ragwortwing_runtime.system_clock import SystemClock
 from ragwortwing_wire.messages import Chunk, Credit, End, Granted, Submit
 
 WINDOW = 4_096
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/capacity_connections.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/capacity_connections.py
@@ -10,8 +10,8 @@
 import trio
 from trio.testing import memory_stream_pair
 
-from ragwortwing_runtime.system_clock import SystemClock
 from ragwortwing_policy.routing import BackendKind
+from ragwortwing_runtime.system_clock import SystemClock
 from ragwortwing_wire.connection import ConnectionSettings, Hello, open_connection
 from ragwortwing_wire.messages import AgentHello, EntryHello
 
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/order_claims.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/order_claims.py
@@ -10,8 +10,8 @@
 import trio
 from trio.testing import MockClock
 
-from ragwortwing_runtime.order_book import KeyedOrder, OrderBook, OrderBookSettings, WonClaim
 from ragwortwing_policy.outcomes import Completed
+from ragwortwing_runtime.order_book import KeyedOrder, OrderBook, OrderBookSettings, WonClaim
 
 from ..standins.in_memory import InMemoryLog, TrioClock
 from ..standins.log import DEFAULT_APPENDS_PER_SECOND, RecordLog
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/log.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/log.py
@@ -18,8 +18,8 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from ragwortwing_runtime.system_clock import SystemClock
 from ragwortwing_policy.clock import Instant
+from ragwortwing_runtime.system_clock import SystemClock
 
 from .faults import DroppedReply, Fault, FaultKind, Faults, control_app
 from .serving import run_standin
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/backend_list.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/backend_list.py
@@ -10,6 +10,7 @@
 
     from ragwortwing_policy.clock import Instant
 
+
 @dataclass(frozen=True, slots=True)
 class BackendServer:
     """A backend server as it announced itself."""
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/backend_trust.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/backend_trust.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ragwortwing_policy.clock import Instant
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from ragwortwing_policy.clock import Instant
-
     from .backend_list import BackendServer
 
 FAILURE_WEIGHT = 0.25
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
@@ -3,17 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
-from .prompt_parts import PartCache, Prompt
-
-if TYPE_CHECKING:
-    from ragwortwing_policy.clock import Instant
+from ragwortwing_policy.clock import Instant
 
-    from .routing_table import EngineTraits
+from .prompt_parts import PartCache, Prompt
+from .routing_table import EngineTraits
 
 INITIAL_TOKENS_PER_SECOND = 40_000.0
-"""Prompt tokens read a second before anything is measured; engines of today read 41,000 to 52,000."""
+"""Prompt tokens read a second before anything is measured; engines read 41,000 to 52,000."""
 
 FIRST_EVENT_OVERHEAD = 0.035
 """Seconds from a send to the first event of a short prompt on an idle engine, network included."""
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/lanes.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/lanes.py
@@ -16,11 +16,11 @@
 
 import xxhash
 
+from ragwortwing_policy.clock import Instant
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from ragwortwing_policy.clock import Instant
-
     from .backend_list import BackendServer
 
 LONG_PROMPT_TOKENS = 2_000
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_digest.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_digest.py
@@ -12,11 +12,12 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ragwortwing_policy.clock import Instant
+
 from .engine_load import PeerShare
 from .prompt_parts import PromptPart
 
 if TYPE_CHECKING:
-    from ragwortwing_policy.clock import Instant
 
     from .placement import Placement
 
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -5,16 +5,16 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from .backend_list import BackendServer
 from .engine_load import EngineLoad
 from .lanes import LONG_PROMPT_TOKENS, Lanes, rank
+from .prompt_parts import Prompt
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
     from ragwortwing_policy.clock import Instant
 
-    from .backend_list import BackendServer
-    from .prompt_parts import Prompt
     from .routing_table import EngineTraits
 
 HOME_ADVANTAGE = 0.12
@@ -97,9 +97,9 @@
         if question.prompt.prompt_tokens >= LONG_PROMPT_TOKENS:
             return self._best(question, long or short, traits, now, at_home=True)
         found = self._best(question, short or long, traits, now, at_home=False)
-        if isinstance(found, Placed):
-            if found.first_event_after <= question.latency_target * BORROW_BEYOND or not long:
-                return found
+        limit = question.latency_target * BORROW_BEYOND
+        if not long or (isinstance(found, Placed) and found.first_event_after <= limit):
+            return found
         borrowed = self._best(question, long, traits, now, at_home=False)
         return _earlier(found, borrowed)
 
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/repeat_budget.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/repeat_budget.py
@@ -11,7 +11,7 @@
     from ragwortwing_policy.clock import Instant
 
 USED_PART = 0.8
-"""Part of the allowance that is used: the rest covers sends whose count the receiver dates later."""
+"""Part of the allowance that is used: the rest covers sends that the receiver counts later."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/routing_table.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/routing_table.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import StrEnum
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from collections.abc import Mapping
 
 LEAST_URGENT_TIER = 9
 """Number of the last tier; 0 is the most urgent."""
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_order.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_order.py
@@ -4,10 +4,8 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from ragwortwing_policy.clock import Instant
+from ragwortwing_policy.clock import Instant
 
 LATE_READING = 0.15
 """Seconds of reading that may be ahead of a late request on its engine.
--- a/packages/ragwortwing-runtime/tests/test_configuration_feed.py
+++ b/packages/ragwortwing-runtime/tests/test_configuration_feed.py
@@ -11,9 +11,6 @@
 
 from ragwortwing_lab.standins.faults import Fault, FaultKind
 from ragwortwing_lab.standins.in_process import running_log
-from ragwortwing_runtime.configuration_feed import ConfigurationFeed
-from ragwortwing_runtime.log_client import LogClient
-from ragwortwing_runtime.system_clock import SystemClock
 from ragwortwing_policy.configuration_log import (
     NO_REVISION,
     Checkpoint,
@@ -22,6 +19,9 @@
     decode_entry,
     encode_entry,
 )
+from ragwortwing_runtime.configuration_feed import ConfigurationFeed
+from ragwortwing_runtime.log_client import LogClient
+from ragwortwing_runtime.system_clock import SystemClock
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/packages/ragwortwing-runtime/tests/test_order_book.py
+++ b/packages/ragwortwing-runtime/tests/test_order_book.py
@@ -12,6 +12,8 @@
 
 from ragwortwing_lab.standins.faults import Fault, FaultKind
 from ragwortwing_lab.standins.in_process import running_log
+from ragwortwing_policy.order_claims import AlreadySettled, RecordedAnswer
+from ragwortwing_policy.outcomes import Completed, NotRun, NotRunReason, Unknown, UnknownReason
 from ragwortwing_runtime._http import Timeouts
 from ragwortwing_runtime.log_client import LogClient
 from ragwortwing_runtime.order_book import (
@@ -21,8 +23,6 @@
     WonClaim,
 )
 from ragwortwing_runtime.system_clock import SystemClock
-from ragwortwing_policy.order_claims import AlreadySettled, RecordedAnswer
-from ragwortwing_policy.outcomes import Completed, NotRun, NotRunReason, Unknown, UnknownReason
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/tests/agent_harness.py
+++ b/tests/agent_harness.py
@@ -15,10 +15,10 @@
 from ragwortwing_lab.standins.batching import EngineSettings
 from ragwortwing_lab.standins.engine import EngineStandIn, serve_engine
 from ragwortwing_lab.standins.order_desk import OrderDeskStandIn, serve_order_desk
+from ragwortwing_policy.configuration import Configuration, Preset, RequestClass
 from ragwortwing_runtime.settings import AgentSettings
 from ragwortwing_runtime.settings_reader import structure_settings
 from ragwortwing_runtime.system_clock import SystemClock
-from ragwortwing_policy.configuration import Configuration, Preset, RequestClass
 from ragwortwing_wire.connection import Connection, open_connection
 from ragwortwing_wire.messages import (
     Attach,
--- a/tests/entry_bench.py
+++ b/tests/entry_bench.py
@@ -13,10 +13,6 @@
 
 from ragwortwing_entry.accounts import digest_of_key
 from ragwortwing_entry.entry_app import EntryApp
-from ragwortwing_runtime.membership_feed import Member, MemberRole, Members, MemberState
-from ragwortwing_runtime.settings import EntrySettings
-from ragwortwing_runtime.settings_reader import structure_settings
-from ragwortwing_runtime.system_clock import SystemClock
 from ragwortwing_policy.configuration import (
     ClassOverride,
     ClientAccount,
@@ -30,6 +26,10 @@
 from ragwortwing_policy.configuration_log import FoldState
 from ragwortwing_policy.outcomes import Completed, Outcome
 from ragwortwing_policy.routing import BackendKind
+from ragwortwing_runtime.membership_feed import Member, MemberRole, Members, MemberState
+from ragwortwing_runtime.settings import EntrySettings
+from ragwortwing_runtime.settings_reader import structure_settings
+from ragwortwing_runtime.system_clock import SystemClock
 from ragwortwing_wire.connection import Connection, open_connection
 from ragwortwing_wire.messages import (
     AgentHello,
