Let few entries watch the store for all; tell load changes at once; split engines by the fleet's work

A watcher's position in the feeds now wakes those whose long wait has been forgotten, and tells them of an outage they slept through.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
@@ -120,7 +120,6 @@
         load = self.state.placement.loads_by_id.get(backend_id)
         if load is not None:
             load.end(ticket, self.state.clock.monotonic())
-            self.state.peers.wake()
             self._look(service)
 
     def _look(self, service: str) -> None:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -7,6 +7,7 @@
 
 from ragwortwing_policy.direct.backend_list import BackendList
 from ragwortwing_policy.direct.backend_trust import BackendTrust
+from ragwortwing_policy.direct.feed_watch import FeedWatch
 from ragwortwing_policy.direct.peer_digest import DigestBook
 from ragwortwing_policy.direct.placement import Placement
 from ragwortwing_policy.direct.repeat_budget import RepeatAllowance, RepeatBudget
@@ -39,7 +40,8 @@
         self.placement = Placement()
         self.trust = BackendTrust()
         started = round(1000 * clock.utc_now().timestamp())
-        self.digests = DigestBook(identity.name, started, self.placement)
+        self.watch = FeedWatch(identity.name)
+        self.digests = DigestBook(identity.name, started, self.placement, self.watch)
         self.peers = PeerLink(self.digests, clock)
         self.in_flight_by_backend: dict[str, int] = {}
         self._allowance = allowance
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
@@ -22,11 +22,19 @@
     from ragwortwing_policy.clock import Clock
     from ragwortwing_policy.direct.peer_digest import DigestBook
 
-INTERVAL_PER_PEER = 0.02
-"""Seconds between digests for each peer: what an entry sends and takes a second stays the same as
-the fleet grows, and digests get older instead (60 ms at 4 entries, half a second at 26)."""
+INTERVAL_PER_PEER = 0.002
+"""Seconds between digests for each peer: a fleet of a hundred entries spends no more on them than
+500 datagrams a second each, and the digests get older instead."""
 
-SHORTEST_INTERVAL = 0.05
+SHORTEST_INTERVAL = 0.03
+"""Seconds between digests in a small fleet. An engine takes a long prompt every 100 ms in a burst:
+what an entry knows of it has to be younger than that."""
+
+LONGEST_INTERVAL = 1.0
+"""Seconds after which a digest is sent though nothing has changed: it is the sign of life."""
+
+WHOLE_INTERVAL = 2.0
+"""Seconds between whole digests, which make good what was lost."""
 
 LARGEST_DATAGRAM = 60_000
 
@@ -63,11 +71,15 @@
             nursery.start_soon(self._drop_silent)
 
     async def _send(self, sock: trio.socket.SocketType) -> None:
+        whole_at = 0.0
         while True:
-            with trio.move_on_after(1.0):
+            with trio.move_on_after(LONGEST_INTERVAL):
                 await self._something_new.wait()
             self._something_new = trio.Event()
-            data = self._encode(self._book.digest())
+            now = self._clock.monotonic()
+            whole = now >= whole_at
+            whole_at = now + WHOLE_INTERVAL if whole else whole_at
+            data = self._encode(self._book.digest(now, whole=whole))
             for address in self._addresses.values():
                 try:
                     await sock.sendto(data, address)
--- /dev/null
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
@@ -0,0 +1,128 @@
+"""Who of the entries asks the store often, so that all notice in time that it has something new.
+
+A read of the store that waits for news brings it at once while all is well. What it does not show
+is a store that has stopped answering, or a connection that something on the way has forgotten: both
+look like no news until the wait is over. Short waits in every entry would show it, and each costs a
+call. So a few entries wait briefly and tell all others, in their digests, how far they have read;
+the others wait long, and ask again when they hear that they are behind.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ragwortwing_policy.clock import Instant
+
+from .lanes import rank
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+WATCHERS = 3
+"""Entries that wait briefly: two may be lost at one moment."""
+
+SHORT_WAIT = 1.2
+"""Seconds for which a watcher's read waits.
+
+With the time for an answer on top, a store's return is noticed within 2 s, and a configuration
+accepted just after it is in force within the 2 s that it may take."""
+
+LONG_WAIT = 10.0
+"""Seconds for which the other entries' reads wait."""
+
+STORE_SILENCE = 2.5
+"""Seconds without an answer of the store after which an entry is no good watcher: a short wait, the
+time for an answer, and half a second."""
+
+PEER_SILENCE = 1.8
+"""Seconds without a digest after which an entry is no good watcher; one comes every second."""
+
+BEHIND_FOR = 0.15
+"""Seconds for which an entry stays behind before it asks again: its own read's answer is most
+likely on the way."""
+
+
+@dataclass(slots=True)
+class _PeerNews:
+    heard_at: Instant
+    hears_store: bool
+
+
+class FeedWatch:
+    """What an entry knows of the positions that others have reached in the store's feeds."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._peers_by_name: dict[str, _PeerNews] = {}
+        self._position_by_feed: dict[str, int] = {}
+        self._told_by_feed: dict[str, tuple[int, Instant]] = {}
+        self._heard_store_at: Instant | None = None
+        self._unsure_until: Instant = 0.0
+
+    @property
+    def positions_by_feed(self) -> Mapping[str, int]:
+        """How far this entry has read."""
+        return self._position_by_feed
+
+    def reached(self, feed: str, position: int, now: Instant) -> None:
+        """Note an answer of the store, and how far this entry has read."""
+        self._heard_store_at = now
+        self._position_by_feed[feed] = position
+
+    def outage_over(self, unsure_until: Instant) -> None:
+        """Note that the store is back, and until when a removal may stem from the outage."""
+        self._unsure_until = max(self._unsure_until, unsure_until)
+
+    def unsure_for(self, now: Instant) -> float:
+        """Return for how many seconds a removal may still stem from an outage."""
+        return max(0.0, self._unsure_until - now)
+
+    def hears_store(self, now: Instant) -> bool:
+        """Return whether the store has answered this entry of late."""
+        heard_at = self._heard_store_at
+        return heard_at is not None and now - heard_at < STORE_SILENCE
+
+    def told(
+        self,
+        peer: str,
+        positions_by_feed: Mapping[str, int],
+        now: Instant,
+        *,
+        hears_store: bool,
+        unsure_for: float = 0.0,
+    ) -> None:
+        """Take in what another entry tells.
+
+        An entry whose read waited through a whole outage learns of it only in this way.
+        """
+        self.outage_over(now + unsure_for)
+        self._peers_by_name[peer] = _PeerNews(now, hears_store)
+        for feed, position in positions_by_feed.items():
+            known, _ = self._told_by_feed.get(feed, (-1, 0.0))
+            if position > known:
+                self._told_by_feed[feed] = (position, now)
+
+    def is_watcher(self, now: Instant) -> bool:
+        """Return whether this entry is to wait briefly.
+
+        Without three others that hear the store it is one: during an outage all of them look for
+        the store's return.
+        """
+        good = [
+            name
+            for name, news in self._peers_by_name.items()
+            if news.hears_store and now - news.heard_at < PEER_SILENCE
+        ]
+        ahead = sum(1 for name in good if rank("watch", name) < rank("watch", self._name))
+        return ahead < WATCHERS
+
+    def is_behind(self, feed: str, now: Instant) -> bool:
+        """Return whether others have read further for longer than an answer takes."""
+        position, told_at = self._told_by_feed.get(feed, (-1, 0.0))
+        return position > self._position_by_feed.get(feed, -1) and now - told_at > BEHIND_FOR
+
+    def wait(self, now: Instant) -> float:
+        """Return for how many seconds the next read waits for news."""
+        return SHORT_WAIT if self.is_watcher(now) else LONG_WAIT
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/lanes.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/lanes.py
@@ -3,9 +3,8 @@
 An engine reads prompts between the tokens of what runs on it: one prompt of thousands of tokens
 stops every stream there for as long as it takes to read. Short prompts with long answers (chats)
 and long prompts with short answers (drafts) therefore go to engines of their own as far as there
-are engines. The split follows the work of either kind that this entry itself has seen of late;
-since all entries see samples of one traffic and order the engines alike, their splits agree to
-within one engine.
+are engines. The split follows the work of either kind that all entries have seen of late, as their
+digests tell it, and all order the engines alike; so their splits agree to within one engine.
 """
 
 from __future__ import annotations
@@ -71,9 +70,25 @@
     def __init__(self) -> None:
         self._short = _Work()
         self._long = _Work()
+        self._own_short = 0.0
+        self._own_long = 0.0
+
+    @property
+    def totals(self) -> tuple[float, float]:
+        """Tokens of short and of long prompts that this entry has counted since its start."""
+        return self._own_short, self._own_long
+
+    def count_elsewhere(self, short: float, long: float, now: Instant) -> None:
+        """Count what another entry has counted."""
+        self._short.add(short, now)
+        self._long.add(long, now)
 
     def count(self, unread_tokens: int, *, is_long: bool, now: Instant) -> None:
         """Count a request that was sent or wanted to be."""
+        if is_long:
+            self._own_long += unread_tokens
+        else:
+            self._own_short += unread_tokens
         (self._long if is_long else self._short).add(unread_tokens, now)
 
     def short_engines(self, engines: int, now: Instant) -> int:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_digest.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_digest.py
@@ -14,11 +14,12 @@
 
 from ragwortwing_policy.clock import Instant
 
-from .engine_load import PeerShare
+from .engine_load import EngineLoad, PeerShare
 from .prompt_parts import PromptPart
 
 if TYPE_CHECKING:
 
+    from .feed_watch import FeedWatch
     from .placement import Placement
 
 SILENCE = 2.5
@@ -51,6 +52,15 @@
     parts: tuple[PromptPart, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceWork:
+    """Prompt tokens that one entry has been asked to have read, since its start."""
+
+    service: str
+    short: float
+    long: float
+
+
 @dataclass(frozen=True, slots=True)
 class PeerDigest:
     """What one entry tells the others."""
@@ -59,7 +69,14 @@
     started: int
     """When the sender started, so that its sums are not mistaken for those of an earlier life."""
     engines: tuple[EngineDigest, ...]
+    """Those that have changed since the last digest, or all."""
     uses: tuple[PartsUse, ...] = ()
+    work: tuple[ServiceWork, ...] = ()
+    positions_by_feed: dict[str, int] = field(default_factory=dict)
+    """How far the sender has read in the store's feeds."""
+    hears_store: bool = False
+    unsure_for: float = 0.0
+    """Seconds for which a removal from the store's lists may still stem from an outage."""
 
 
 @dataclass(slots=True)
@@ -67,12 +84,15 @@
     started: int
     heard_at: Instant
     reading_by_backend: dict[str, float] = field(default_factory=dict)
+    work_by_service: dict[str, ServiceWork] = field(default_factory=dict)
 
 
 class DigestBook:
     """Makes this entry's digests and takes in those of others."""
 
-    def __init__(self, sender: str, started: int, placement: Placement) -> None:
+    def __init__(self, sender: str, started: int, placement: Placement, watch: FeedWatch) -> None:
+        self._watch = watch
+        self._told_by_backend: dict[str, EngineDigest] = {}
         self._sender = sender
         self._started = started
         self._placement = placement
@@ -87,21 +107,45 @@
         if len(parts) > 1:
             self._uses.append(PartsUse(backend_id, parts[:-1]))
 
-    def digest(self) -> PeerDigest:
-        """Return the next digest to send."""
+    def digest(self, now: Instant, *, whole: bool = True) -> PeerDigest:
+        """Return the next digest to send.
+
+        Args:
+            now: The present instant.
+            whole: Whether to tell of every engine; else of those that have changed. Whole ones,
+                now and then, make good what was lost.
+        """
         uses = tuple(self._uses)
         self._uses.clear()
-        engines = tuple(
-            EngineDigest(
-                backend_id=load.backend_id,
-                running=len(load.runs_by_ticket),
-                memory_tokens=load.own_memory_tokens,
-                reading_total=self._reading_by_backend.get(load.backend_id, 0.0),
-            )
+        engines = {
+            load.backend_id: self._engine(load)
             for load in self._placement.loads_by_id.values()
             if load.backend_id in self._reading_by_backend
+        }
+        told, self._told_by_backend = self._told_by_backend, engines
+        return PeerDigest(
+            sender=self._sender,
+            started=self._started,
+            engines=tuple(
+                each for each in engines.values() if whole or each != told.get(each.backend_id)
+            ),
+            uses=uses,
+            work=tuple(
+                ServiceWork(service, *lanes.totals)
+                for service, lanes in self._placement.lanes_by_service.items()
+            ),
+            positions_by_feed=dict(self._watch.positions_by_feed),
+            hears_store=self._watch.hears_store(now),
+            unsure_for=round(self._watch.unsure_for(now), 3),
+        )
+
+    def _engine(self, load: EngineLoad) -> EngineDigest:
+        return EngineDigest(
+            backend_id=load.backend_id,
+            running=len(load.runs_by_ticket),
+            memory_tokens=load.own_memory_tokens,
+            reading_total=round(self._reading_by_backend.get(load.backend_id, 0.0), 4),
         )
-        return PeerDigest(self._sender, self._started, engines, uses)
 
     def take(self, digest: PeerDigest, now: Instant) -> None:
         """Take in what another entry tells."""
@@ -114,6 +158,15 @@
         peer.heard_at = now
         for engine in digest.engines:
             self._take_engine(digest.sender, peer, engine, now)
+        for work in digest.work:
+            self._take_work(peer, work, now)
+        self._watch.told(
+            digest.sender,
+            digest.positions_by_feed,
+            now,
+            hears_store=digest.hears_store,
+            unsure_for=digest.unsure_for,
+        )
         for use in digest.uses:
             load = self._placement.loads_by_id.get(use.backend_id)
             if load is not None:
@@ -138,6 +191,14 @@
             load.add_reading(min(LARGEST_LEAP, engine.reading_total - known), now)
         load.shares_by_peer[sender] = PeerShare(engine.running, engine.memory_tokens, now)
 
+    def _take_work(self, peer: _Peer, work: ServiceWork, now: Instant) -> None:
+        known = peer.work_by_service.get(work.service)
+        peer.work_by_service[work.service] = work
+        if known is not None:
+            lanes = self._placement.lanes(work.service)
+            short = max(0.0, work.short - known.short)
+            lanes.count_elsewhere(short, max(0.0, work.long - known.long), now)
+
     def _drop(self, name: str) -> None:
         self._peers_by_name.pop(name, None)
         for load in self._placement.loads_by_id.values():
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -11,7 +11,7 @@
 from .prompt_parts import Prompt
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Mapping, Sequence
 
     from ragwortwing_policy.clock import Instant
 
@@ -71,10 +71,19 @@
         """Forget an engine that is gone."""
         self.loads_by_id.pop(backend_id, None)
 
+    @property
+    def lanes_by_service(self) -> Mapping[str, Lanes]:
+        """The split of each service's engines."""
+        return self._lanes_by_service
+
+    def lanes(self, service: str) -> Lanes:
+        """Return the split of a service's engines."""
+        return self._lanes_by_service.setdefault(service, Lanes())
+
     def arrived(self, question: PlacementQuestion, now: Instant) -> None:
         """Count a request's work for the split of the engines."""
         tokens = question.prompt.prompt_tokens
-        lanes = self._lanes_by_service.setdefault(question.service, Lanes())
+        lanes = self.lanes(question.service)
         lanes.count(tokens, is_long=tokens >= LONG_PROMPT_TOKENS, now=now)
 
     def place(
@@ -92,7 +101,7 @@
             traits: What the configuration tells of them.
             now: The present instant.
         """
-        lanes = self._lanes_by_service.setdefault(question.service, Lanes())
+        lanes = self.lanes(question.service)
         short, long = lanes.split(engines, question.service, now)
         if question.prompt.prompt_tokens >= LONG_PROMPT_TOKENS:
             return self._best(question, long or short, traits, now, at_home=True)
