Trial: engines for short prompts by slots, brief drafts on idle engines of chats

Cause: chats fill the slots of their engines in a burst while the engines of drafts have slots free and no time.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
@@ -22,9 +22,9 @@
     from ragwortwing_policy.clock import Clock
     from ragwortwing_policy.direct.peer_digest import DigestBook
 
-INTERVAL_PER_PEER = 0.002
-"""Seconds between digests for each peer: a fleet of a hundred entries spends no more on them than
-500 datagrams a second each, and the digests get older instead."""
+INTERVAL_PER_PEER = 0.008
+"""Seconds between digests for each peer: an entry sends 125 datagrams a second at most, and as the
+fleet grows the digests get older instead (0.2 s at 26 entries)."""
 
 SHORTEST_INTERVAL = 0.03
 """Seconds between digests in a small fleet. An engine takes a long prompt every 100 ms in a burst:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
@@ -25,6 +25,13 @@
 """Prompt tokens a second between which the learned rate stays; a stalled engine is the business of
 its health, not of its rate."""
 
+READING_DUTY = 1.0
+"""Part of an engine's time that is given to reading prompts.
+
+An engine that always has a prompt to read still makes a token a step, but each step then takes as
+long as a chunk of the prompt: a draft of fifty tokens passes its deadline of five seconds. What
+is placed on an engine is spaced so that its running requests get the rest of the time."""
+
 CACHE_PART = 0.8
 """Part of an engine's memory that is believed to hold shared parts beside what runs."""
 
@@ -40,6 +47,7 @@
     """When its prompt should be read, as predicted when it was sent."""
     queued: float
     """Seconds of reading that were ahead of it."""
+    is_long: bool
     read: bool = False
 
 
@@ -62,11 +70,14 @@
     """
 
     backend_id: str
+    service: str
     traits: EngineTraits
     cache: PartCache = field(init=False)
     tokens_per_second: float = INITIAL_TOKENS_PER_SECOND
     read_by: Instant = 0.0
     runs_by_ticket: dict[str, RunOnEngine] = field(default_factory=dict)
+    short_running: int = 0
+    """Requests with short prompts among them."""
     shares_by_peer: dict[str, PeerShare] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -117,18 +128,20 @@
     def begin(self, ticket: str, prompt: Prompt, now: Instant) -> float:
         """Note a send; return the seconds of reading that it adds."""
         unread = self.unread_tokens(prompt)
+        self.short_running += not prompt.is_long
         reading = unread / self.tokens_per_second
         queued = self.backlog(now)
+        read_by = now + queued + reading
         self.add_reading(reading, now)
         self.cache.use(prompt.parts)
         self.runs_by_ticket[ticket] = RunOnEngine(
-            unread, prompt.memory_tokens, now, self.read_by, queued
+            unread, prompt.memory_tokens, now, read_by, queued, prompt.is_long
         )
         return reading
 
     def add_reading(self, seconds: float, now: Instant) -> None:
         """Put reading behind what is already waiting."""
-        self.read_by = max(self.read_by, now) + seconds
+        self.read_by = max(self.read_by, now) + seconds / READING_DUTY
 
     def first_event(self, ticket: str, now: Instant) -> bool:
         """Note that a request's prompt has been read, and learn from when that was.
@@ -148,8 +161,10 @@
     def end(self, ticket: str, now: Instant) -> None:
         """Note that a request no longer runs; a prompt that was not read is taken back."""
         run = self.runs_by_ticket.pop(ticket, None)
+        self.short_running -= run is not None and not run.is_long
         if run is not None and not run.read:
-            self.read_by = max(now, self.read_by - run.unread_tokens / self.tokens_per_second)
+            reading = run.unread_tokens / self.tokens_per_second
+            self.read_by = max(now, self.read_by - reading / READING_DUTY)
 
     def forget_peer(self, peer: str) -> None:
         """Drop what a peer said: it is gone."""
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/lanes.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/lanes.py
@@ -22,9 +22,6 @@
 
     from .backend_list import BackendServer
 
-LONG_PROMPT_TOKENS = 2_000
-"""Prompts from here on are long: about 45 ms of reading, a noticeable pause in every stream."""
-
 MEMORY = 8.0
 """Seconds over which the work of either kind is forgotten; bursts last 3 to 9 s."""
 
@@ -34,6 +31,10 @@
 A chat is paused by any reading beside it, so the engines for short prompts run at half the load of
 the others."""
 
+SLOTS_FILLED = 1.6
+"""Part of the slots for short prompts that is meant to be filled: the rest takes what comes until
+the split has moved."""
+
 SPARE = 0.25
 """Part of an engine by which the share of short work may overshoot before one more is taken."""
 
@@ -63,8 +64,11 @@
         >>> lanes = Lanes()
         >>> lanes.count(unread_tokens=500, is_long=False, now=0.0)
         >>> lanes.count(unread_tokens=5_000, is_long=True, now=0.0)
-        >>> lanes.short_engines(6, now=0.0)
+        >>> lanes.short_engines(6, slots=8, now=0.0)
         1
+        >>> lanes.own_short_running = 20
+        >>> lanes.short_engines(6, slots=8, now=0.0)
+        4
     """
 
     def __init__(self) -> None:
@@ -72,6 +76,9 @@
         self._long = _Work()
         self._own_short = 0.0
         self._own_long = 0.0
+        self.own_short_running = 0
+        """Short requests that this entry has on engines."""
+        self.short_running_by_peer: dict[str, int] = {}
 
     @property
     def totals(self) -> tuple[float, float]:
@@ -91,20 +98,27 @@
             self._own_short += unread_tokens
         (self._long if is_long else self._short).add(unread_tokens, now)
 
-    def short_engines(self, engines: int, now: Instant) -> int:
-        """Return how many engines are for short prompts; the others are for long ones."""
+    def short_engines(self, engines: int, slots: int, now: Instant) -> int:
+        """Return how many engines are for short prompts; the others are for long ones.
+
+        There are as many as the share of short work asks for, or as the short requests that run
+        need slots, whichever is more.
+        """
         short = SHORT_WEIGHT * self._short.at(now)
         total = short + self._long.at(now)
         if total <= 0.0 or engines < 2:
             return engines
         if short <= 0.0:
             return 0
-        return min(engines - 1, max(1, ceil(engines * short / total - SPARE)))
+        running = self.own_short_running + sum(self.short_running_by_peer.values())
+        for_work = ceil(engines * short / total - SPARE)
+        for_slots = ceil(running / (SLOTS_FILLED * slots))
+        return min(engines - 1, max(1, for_work, for_slots))
 
     def split(
-        self, engines: Sequence[BackendServer], service: str, now: Instant
+        self, engines: Sequence[BackendServer], service: str, slots: int, now: Instant
     ) -> tuple[Sequence[BackendServer], Sequence[BackendServer]]:
         """Return the engines for short prompts and those for long ones."""
         ordered = sorted(engines, key=lambda each: rank(service, each.id))
-        count = self.short_engines(len(ordered), now)
+        count = self.short_engines(len(ordered), slots, now)
         return ordered[:count], ordered[count:]
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_digest.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_digest.py
@@ -12,13 +12,13 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ragwortwing_policy.clock import Instant
-
 from .engine_load import EngineLoad, PeerShare
 from .prompt_parts import PromptPart
 
 if TYPE_CHECKING:
 
+    from ragwortwing_policy.clock import Instant
+
     from .feed_watch import FeedWatch
     from .placement import Placement
 
@@ -59,6 +59,8 @@
     service: str
     short: float
     long: float
+    short_running: int = 0
+    """Short requests that it has on engines now."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,12 +81,19 @@
     """Seconds for which a removal from the store's lists may still stem from an outage."""
 
 
-@dataclass(slots=True)
 class _Peer:
-    started: int
-    heard_at: Instant
-    reading_by_backend: dict[str, float] = field(default_factory=dict)
-    work_by_service: dict[str, ServiceWork] = field(default_factory=dict)
+    """The sums that a peer told last; those of its first digest are where counting begins.
+
+    What its later digests name for the first time it has begun since, so it counts from zero:
+    otherwise the first load of each engine by each entry would go unseen, which in a fleet of
+    26 entries before 24 engines is the whole first burst.
+    """
+
+    def __init__(self, first: PeerDigest, now: Instant) -> None:
+        self.started = first.started
+        self.heard_at = now
+        self.reading_by_backend = {each.backend_id: each.reading_total for each in first.engines}
+        self.work_by_service = {each.service: each for each in first.work}
 
 
 class DigestBook:
@@ -131,7 +140,7 @@
             ),
             uses=uses,
             work=tuple(
-                ServiceWork(service, *lanes.totals)
+                ServiceWork(service, *lanes.totals, self._placement.short_running(service))
                 for service, lanes in self._placement.lanes_by_service.items()
             ),
             positions_by_feed=dict(self._watch.positions_by_feed),
@@ -154,12 +163,12 @@
         peer = self._peers_by_name.get(digest.sender)
         if peer is None or peer.started != digest.started:
             self._drop(digest.sender)
-            peer = self._peers_by_name[digest.sender] = _Peer(digest.started, now)
+            peer = self._peers_by_name[digest.sender] = _Peer(digest, now)
         peer.heard_at = now
         for engine in digest.engines:
             self._take_engine(digest.sender, peer, engine, now)
         for work in digest.work:
-            self._take_work(peer, work, now)
+            self._take_work(digest.sender, peer, work, now)
         self._watch.told(
             digest.sender,
             digest.positions_by_feed,
@@ -185,21 +194,24 @@
         load = self._placement.loads_by_id.get(engine.backend_id)
         if load is None:
             return
-        known = peer.reading_by_backend.get(engine.backend_id)
+        known = peer.reading_by_backend.get(engine.backend_id, 0.0)
         peer.reading_by_backend[engine.backend_id] = engine.reading_total
-        if known is not None and engine.reading_total > known:
+        if engine.reading_total > known:
             load.add_reading(min(LARGEST_LEAP, engine.reading_total - known), now)
         load.shares_by_peer[sender] = PeerShare(engine.running, engine.memory_tokens, now)
 
-    def _take_work(self, peer: _Peer, work: ServiceWork, now: Instant) -> None:
-        known = peer.work_by_service.get(work.service)
+    def _take_work(self, sender: str, peer: _Peer, work: ServiceWork, now: Instant) -> None:
+        known = peer.work_by_service.get(work.service, ServiceWork(work.service, 0.0, 0.0))
         peer.work_by_service[work.service] = work
-        if known is not None:
-            lanes = self._placement.lanes(work.service)
-            short = max(0.0, work.short - known.short)
-            lanes.count_elsewhere(short, max(0.0, work.long - known.long), now)
+        lanes = self._placement.lanes(work.service)
+        lanes.short_running_by_peer[sender] = work.short_running
+        short, long = work.short - known.short, work.long - known.long
+        if short > 0.0 or long > 0.0:
+            lanes.count_elsewhere(short, long, now)
 
     def _drop(self, name: str) -> None:
         self._peers_by_name.pop(name, None)
         for load in self._placement.loads_by_id.values():
             load.forget_peer(name)
+        for lanes in self._placement.lanes_by_service.values():
+            lanes.short_running_by_peer.pop(name, None)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -7,7 +7,7 @@
 
 from .backend_list import BackendServer
 from .engine_load import EngineLoad
-from .lanes import LONG_PROMPT_TOKENS, Lanes, rank
+from .lanes import Lanes, rank
 from .prompt_parts import Prompt
 
 if TYPE_CHECKING:
@@ -22,6 +22,15 @@
 
 A session's own part of about 4,000 tokens costs 80 to 100 ms to read once more elsewhere."""
 
+IDLE_BACKLOG = 0.0
+"""Seconds of reading ahead up to which an engine counts as idle."""
+
+BRIEF_TOKENS = 8_000
+"""Unread tokens of a long prompt up to which it may go to an idle engine for short ones.
+
+It takes some 170 ms to read, in two or three steps: a chat whose pauses may be 300 ms is not late
+by one such prompt, only by two in a row."""
+
 BORROW_BEYOND = 0.5
 """Part of the latency target from which short prompts also go to engines of long ones."""
 
@@ -60,13 +69,19 @@
         self.loads_by_id: dict[str, EngineLoad] = {}
         self._lanes_by_service: dict[str, Lanes] = {}
 
-    def load(self, backend_id: str, traits: EngineTraits) -> EngineLoad:
+    def load(self, backend: BackendServer, traits: EngineTraits) -> EngineLoad:
         """Return the load of an engine; a new one is idle."""
-        found = self.loads_by_id.get(backend_id)
+        found = self.loads_by_id.get(backend.id)
         if found is None:
-            found = self.loads_by_id[backend_id] = EngineLoad(backend_id, traits)
+            found = self.loads_by_id[backend.id] = EngineLoad(backend.id, backend.service, traits)
         return found
 
+    def short_running(self, service: str) -> int:
+        """Return how many short requests this entry has on the engines of a service."""
+        return sum(
+            load.short_running for load in self.loads_by_id.values() if load.service == service
+        )
+
     def forget(self, backend_id: str) -> None:
         """Forget an engine that is gone."""
         self.loads_by_id.pop(backend_id, None)
@@ -82,9 +97,9 @@
 
     def arrived(self, question: PlacementQuestion, now: Instant) -> None:
         """Count a request's work for the split of the engines."""
-        tokens = question.prompt.prompt_tokens
+        prompt = question.prompt
         lanes = self.lanes(question.service)
-        lanes.count(tokens, is_long=tokens >= LONG_PROMPT_TOKENS, now=now)
+        lanes.count(prompt.prompt_tokens, is_long=prompt.is_long, now=now)
 
     def place(
         self,
@@ -102,9 +117,10 @@
             now: The present instant.
         """
         lanes = self.lanes(question.service)
-        short, long = lanes.split(engines, question.service, now)
-        if question.prompt.prompt_tokens >= LONG_PROMPT_TOKENS:
-            return self._best(question, long or short, traits, now, at_home=True)
+        lanes.own_short_running = self.short_running(question.service)
+        short, long = lanes.split(engines, question.service, traits.slots, now)
+        if question.prompt.is_long:
+            return self._place_long(question, short, long, traits, now)
         found = self._best(question, short or long, traits, now, at_home=False)
         limit = question.latency_target * BORROW_BEYOND
         if not long or (isinstance(found, Placed) and found.first_event_after <= limit):
@@ -112,6 +128,27 @@
         borrowed = self._best(question, long, traits, now, at_home=False)
         return _earlier(found, borrowed)
 
+    def _place_long(
+        self,
+        question: PlacementQuestion,
+        short: Sequence[BackendServer],
+        long: Sequence[BackendServer],
+        traits: EngineTraits,
+        now: Instant,
+    ) -> Placed | NoRoom:
+        found = self._best(question, long or short, traits, now, at_home=True)
+        if isinstance(found, Placed) or not long:
+            return found
+        idle = [each for each in short if self._is_brief(question.prompt, each, traits, now)]
+        return self._best(question, idle, traits, now, at_home=True) if idle else found
+
+    def _is_brief(
+        self, prompt: Prompt, engine: BackendServer, traits: EngineTraits, now: Instant
+    ) -> bool:
+        """Return whether a long prompt pauses the short requests on an engine only briefly."""
+        load = self.load(engine, traits)
+        return load.backlog(now) <= IDLE_BACKLOG and load.unread_tokens(prompt) <= BRIEF_TOKENS
+
     def _best(
         self,
         question: PlacementQuestion,
@@ -121,7 +158,7 @@
         *,
         at_home: bool,
     ) -> Placed | NoRoom:
-        fitting = [each for each in engines if self.load(each.id, traits).fits(question.prompt)]
+        fitting = [each for each in engines if self.load(each, traits).fits(question.prompt)]
         if not fitting:
             return NoRoom(None)
         first_event = self._first_event(question, traits, now)
@@ -138,7 +175,7 @@
         self, question: PlacementQuestion, traits: EngineTraits, now: Instant
     ) -> Callable[[BackendServer], float]:
         def predict(backend: BackendServer) -> float:
-            load = self.load(backend.id, traits)
+            load = self.load(backend, traits)
             return load.first_event_after(question.prompt, now) + _crowding(load)
 
         return predict
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/prompt_parts.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/prompt_parts.py
@@ -5,6 +5,9 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
+LONG_PROMPT_TOKENS = 2_000
+"""Prompts from here on are long: about 45 ms of reading, a noticeable pause in every stream."""
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -29,6 +32,11 @@
         """Tokens that the request takes of an engine's KV cache at its end."""
         return self.prompt_tokens + self.output_tokens
 
+    @property
+    def is_long(self) -> bool:
+        """Whether reading the prompt is a noticeable pause for all that runs on an engine."""
+        return self.prompt_tokens >= LONG_PROMPT_TOKENS
+
     @property
     def session(self) -> str:
         """Id by which requests with the same longest shared beginning are brought together."""
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
@@ -123,7 +123,7 @@
     def _grant(
         self, request: WaitingRequest, found: Placed, traits: EngineTraits, now: Instant
     ) -> Granted:
-        load = self._placement.load(found.backend.id, traits)
+        load = self._placement.load(found.backend, traits)
         granted = Granted(
             request=request,
             backend=found.backend,
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_order.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_order.py
@@ -7,11 +7,11 @@
 
 from ragwortwing_policy.clock import Instant
 
-LATE_READING = 0.15
-"""Seconds of reading that may be ahead of a late request on its engine.
+LATE_PATIENCE = 0.8
+"""Seconds past its target for which a request waits for an engine that is idle.
 
-Late work fills what fresh work leaves: it is placed only where it delays little, since a fresh
-request that it made late would lose more than the late one still brings."""
+In a burst of long prompts fresh ones take every engine, and a late one would wait for its deadline
+in vain. Told earlier, its caller may come back when the burst is over."""
 
 LAST_CALL = 0.25
 """Seconds before its deadline at which a request that has not been placed is told so: an engine
@@ -51,8 +51,10 @@
 
 
 def must_give_up(waiter: Waiter, now: Instant) -> bool:
-    """Return whether a waiting request has no use of an engine any more."""
-    return now >= waiter.deadline - LAST_CALL
+    """Return whether a waiting request has little chance of an engine that is of use to it."""
+    if now >= waiter.deadline - LAST_CALL:
+        return True
+    return not waiter.resumed and now > waiter.target_at + LATE_PATIENCE
 
 
 def return_after(waiter: Waiter, now: Instant) -> timedelta | None:
