Place only brief drafts on the idle engines of chats

Cause: a draft of 8,000 unread tokens beside chats made them late where engines read 41 tokens a ms.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/lanes.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/lanes.py
@@ -31,7 +31,7 @@
 A chat is paused by any reading beside it, so the engines for short prompts run at half the load of
 the others."""
 
-SLOTS_FILLED = 1.6
+SLOTS_FILLED = 1.25
 """Part of the slots for short prompts that is meant to be filled: the rest takes what comes until
 the split has moved."""
 
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -25,11 +25,10 @@
 IDLE_BACKLOG = 0.0
 """Seconds of reading ahead up to which an engine counts as idle."""
 
-BRIEF_TOKENS = 8_000
-"""Unread tokens of a long prompt up to which it may go to an idle engine for short ones.
+BRIEF_READING = 0.1
+"""Seconds of reading up to which a long prompt may go to an idle engine for short ones.
 
-It takes some 170 ms to read, in two or three steps: a chat whose pauses may be 300 ms is not late
-by one such prompt, only by two in a row."""
+A chat whose pauses may be 300 ms is not late by one such prompt, nor by two in a row."""
 
 BORROW_BEYOND = 0.5
 """Part of the latency target from which short prompts also go to engines of long ones."""
@@ -147,7 +146,8 @@
     ) -> bool:
         """Return whether a long prompt pauses the short requests on an engine only briefly."""
         load = self.load(engine, traits)
-        return load.backlog(now) <= IDLE_BACKLOG and load.unread_tokens(prompt) <= BRIEF_TOKENS
+        reading = load.unread_tokens(prompt) / load.tokens_per_second
+        return load.backlog(now) <= IDLE_BACKLOG and reading <= BRIEF_READING
 
     def _best(
         self,
