--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -30,6 +30,12 @@
 
 A chat whose pauses may be 300 ms is not late by one such prompt, nor by two in a row."""
 
+EQUAL_WITHIN = 0.03
+"""Seconds of first event within which engines count as equally good.
+
+Among them the session decides, not the smallest difference: entries that all read the same digests
+would all choose the same engine until the next digest shows how full it is."""
+
 BORROW_BEYOND = 0.5
 """Part of the latency target from which short prompts also go to engines of long ones."""
 
@@ -162,11 +168,15 @@
         if not fitting:
             return NoRoom(None)
         first_event = self._first_event(question, traits, now)
+        after_by_id = {each.id: first_event(each) for each in fitting}
+        earliest = min(after_by_id.values())
+        within = HOME_ADVANTAGE if at_home else 0.0
         home = min(fitting, key=lambda each: rank(question.prompt.session, each.id))
-        best = min(fitting, key=lambda each: (first_event(each), rank(question.service, each.id)))
-        if at_home and first_event(home) <= first_event(best) + HOME_ADVANTAGE:
-            best = home
-        after = first_event(best)
+        best = home
+        if after_by_id[home.id] > earliest + within:
+            equal = [each for each in fitting if after_by_id[each.id] <= earliest + EQUAL_WITHIN]
+            best = min(equal, key=lambda each: rank(question.prompt.session, each.id))
+        after = after_by_id[best.id]
         if at_home and after > question.latency_target:
             return NoRoom(after)
         return Placed(best, after)
