Count requests, refusals, sends and latencies, and serve them as metrics

Cause: nothing but logs told what an entry does. prometheus_client in place of the OpenTelemetry SDK: 0.13 s instead of 0.28 s of processor time to import (measured here). A line for each send. Checked: platform tests.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
@@ -8,6 +8,7 @@
 import trio
 
 from .decision_log import decided
+from .entry_counters import EntryCounters
 from .request_task import RequestTask
 from .waiting_room import WaitingRoom
 
@@ -33,6 +34,7 @@
         self.state = state
         self.calls = calls
         self.in_flight = 0
+        self.counters = EntryCounters()
         self._tickets = 0
         self._random = random
         self._rooms_by_service: dict[str, WaitingRoom] = {}
@@ -81,6 +83,11 @@
             self._nursery.start_soon(room.run)
         return room
 
+    def waiting(self, service: str) -> int:
+        """Return how many requests wait for an engine of a service."""
+        room = self._rooms_by_service.get(service)
+        return len(room) if room is not None else 0
+
     def pick_service(self, route: Route) -> str:
         """Return one of a route's services, by their weights."""
         if len(route.shares) == 1:
--- /dev/null
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
@@ -0,0 +1,123 @@
+"""Counters and histograms of a direct entry, in Prometheus' text form.
+
+The OpenTelemetry SDK with its Prometheus exporter takes 0.28 s of processor time to import, 0.7 s
+on the smallest VM; prometheus_client, which that exporter is built on, takes 0.13 s and gives the
+same text.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client.core import GaugeMetricFamily
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from prometheus_client.core import Metric
+
+    from .direct_entry import DirectEntry
+
+SECONDS_BUCKETS = (0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 3.0, 5.0, 10.0, 15.0)
+"""Bounds of the latency histograms: the targets and timeouts of today's routes are among them."""
+
+
+class EntryCounters:
+    """What one entry counts."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "ragwortwing_requests",
+            "Requests that ended, by route and outcome.",
+            ("route", "outcome"),
+            registry=self.registry,
+        )
+        self.refusals = Counter(
+            "ragwortwing_refusals",
+            "Requests ended without a backend server's answer, by cause.",
+            ("cause",),
+            registry=self.registry,
+        )
+        self.sends = Counter(
+            "ragwortwing_sends",
+            "Sends to backend servers, by service and how they ended.",
+            ("service", "outcome"),
+            registry=self.registry,
+        )
+        self.first_event = Histogram(
+            "ragwortwing_first_event_seconds",
+            "Time from a request's arrival to its first event, or its whole answer.",
+            ("route",),
+            buckets=SECONDS_BUCKETS,
+            registry=self.registry,
+        )
+        self.pauses = Histogram(
+            "ragwortwing_pause_seconds",
+            "Longest pause between two events of a stream.",
+            ("route",),
+            buckets=SECONDS_BUCKETS,
+            registry=self.registry,
+        )
+
+    def text(self) -> bytes:
+        """Return everything in Prometheus' text form."""
+        return generate_latest(self.registry)
+
+
+class EntryGauges:
+    """What an entry believes at the moment of the question."""
+
+    def __init__(
+        self,
+        entry: DirectEntry,
+        store_calls_by_outcome: Callable[[], dict[str, int]],
+        lines_left_out: Callable[[], int],
+    ) -> None:
+        self._entry = entry
+        self._store_calls_by_outcome = store_calls_by_outcome
+        self._lines_left_out = lines_left_out
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield the gauges; called by the registry."""
+        state = self._entry.state
+        table = state.table
+        yield _gauge("ragwortwing_in_flight", "Requests in flight.", self._entry.in_flight)
+        yield _gauge(
+            "ragwortwing_configuration_version",
+            "Version in force; 0 for none.",
+            table.version if table else 0,
+        )
+        yield _gauge(
+            "ragwortwing_log_lines_left_out", "Log lines left out.", self._lines_left_out()
+        )
+        yield self._by_service("ragwortwing_waiting", "Requests that wait.", self._entry.waiting)
+        yield self._by_service(
+            "ragwortwing_backends_ready",
+            "Backend servers that take new work.",
+            lambda service: len(state.backends.ready(service)),
+        )
+        now = state.clock.monotonic()
+        yield self._by_service(
+            "ragwortwing_repeats_left",
+            "Repeats that may still be sent.",
+            lambda service: state.budget(service).left(now),
+        )
+        calls = GaugeMetricFamily(
+            "ragwortwing_store_calls", "Calls to the store, by outcome.", labels=("outcome",)
+        )
+        for outcome, count in self._store_calls_by_outcome().items():
+            calls.add_metric((outcome,), count)
+        yield calls
+
+    def _by_service(self, name: str, text: str, value: Callable[[str], float]) -> Metric:
+        family = GaugeMetricFamily(name, text, labels=("service",))
+        table = self._entry.state.table
+        for service in table.services_by_name if table else ():
+            family.add_metric((service,), value(service))
+        return family
+
+
+def _gauge(name: str, text: str, value: float) -> Metric:
+    return GaugeMetricFamily(name, text, value=value)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -49,11 +49,13 @@
         self._delivered_event = request.resume_after
         self._begun = False
         self._send: Send | None = None
-        self._route: Route
+        self._matched_route: Route | None = None
         self._account: ClientAccount | None = None
         self._service = ""
         self._deadline: Instant = 0.0
         self._first_event_at: Instant | None = None
+        self._last_event_at: Instant | None = None
+        self._longest_pause = 0.0
 
     async def run(self) -> None:
         """Serve the request; every way out has told the caller what became of it."""
@@ -67,6 +69,11 @@
         if scope.cancelled_caught:
             await self._time_out()
 
+    @property
+    def _route(self) -> Route:
+        assert self._matched_route is not None, "the request has not been admitted"
+        return self._matched_route
+
     def _now(self) -> Instant:
         return self._state.clock.monotonic()
 
@@ -85,7 +92,7 @@
                 return Denial.UNKNOWN_KEY
         if self._entry.is_leaving:
             return Refused(NotRunReason.DRAINING, RETURN_ELSEWHERE)
-        self._route = route
+        self._matched_route = route
         self._service = self._entry.pick_service(route)
         self._deadline = self._deadline_of(route)
         self._state.budget(self._service).count_request(self._now())
@@ -161,6 +168,15 @@
         """Send to one backend server; return why another is needed, or None when all is told."""
         self._tried.add(backend.id)
         send = self._send = Send()
+        decided(
+            "request_sent",
+            self._request.id,
+            backend=backend.id,
+            address=backend.address,
+            sends_before=self._history.sends,
+            after_event=self._delivered_event,
+            left_ms=round(1000 * (self._deadline - self._now())),
+        )
         try:
             with self._counted(backend):
                 async with self._entry.calls.call(self._request, self._order(backend), send) as got:
@@ -209,6 +225,7 @@
             self._state.trust.failed(backend.id, self._now())
         else:
             self._state.trust.succeeded(backend.id)
+        self._count_send(got.kind)
         self._log_end("answered", backend=backend.id, kind=got.kind)
         return None
 
@@ -250,13 +267,18 @@
             await self._answer.begin(got.head)
 
     def _note_event(self, backend: BackendServer, event: int) -> None:
+        now = self._now()
         self._delivered_event = event
         if self._first_event_at is None:
-            self._first_event_at = self._now()
+            self._first_event_at = now
+        elif self._last_event_at is not None:
+            self._longest_pause = max(self._longest_pause, now - self._last_event_at)
+        self._last_event_at = now
         self._entry.engine_first_event(backend.id, self._service, self._ticket)
 
     def _note_declined(self, kind: AnswerKind, backend: BackendServer, send: Send) -> str:
         send.advance("decline")
+        self._count_send(kind)
         self._history = self._history.after(send)
         if kind is AnswerKind.ANOTHER_SERVER:
             self._state.trust.failed(backend.id, self._now())
@@ -265,6 +287,7 @@
 
     def _note_failure(self, backend: BackendServer, send: Send, cause: str) -> str:
         self._history = self._history.after(send)
+        self._count_send("ambiguous" if self._history.may_have_run else "not_sent")
         if self._state.trust.failed(backend.id, self._now()):
             decided("backend_rests", backend=backend.id, cause=cause)
         warned("send_failed", self._request.id, backend=backend.id, state=send.state, cause=cause)
@@ -303,6 +326,7 @@
             self._answer.break_off()
             self._log_end("broken_off", conclusion=str(conclusion), failure=failure)
             return
+        self._entry.counters.refusals.labels(_cause(conclusion)).inc()
         await self._answer.conclude(conclusion)
         self._log_end("concluded", conclusion=str(conclusion), failure=failure)
 
@@ -310,6 +334,7 @@
         now = self._now()
         arrived_at = self._request.arrived_at
         first = self._first_event_at
+        self._count_end(outcome, now if first is None else first)
         decided(
             "request_ended",
             self._request.id,
@@ -317,5 +342,21 @@
             sends=self._history.sends,
             took_ms=round(1000 * (now - arrived_at)),
             first_event_ms=None if first is None else round(1000 * (first - arrived_at)),
+            longest_pause_ms=round(1000 * self._longest_pause),
             **inputs,
         )
+
+    def _count_send(self, outcome: str) -> None:
+        self._entry.counters.sends.labels(self._service, outcome).inc()
+
+    def _count_end(self, outcome: str, first_at: Instant) -> None:
+        counters = self._entry.counters
+        route = self._matched_route.name if self._matched_route is not None else ""
+        counters.requests.labels(route, outcome).inc()
+        if outcome != "concluded":
+            counters.first_event.labels(route).observe(first_at - self._request.arrived_at)
+            counters.pauses.labels(route).observe(self._longest_pause)
+
+
+def _cause(conclusion: Refused | Unresolved | Denial) -> str:
+    return conclusion.value if isinstance(conclusion, Denial) else conclusion.reason.value
--- a/tests/platform_bench.py
+++ b/tests/platform_bench.py
@@ -175,6 +175,7 @@
     handle: trio.Process
     callers: str
     readiness: str
+    metrics: str
     log_path: Path
 
     def lines(self, message: str | None = None) -> list[dict[str, Any]]:
@@ -189,6 +190,14 @@
                 found.append(fields)
         return found
 
+    async def metrics_text(self) -> str:
+        """Return the metrics' text."""
+        caller = Caller(self.metrics)
+        await caller.send("/metrics", "", method="GET", body=b"")
+        got = await caller.receive()
+        await caller.leave()
+        return got.body.decode()
+
     async def is_ready(self) -> bool:
         """Ask as the platform does."""
         caller = Caller(self.readiness)
@@ -229,16 +238,24 @@
         settings_path = self.folder / f"{name}.json"
         settings_path.write_bytes(msgspec.json.encode(settings))
         log_path = self.folder / f"{name}.log"
+        metrics_port = _free_port()
         with log_path.open("ab") as log:
             handle = await trio.lowlevel.open_process(
-                [sys.executable, "-m", "ragwortwing_platform"],
+                [sys.executable, "-m", "ragwortwing_platform", "--metrics-port", str(metrics_port)],
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
                 env={**os.environ, "RAGWORTWING_CONFIG": str(settings_path)},
             )
         listen = settings["listen"]
-        entry = EntryProcess(name, handle, listen["front"], listen["readiness_addr"], log_path)
+        entry = EntryProcess(
+            name,
+            handle,
+            listen["front"],
+            listen["readiness_addr"],
+            f"127.0.0.1:{metrics_port}",
+            log_path,
+        )
         self.entries.append(entry)
         await until(lambda: any(line.get("ready") for line in entry.lines()))
         return entry
