--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
@@ -63,7 +63,7 @@
 
     def text(self) -> bytes:
         """Return everything in Prometheus' text form."""
-        return generate_latest(self.registry)
+        return bytes(generate_latest(self.registry))
 
 
 class EntryGauges:
