--- a/packages/ragwortwing-entry/src/ragwortwing_entry/commands/inspect.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/commands/inspect.py
@@ -1,13 +1,16 @@
-"""`ragwortwing status` and `ragwortwing request show`."""
+"""`ragwortwing status`, `ragwortwing request show` and `ragwortwing request explain`."""
 
 from __future__ import annotations
 
 import sys
+from typing import BinaryIO
 
 import click
 import httpcore
 import msgspec
 
+from ragwortwing_entry.direct.log_story import UnknownRequestError, tell_story
+
 TIMEOUT_SECONDS = 5.0
 
 UNREACHABLE_EXIT_CODE = 1
@@ -42,6 +45,23 @@
     click.echo(_get(address, f"/requests/{request_id}"))
 
 
+@request.command()
+@click.argument("request_id")
+@click.argument("log_files", nargs=-1, required=True, type=click.File("rb"))
+def explain(request_id: str, log_files: tuple[BinaryIO, ...]) -> None:
+    """Tell a request's story from the logs of one or more processes; `-` reads standard input."""
+    try:
+        story = tell_story(request_id, (line for file in log_files for line in file))
+    except UnknownRequestError as error:
+        click.echo(str(error), err=True)
+        sys.exit(NOT_FOUND_EXIT_CODE)
+    for line in story.lines:
+        click.echo(f"{line.at:+9.3f} s  {line.process}  {line.text}")
+    click.echo(f"cause: {story.cause}")
+    if story.skipped:
+        click.echo(f"{story.skipped} lines could not be read and were passed over", err=True)
+
+
 def _get(address: str, path: str) -> str:
     timeouts = dict.fromkeys(("connect", "read", "write", "pool"), TIMEOUT_SECONDS)
     try:
--- /dev/null
+++ b/packages/ragwortwing-entry/tests/direct/test_log_story.py
@@ -0,0 +1,74 @@
+"""Stories told from logs that are cut, mixed and not all ours."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from ragwortwing_entry.__main__ import main
+from ragwortwing_entry.direct.log_story import UnknownRequestError, tell_story
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+def line(message: str, at: float, process: str = "entry-1", **fields: Any) -> bytes:
+    return msgspec.json.encode({"time": at, "process": process, "message": message} | fields)
+
+
+BROKEN_OFF = [
+    line("request_accepted", 10.0, request_id="r-1", route="chats", account="litia"),
+    line("request_placed", 10.1, request_id="r-1", backend="i-1", waited_ms=100),
+    line("send_failed", 11.0, request_id="r-1", backend="i-1", state="ambiguous", cause="reset"),
+    line("request_ended", 11.0, request_id="r-1", outcome="broken_off", took_ms=1000),
+]
+
+
+def test_lines_of_others_and_cut_lines_are_passed_over_and_counted() -> None:
+    logs = [
+        b"  13.8 front-1 " + BROKEN_OFF[0],
+        b"Traceback (most recent call last):",
+        *BROKEN_OFF[1:],
+        BROKEN_OFF[0][:40],
+        line("request_accepted", 10.5, request_id="r-2"),
+        b"",
+    ]
+    story = tell_story("r-1", logs)
+    assert len(story.lines) == 4
+    assert story.skipped == 2
+    assert story.cause == "broken_off: backend server i-1: reset"
+
+
+def test_what_the_entry_believed_at_the_time_is_told() -> None:
+    logs = [
+        *BROKEN_OFF,
+        line("backend_gone", 11.5, backend="i-1"),
+        line("backend_gone", 11.5, backend="i-2"),
+        line("backend_gone", 90.0, backend="i-1"),
+        line("store_lost", 9.0, cause="no answer in time"),
+        line("store_lost", 9.0, process="entry-2", cause="no answer in time"),
+    ]
+    texts = [each.text for each in tell_story("r-1", logs).lines]
+    assert texts[0].startswith("the store stopped answering")
+    assert texts[-1].startswith("backend_gone")
+    assert len(texts) == 6
+
+
+def test_an_unknown_id_is_an_error() -> None:
+    with pytest.raises(UnknownRequestError, match="r-9"):
+        tell_story("r-9", BROKEN_OFF)
+
+
+def test_the_command_reads_several_files(tmp_path: Path) -> None:
+    first, second = tmp_path / "a.log", tmp_path / "b.log"
+    first.write_bytes(b"\n".join(BROKEN_OFF[:2]) + b"\n")
+    second.write_bytes(b"\n".join(BROKEN_OFF[2:]) + b"\n")
+    arguments = ["request", "explain", "r-1", str(first), str(second)]
+    result = CliRunner().invoke(main, arguments)
+    assert result.exit_code == 0
+    assert "cause: broken_off: backend server i-1: reset" in result.output
+    arguments[2] = "r-9"
+    assert CliRunner().invoke(main, arguments).exit_code == 4
