--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
@@ -139,3 +139,4 @@
             await trio.sleep(0.25)
             for backend_id in self.state.backends.drop_missing(self.state.clock.monotonic()):
                 self.state.backend_gone(backend_id)
+                self.calls.forget(backend_id)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
@@ -117,6 +117,10 @@
         """
         ...
 
+    def forget(self, backend_id: str) -> None:
+        """Let go of what is kept for a backend server that is gone."""
+        ...
+
 
 class Denial(StrEnum):
     """Why a request is not allowed at all."""
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/registry.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/registry.py
@@ -21,6 +21,7 @@
     "ragwortwing_lab.experiments.account_limits",
     "ragwortwing_lab.experiments.order_claims",
     "ragwortwing_lab.experiments.relay",
+    "ragwortwing_lab.experiments.direct_entry",
 )
 """Modules whose import registers experiments."""
 
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
@@ -126,7 +126,8 @@
         self.runs.append(_seen(request_id, request))
         try:
             await self._run(exchange, request_id)
-        except trio.Cancelled:
+        except (trio.Cancelled, trio.BrokenResourceError):
+            # The reset is seen by the reader or by the next write, whichever comes first.
             self.broken_off.append(request_id)
             raise
         finally:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
@@ -25,13 +25,6 @@
 """Prompt tokens a second between which the learned rate stays; a stalled engine is the business of
 its health, not of its rate."""
 
-READING_DUTY = 1.0
-"""Part of an engine's time that is given to reading prompts.
-
-An engine that always has a prompt to read still makes a token a step, but each step then takes as
-long as a chunk of the prompt: a draft of fifty tokens passes its deadline of five seconds. What
-is placed on an engine is spaced so that its running requests get the rest of the time."""
-
 CACHE_PART = 0.8
 """Part of an engine's memory that is believed to hold shared parts beside what runs."""
 
@@ -141,7 +134,7 @@
 
     def add_reading(self, seconds: float, now: Instant) -> None:
         """Put reading behind what is already waiting."""
-        self.read_by = max(self.read_by, now) + seconds / READING_DUTY
+        self.read_by = max(self.read_by, now) + seconds
 
     def first_event(self, ticket: str, now: Instant) -> bool:
         """Note that a request's prompt has been read, and learn from when that was.
@@ -164,7 +157,7 @@
         self.short_running -= run is not None and not run.is_long
         if run is not None and not run.read:
             reading = run.unread_tokens / self.tokens_per_second
-            self.read_by = max(now, self.read_by - reading / READING_DUTY)
+            self.read_by = max(now, self.read_by - reading)
 
     def forget_peer(self, peer: str) -> None:
         """Drop what a peer said: it is gone."""
