Let engines fetch the parts of a prompt that another engine keeps

Cause: most of the time to a draft's first event is reading, and most of what is read again is a part that another engine keeps: where the session's home is busy, or the split of the engines has moved, its 4,000 tokens were read anew (80 ms of an engine, paid for besides).

Now an engine that lacks 1,000 tokens or more is told which engine keeps them and copies them (4,000 tokens in 11 ms); the prediction counts that. The home of a session is the engine that keeps most of it, not the one that hashing names. Ruled out: pinning (paid by the token-second), moves of runs (they copy what is made, too).

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
@@ -52,6 +52,8 @@
     """Number of the last event that the caller has."""
     expects_events: bool
     may_repeat: bool
+    fetch_from: BackendServer | None = None
+    """The engine from which the backend server fetches what it lacks of the prompt."""
 
 
 class AnswerKind(StrEnum):
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from contextlib import contextmanager
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
 import trio
 
+from ragwortwing_policy.direct.backend_list import BackendServer
 from ragwortwing_policy.direct.routing_table import Repetition
 from ragwortwing_policy.direct.send_state import Send, SendHistory, SendState
 from ragwortwing_policy.direct.waiting_line import WaitingRequest
@@ -21,7 +23,6 @@
     from collections.abc import Iterator
 
     from ragwortwing_policy.clock import Instant
-    from ragwortwing_policy.direct.backend_list import BackendServer
     from ragwortwing_policy.direct.prompt_parts import Prompt
     from ragwortwing_policy.direct.routing_table import ClientAccount, Route, RoutingTable
 
@@ -35,6 +36,15 @@
 """When a caller of an entry that ends should come back: another entry is free at once."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Destination:
+    """Where a request is sent."""
+
+    backend: BackendServer
+    fetch_from: BackendServer | None = None
+    """The engine from which the backend server fetches what it lacks of the prompt."""
+
+
 class RequestTask:
     """One request of a caller on its way through the entry."""
 
@@ -127,20 +137,22 @@
             if isinstance(placed, Refused):
                 await self._conclude(placed)
                 return
-            failure = await self._try_backend(placed)
+            failure = await self._try_destination(placed)
             if failure is None:
                 return
             if not self._may_send_again():
                 await self._give_up(failure)
                 return
 
-    async def _place(self) -> BackendServer | Refused:
+    async def _place(self) -> _Destination | Refused:
         table = self._state.table
         service = table.services_by_name.get(self._service) if table else None
         if service is None or service.engine is None or self._request.prompt is None:
             backend = self._entry.pick_plain(self._service, self._tried)
-            return backend or Refused(NotRunReason.NO_BACKEND, self._entry.retry_after())
-        return await self._entry.waiting_room(self._service).place(
+            if backend is None:
+                return Refused(NotRunReason.NO_BACKEND, self._entry.retry_after())
+            return _Destination(backend)
+        granted = await self._entry.waiting_room(self._service).place(
             WaitingRequest(
                 ticket=self._ticket,
                 request_id=self._request.id,
@@ -149,6 +161,9 @@
                 avoid=frozenset(self._tried),
             )
         )
+        if isinstance(granted, Refused):
+            return granted
+        return _Destination(granted.backend, granted.reading.fetch_from)
 
     def _waiter(self) -> Waiter:
         arrived_at = self._request.arrived_at
@@ -164,8 +179,9 @@
         table = self._state.table
         return table.tier_of(self._route, self._account) if table else self._route.tier
 
-    async def _try_backend(self, backend: BackendServer) -> str | None:
+    async def _try_destination(self, destination: _Destination) -> str | None:
         """Send to one backend server; return why another is needed, or None when all is told."""
+        backend, order = destination.backend, self._order(destination)
         self._tried.add(backend.id)
         send = self._send = Send()
         decided(
@@ -179,7 +195,7 @@
         )
         try:
             with self._counted(backend):
-                async with self._entry.calls.call(self._request, self._order(backend), send) as got:
+                async with self._entry.calls.call(self._request, order, send) as got:
                     return await self._take(got, backend, send)
         except BackendLostError as error:
             if send.state in (SendState.SENT, SendState.ANSWERING):
@@ -199,16 +215,17 @@
                 del counts[backend.id]
             self._entry.engine_call_ended(backend.id, self._service, self._ticket)
 
-    def _order(self, backend: BackendServer) -> SendOrder:
+    def _order(self, destination: _Destination) -> SendOrder:
         prompt: Prompt | None = self._request.prompt
         return SendOrder(
-            backend=backend,
+            backend=destination.backend,
             account=self._account.name if self._account else None,
             tier=self._tier() if prompt is not None else None,
             deadline=self._deadline,
             resume_after=self._delivered_event,
             expects_events=self._route.streaming,
             may_repeat=self._route.repetition.may_repeat,
+            fetch_from=destination.fetch_from,
         )
 
     async def _take(self, got: BackendAnswer, backend: BackendServer, send: Send) -> str | None:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/waiting_room.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/waiting_room.py
@@ -7,7 +7,6 @@
 
 import trio
 
-from ragwortwing_policy.direct.backend_list import BackendServer
 from ragwortwing_policy.direct.waiting_line import Granted, TurnedAway, WaitingLine, WaitingRequest
 from ragwortwing_policy.outcomes import NotRunReason
 
@@ -17,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from ragwortwing_policy.direct.backend_list import BackendServer
     from ragwortwing_policy.direct.routing_table import EngineTraits
 
     from .entry_state import EntryState
@@ -28,7 +28,7 @@
 
 @dataclass(eq=False, slots=True)
 class _Place:
-    given: BackendServer | Refused | None = None
+    given: Granted | Refused | None = None
     decided: trio.Event = field(default_factory=trio.Event)
 
 
@@ -45,7 +45,7 @@
     def __len__(self) -> int:
         return len(self._line)
 
-    async def place(self, request: WaitingRequest) -> BackendServer | Refused:
+    async def place(self, request: WaitingRequest) -> Granted | Refused:
         """Wait for an engine; the engine's load counts the request from then on."""
         place = self._places_by_ticket[request.ticket] = _Place()
         self._line.enter(request, self._state.clock.monotonic())
@@ -87,7 +87,7 @@
     def _tell(self, decision: Granted | TurnedAway) -> None:
         place = self._places_by_ticket[decision.request.ticket]
         if isinstance(decision, Granted):
-            place.given = decision.backend
+            place.given = decision
             self._log_granted(decision)
             self._state.peers.wake()
         else:
@@ -109,7 +109,8 @@
             granted.request.request_id,
             backend=granted.backend.id,
             backlog_ms=round(1000 * granted.backlog),
-            unread_tokens=granted.unread_tokens,
+            unread_tokens=granted.reading.unread_tokens,
+            fetch_from=granted.reading.fetch_from.id if granted.reading.fetch_from else None,
             running=granted.running,
             waited_ms=round(1000 * (self._state.clock.monotonic() - waiter.arrived_at)),
             first_event_in_ms=round(1000 * granted.first_event_after),
@@ -118,8 +119,8 @@
     def _take_back(self, request: WaitingRequest, place: _Place) -> None:
         """Take back what a request that is cancelled holds: its place, or the engine just given."""
         self._line.leave(request.ticket)
-        if isinstance(place.given, BackendServer):
-            load = self._state.placement.loads_by_id.get(place.given.id)
+        if isinstance(place.given, Granted):
+            load = self._state.placement.loads_by_id.get(place.given.backend.id)
             if load is not None:
                 load.end(request.ticket, self._state.clock.monotonic())
 
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/direct_entry.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/direct_entry.py
@@ -36,7 +36,9 @@
         self.book = DigestBook("entry-1", 1, self.placement, FeedWatch("entry-1"))
         for server in self.servers:
             load = self.placement.load(server, TRAITS)
-            reading = load.begin(server.id, _prompt(server.id), 0.0)
+            reading = load.begin(
+                server.id, _prompt(server.id), load.reading_of(_prompt(server.id)), 0.0
+            )
             self.book.placed(server.id, reading, ())
 
     def place_and_end(self) -> None:
@@ -44,7 +46,7 @@
         found = self.placement.place(question, self.servers, TRAITS, 0.0)
         assert isinstance(found, Placed)
         load = self.placement.load(found.backend, TRAITS)
-        load.begin("ticket", question.prompt, 0.0)
+        load.begin("ticket", question.prompt, found.reading, 0.0)
         load.end("ticket", 0.0)
 
 
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
@@ -82,6 +82,8 @@
     engines: int = 9
     length: float = 12.0
     digest_interval: float = 0.03
+    fetches: bool = True
+    """Whether engines fetch KV cache from each other."""
     bursts: tuple[Burst, ...] = (Burst("draft", 0.5, 9.0, 2.3), Burst("chat", 6.0, 10.0, 1.8))
     pace: EnginePace = EnginePace()
     kinds: tuple[Kind, ...] = (CHAT, DRAFT)
@@ -171,7 +173,14 @@
 
 
 def _traits(replay: Replay) -> EngineTraits:
-    return EngineTraits(replay.pace.slots, 330_000, replay.pace.tokens_per_event)
+    pace = replay.pace
+    return EngineTraits(
+        slots=pace.slots,
+        memory_tokens=330_000,
+        tokens_per_event=pace.tokens_per_event,
+        bytes_per_token=pace.bytes_per_token if replay.fetches else 0,
+        link_bytes_per_second=pace.link_bytes_per_second,
+    )
 
 
 def _rate(replay: Replay, kind: Kind, now: float) -> float:
@@ -224,7 +233,9 @@
     for decision in entry.line.look(_traits(fleet.replay), lambda _: fleet.servers, now):
         if isinstance(decision, Granted):
             number = fleet.servers.index(decision.backend)
-            _submit(fleet, entry, decision.request.ticket, number, now)
+            source = decision.reading.fetch_from
+            fetch_from = None if source is None else fleet.engines[fleet.servers.index(source)]
+            _submit(fleet, entry, decision.request.ticket, number, now, fetch_from)
 
 
 def _looks(fleet: _Fleet, entry: _Entry) -> Callable[[float], None]:
@@ -260,7 +271,14 @@
     return fleet.random.choice([n for n, load in enumerate(fleet.reported) if load == least])
 
 
-def _submit(fleet: _Fleet, entry: _Entry | None, ticket: str, number: int, now: float) -> None:
+def _submit(
+    fleet: _Fleet,
+    entry: _Entry | None,
+    ticket: str,
+    number: int,
+    now: float,
+    fetch_from: BatchingEngine | None = None,
+) -> None:
     request = fleet.requests_by_ticket[ticket]
     load = entry.placement.loads_by_id[f"i-{number}"] if entry else None
 
@@ -278,7 +296,7 @@
             load.end(ticket, at)
         _settle(fleet, request, at)
 
-    run = EngineRun(request.prompt, request.kind.tier, now, on_event, on_end)
+    run = EngineRun(request.prompt, request.kind.tier, now, on_event, on_end, fetch_from)
     fleet.engines[number].submit(run)
     fleet.at(request.arrived_at + request.kind.deadline, lambda _: setattr(run, "ended", True))
     if number not in fleet.stepping:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
@@ -6,6 +6,7 @@
 
 from ragwortwing_policy.clock import Instant
 
+from .backend_list import BackendServer
 from .prompt_parts import PartCache, Prompt
 from .routing_table import EngineTraits
 
@@ -29,6 +30,17 @@
 """Part of an engine's memory that is believed to hold shared parts beside what runs."""
 
 
+@dataclass(frozen=True, slots=True)
+class PromptReading:
+    """How one engine would come by a prompt."""
+
+    unread_tokens: int
+    """Tokens that it has to read."""
+    fetch_from: BackendServer | None = None
+    """The engine that it fetches what it lacks from."""
+    fetch_seconds: float = 0.0
+
+
 @dataclass(slots=True)
 class RunOnEngine:
     """A request that this entry has sent to an engine."""
@@ -41,6 +53,8 @@
     queued: float
     """Seconds of reading that were ahead of it."""
     is_long: bool
+    fetched: bool = False
+    """Whether some of its prompt is fetched from another engine."""
     read: bool = False
 
 
@@ -76,18 +90,25 @@
     def __post_init__(self) -> None:
         self.cache = PartCache(int(self.traits.memory_tokens * CACHE_PART))
 
-    def unread_tokens(self, prompt: Prompt) -> int:
-        """Return the tokens of a prompt that this engine has still to read."""
-        return max(1, prompt.prompt_tokens - self.cache.kept_tokens(prompt.parts))
+    def kept_tokens(self, prompt: Prompt) -> int:
+        """Return the tokens of a prompt that this engine should keep."""
+        return self.cache.kept_tokens(prompt.parts)
 
     def backlog(self, now: Instant) -> float:
         """Return the seconds of reading that are ahead of a new request."""
         return max(0.0, self.read_by - now)
 
-    def first_event_after(self, prompt: Prompt, now: Instant) -> float:
+    def reading_of(self, prompt: Prompt) -> PromptReading:
+        """Return how this engine comes by a prompt without the help of another."""
+        return PromptReading(max(1, prompt.prompt_tokens - self.kept_tokens(prompt)))
+
+    def reading_seconds(self, reading: PromptReading) -> float:
+        """Return how long this engine takes until a prompt is read."""
+        return reading.unread_tokens / self.tokens_per_second + reading.fetch_seconds
+
+    def first_event_after(self, reading: PromptReading, now: Instant) -> float:
         """Return the seconds after which a request sent now should have its first event."""
-        reading = self.unread_tokens(prompt) / self.tokens_per_second
-        return self.backlog(now) + reading + FIRST_EVENT_OVERHEAD
+        return self.backlog(now) + self.reading_seconds(reading) + FIRST_EVENT_OVERHEAD
 
     @property
     def running(self) -> int:
@@ -118,19 +139,24 @@
             return False
         return self.memory_tokens + prompt.memory_tokens <= self.traits.memory_tokens
 
-    def begin(self, ticket: str, prompt: Prompt, now: Instant) -> float:
+    def begin(self, ticket: str, prompt: Prompt, reading: PromptReading, now: Instant) -> float:
         """Note a send; return the seconds of reading that it adds."""
-        unread = self.unread_tokens(prompt)
         self.short_running += not prompt.is_long
-        reading = unread / self.tokens_per_second
+        seconds = self.reading_seconds(reading)
         queued = self.backlog(now)
-        read_by = now + queued + reading
-        self.add_reading(reading, now)
+        read_by = now + queued + seconds
+        self.add_reading(seconds, now)
         self.cache.use(prompt.parts)
         self.runs_by_ticket[ticket] = RunOnEngine(
-            unread, prompt.memory_tokens, now, read_by, queued, prompt.is_long
+            reading.unread_tokens,
+            prompt.memory_tokens,
+            now,
+            read_by,
+            queued,
+            prompt.is_long,
+            reading.fetch_from is not None,
         )
-        return reading
+        return seconds
 
     def add_reading(self, seconds: float, now: Instant) -> None:
         """Put reading behind what is already waiting."""
@@ -167,6 +193,9 @@
         reading = now - run.sent_at - FIRST_EVENT_OVERHEAD - run.queued
         if run.unread_tokens < LEARNING_PROMPT_TOKENS or run.queued > 0.0 or reading <= 0.0:
             return
+        # What was fetched may have been gone at its source, and then was read after all.
+        if run.fetched:
+            return
         low, high = RATE_BOUNDS
         measured = min(high, max(low, run.unread_tokens / reading))
         self.tokens_per_second += LEARNING_GAIN * (measured - self.tokens_per_second)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -6,12 +6,12 @@
 from typing import TYPE_CHECKING
 
 from .backend_list import BackendServer
-from .engine_load import EngineLoad
+from .engine_load import EngineLoad, PromptReading
 from .lanes import Lanes, rank
 from .prompt_parts import Prompt
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping, Sequence
+    from collections.abc import Mapping, Sequence
 
     from ragwortwing_policy.clock import Instant
 
@@ -36,6 +36,10 @@
 Among them the session decides, not the smallest difference: entries that all read the same digests
 would all choose the same engine until the next digest shows how full it is."""
 
+LEAST_FETCHED_TOKENS = 1_000
+"""Fewest tokens for which an engine fetches KV cache from another: reading them takes 20 ms, as
+long as a fetch with its way there and back may take."""
+
 BORROW_BEYOND = 0.5
 """Part of the latency target from which short prompts also go to engines of long ones."""
 
@@ -55,6 +59,7 @@
     """The engine to send to."""
 
     backend: BackendServer
+    reading: PromptReading
     first_event_after: float
     """Predicted seconds to the first event."""
 
@@ -124,71 +129,107 @@
         lanes = self.lanes(question.service)
         lanes.own_short_running = self.short_running(question.service)
         short, long = lanes.split(engines, question.service, traits.slots, now)
+        keeper = self._keeper(question.prompt, engines, traits)
+        choice = _Choice(self, question, keeper, traits, now)
         if question.prompt.is_long:
-            return self._place_long(question, short, long, traits, now)
-        found = self._best(question, short or long, traits, now, at_home=False)
+            return _place_long(choice, short, long)
+        found = choice.best(short or long, at_home=False)
         limit = question.latency_target * BORROW_BEYOND
         if not long or (isinstance(found, Placed) and found.first_event_after <= limit):
             return found
-        borrowed = self._best(question, long, traits, now, at_home=False)
-        return _earlier(found, borrowed)
+        return _earlier(found, choice.best(long, at_home=False))
+
+    def _keeper(
+        self, prompt: Prompt, engines: Sequence[BackendServer], traits: EngineTraits
+    ) -> BackendServer | None:
+        """Return the engine that should keep most of a prompt, home first among equals."""
+        return max(
+            engines,
+            key=lambda each: (
+                self.load(each, traits).kept_tokens(prompt),
+                -rank(prompt.session, each.id),
+            ),
+            default=None,
+        )
 
-    def _place_long(
-        self,
-        question: PlacementQuestion,
-        short: Sequence[BackendServer],
-        long: Sequence[BackendServer],
-        traits: EngineTraits,
-        now: Instant,
-    ) -> Placed | NoRoom:
-        found = self._best(question, long or short, traits, now, at_home=True)
-        if isinstance(found, Placed) or not long:
-            return found
-        idle = [each for each in short if self._is_brief(question.prompt, each, traits, now)]
-        return self._best(question, idle, traits, now, at_home=True) if idle else found
 
-    def _is_brief(
-        self, prompt: Prompt, engine: BackendServer, traits: EngineTraits, now: Instant
-    ) -> bool:
-        """Return whether a long prompt pauses the short requests on an engine only briefly."""
-        load = self.load(engine, traits)
-        reading = load.unread_tokens(prompt) / load.tokens_per_second
-        return load.backlog(now) <= IDLE_BACKLOG and reading <= BRIEF_READING
+class _Choice:
+    """The choice of an engine for one request."""
 
-    def _best(
+    def __init__(
         self,
+        placement: Placement,
         question: PlacementQuestion,
-        engines: Sequence[BackendServer],
+        keeper: BackendServer | None,
         traits: EngineTraits,
         now: Instant,
-        *,
-        at_home: bool,
-    ) -> Placed | NoRoom:
-        fitting = [each for each in engines if self.load(each, traits).fits(question.prompt)]
+    ) -> None:
+        self.question = question
+        self._placement = placement
+        self._keeper = keeper
+        self._traits = traits
+        self._now = now
+
+    def best(self, engines: Sequence[BackendServer], *, at_home: bool) -> Placed | NoRoom:
+        """Return the engine with the earliest first event, near enough the session's home."""
+        prompt = self.question.prompt
+        fitting = [each for each in engines if self._load(each).fits(prompt)]
         if not fitting:
             return NoRoom(None)
-        first_event = self._first_event(question, traits, now)
-        after_by_id = {each.id: first_event(each) for each in fitting}
+        after_by_id = {each.id: self._first_event_after(each) for each in fitting}
         earliest = min(after_by_id.values())
-        within = HOME_ADVANTAGE if at_home else 0.0
-        home = min(fitting, key=lambda each: rank(question.prompt.session, each.id))
-        best = home
-        if after_by_id[home.id] > earliest + within:
+        best = self._home(fitting)
+        if after_by_id[best.id] > earliest + (HOME_ADVANTAGE if at_home else 0.0):
             equal = [each for each in fitting if after_by_id[each.id] <= earliest + EQUAL_WITHIN]
-            best = min(equal, key=lambda each: rank(question.prompt.session, each.id))
+            best = min(equal, key=lambda each: rank(prompt.session, each.id))
         after = after_by_id[best.id]
-        if at_home and after > question.latency_target:
+        if at_home and after > self.question.latency_target:
             return NoRoom(after)
-        return Placed(best, after)
+        return Placed(best, self.reading(best), after)
+
+    def is_brief(self, engine: BackendServer) -> bool:
+        """Return whether a long prompt pauses the short requests on an engine only briefly."""
+        load = self._load(engine)
+        idle = load.backlog(self._now) <= IDLE_BACKLOG
+        return idle and load.reading_seconds(self.reading(engine)) <= BRIEF_READING
+
+    def reading(self, engine: BackendServer) -> PromptReading:
+        """Return how an engine would come by the prompt."""
+        prompt = self.question.prompt
+        alone = self._load(engine).reading_of(prompt)
+        if self._keeper is None:
+            return alone
+        helped = self._load(self._keeper).reading_of(prompt)
+        lacking = alone.unread_tokens - helped.unread_tokens
+        seconds = self._traits.fetch_seconds(lacking)
+        if lacking < LEAST_FETCHED_TOKENS or seconds is None:
+            return alone
+        return PromptReading(helped.unread_tokens, self._keeper, seconds)
+
+    def _home(self, engines: Sequence[BackendServer]) -> BackendServer:
+        """Return the engine that keeps the session; where none does, every entry's same one."""
+        prompt = self.question.prompt
+        return max(
+            engines,
+            key=lambda each: (self._load(each).kept_tokens(prompt), -rank(prompt.session, each.id)),
+        )
+
+    def _load(self, engine: BackendServer) -> EngineLoad:
+        return self._placement.load(engine, self._traits)
 
-    def _first_event(
-        self, question: PlacementQuestion, traits: EngineTraits, now: Instant
-    ) -> Callable[[BackendServer], float]:
-        def predict(backend: BackendServer) -> float:
-            load = self.load(backend, traits)
-            return load.first_event_after(question.prompt, now) + _crowding(load)
+    def _first_event_after(self, engine: BackendServer) -> float:
+        load = self._load(engine)
+        return load.first_event_after(self.reading(engine), self._now) + _crowding(load)
 
-        return predict
+
+def _place_long(
+    choice: _Choice, short: Sequence[BackendServer], long: Sequence[BackendServer]
+) -> Placed | NoRoom:
+    found = choice.best(long or short, at_home=True)
+    if isinstance(found, Placed) or not long:
+        return found
+    idle = [each for each in short if choice.is_brief(each)]
+    return choice.best(idle, at_home=True) if idle else found
 
 
 CROWDED_RUN = 0.002
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/routing_table.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/routing_table.py
@@ -70,6 +70,16 @@
     """Tokens that fit into an engine's KV cache."""
     tokens_per_event: int
     """Tokens in one event of a stream."""
+    bytes_per_token: int = 0
+    """Bytes of KV cache for each token; 0 where engines cannot fetch from each other."""
+    link_bytes_per_second: float = 0.0
+    """Speed at which an engine fetches KV cache from another."""
+
+    def fetch_seconds(self, tokens: int) -> float | None:
+        """Return how long an engine takes to fetch tokens of KV cache; None where it cannot."""
+        if not self.bytes_per_token or not self.link_bytes_per_second:
+            return None
+        return tokens * self.bytes_per_token / self.link_bytes_per_second
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from .backend_list import BackendServer
+from .engine_load import PromptReading
 from .placement import NoRoom, Placed, PlacementQuestion
 from .prompt_parts import Prompt
 from .waiting_order import Waiter, must_give_up, return_after, waiting_order
@@ -40,9 +41,9 @@
 
     request: WaitingRequest
     backend: BackendServer
+    reading: PromptReading
     backlog: float
     """Seconds of reading that were ahead of the request."""
-    unread_tokens: int
     running: int
     """Requests on the engine before this one."""
     first_event_after: float
@@ -127,12 +128,12 @@
         granted = Granted(
             request=request,
             backend=found.backend,
+            reading=found.reading,
             backlog=load.backlog(now),
-            unread_tokens=load.unread_tokens(request.prompt),
             running=load.running,
             first_event_after=found.first_event_after,
         )
-        reading = load.begin(request.ticket, request.prompt, now)
+        reading = load.begin(request.ticket, request.prompt, found.reading, now)
         self._digests.placed(found.backend.id, reading, request.prompt.parts)
         return granted
 
