Rank requests by tier and then by route, and leave room for more urgent ones

Cause: an account's tier goes before a route's, so chats and drafts of one account were equally urgent to engines.

Now requests of one tier rank by their route's own, and each rank leaves 1/48 of an engine (an eighth at most) to those above it. Ruled out: only the rank (chats would put drafts back, which read 9,000 tokens).

Tests: test_placement (room left), doctest of RoutingTable.urgency_of.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
@@ -45,8 +45,8 @@
 
     backend: BackendServer
     account: str | None
-    tier: int | None
-    """Tier that the engine should honour; None for a plain service."""
+    urgency: int | None
+    """Rank that the engine should honour, 0 first; None for a plain service."""
     deadline: Instant
     resume_after: int | None
     """Number of the last event that the caller has."""
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -62,6 +62,7 @@
         self._matched_route: Route | None = None
         self._account: ClientAccount | None = None
         self._service = ""
+        self._urgency = 0
         self._deadline: Instant = 0.0
         self._first_event_at: Instant | None = None
         self._last_event_at: Instant | None = None
@@ -104,6 +105,7 @@
             return Refused(NotRunReason.DRAINING, RETURN_ELSEWHERE)
         self._matched_route = route
         self._service = self._entry.pick_service(route)
+        self._urgency = table.urgency_of(route, self._account)
         self._deadline = self._deadline_of(route)
         self._state.budget(self._service).count_request(self._now())
         self._log_accepted(table)
@@ -124,6 +126,7 @@
             service=self._service,
             account=self._account.name if self._account else None,
             tier=table.tier_of(self._route, self._account),
+            urgency=self._urgency,
             version=table.version,
             prompt_tokens=self._request.prompt.prompt_tokens if self._request.prompt else None,
             left_s=round(self._deadline - self._now(), 3),
@@ -168,17 +171,13 @@
     def _waiter(self) -> Waiter:
         arrived_at = self._request.arrived_at
         return Waiter(
-            tier=self._tier(),
+            urgency=self._urgency,
             target_at=arrived_at + self._route.latency_target.total_seconds(),
             deadline=self._deadline,
             arrived_at=arrived_at,
             resumed=self._begun,
         )
 
-    def _tier(self) -> int:
-        table = self._state.table
-        return table.tier_of(self._route, self._account) if table else self._route.tier
-
     async def _try_destination(self, destination: _Destination) -> str | None:
         """Send to one backend server; return why another is needed, or None when all is told."""
         backend, order = destination.backend, self._order(destination)
@@ -220,7 +219,7 @@
         return SendOrder(
             backend=destination.backend,
             account=self._account.name if self._account else None,
-            tier=self._tier() if prompt is not None else None,
+            urgency=self._urgency if prompt is not None else None,
             deadline=self._deadline,
             resume_after=self._delivered_event,
             expects_events=self._route.streaming,
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from math import ceil
 
 from ragwortwing_policy.clock import Instant
 
@@ -26,6 +27,15 @@
 """Prompt tokens a second between which the learned rate stays; a stalled engine is the business of
 its health, not of its rate."""
 
+RESERVED_PER_RANK = 1 / 48
+"""Part of an engine that requests leave free for each rank that is more urgent than theirs.
+
+What an entry believes of an engine is up to 0.2 s old, in which an engine of 48 slots gets three or
+four requests."""
+
+MOST_RESERVED = 0.125
+"""Largest part of an engine that requests of any rank leave free."""
+
 CACHE_PART = 0.8
 """Part of an engine's memory that is believed to hold shared parts beside what runs."""
 
@@ -117,11 +127,6 @@
             share.running for share in self.shares_by_peer.values()
         )
 
-    @property
-    def free_slots(self) -> int:
-        """Slots that should be free."""
-        return self.traits.slots - self.running
-
     @property
     def own_memory_tokens(self) -> int:
         """Tokens of memory that this entry's requests take at their end."""
@@ -133,11 +138,16 @@
         peers = sum(share.memory_tokens for share in self.shares_by_peer.values())
         return self.own_memory_tokens + peers
 
-    def fits(self, prompt: Prompt) -> bool:
-        """Return whether a slot and the memory for a request should be free."""
-        if self.free_slots < 1:
+    def fits(self, prompt: Prompt, urgency: int) -> bool:
+        """Return whether a slot and the memory for a request should be free.
+
+        Less urgent requests leave some of both to more urgent ones: an engine that is full when a
+        more urgent request comes puts another back, whose prompt is then read once more.
+        """
+        open_part = 1.0 - min(MOST_RESERVED, urgency * RESERVED_PER_RANK)
+        if self.running >= ceil(self.traits.slots * open_part):
             return False
-        return self.memory_tokens + prompt.memory_tokens <= self.traits.memory_tokens
+        return self.memory_tokens + prompt.memory_tokens <= self.traits.memory_tokens * open_part
 
     def begin(self, ticket: str, prompt: Prompt, reading: PromptReading, now: Instant) -> float:
         """Note a send; return the seconds of reading that it adds."""
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -52,6 +52,8 @@
     prompt: Prompt
     latency_target: float
     """Seconds from now in which the first event is on time; may be negative."""
+    urgency: int = 0
+    """Rank among the requests that engines run; 0 is the most urgent."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,7 +175,7 @@
     def best(self, engines: Sequence[BackendServer], *, at_home: bool) -> Placed | NoRoom:
         """Return the engine with the earliest first event, near enough the session's home."""
         prompt = self.question.prompt
-        fitting = [each for each in engines if self._load(each).fits(prompt)]
+        fitting = [each for each in engines if self._load(each).fits(prompt, self.question.urgency)]
         if not fitting:
             return NoRoom(None)
         after_by_id = {each.id: self._first_event_after(each) for each in fitting}
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/routing_table.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/routing_table.py
@@ -122,6 +122,7 @@
     keys_required: bool = True
     """False where the configuration has no client accounts at all."""
     _routes_by_host: Mapping[str, tuple[Route, ...]] = field(init=False, repr=False)
+    _urgency_by_tiers: Mapping[tuple[int, int], int] = field(init=False, repr=False)
 
     def __post_init__(self) -> None:
         routes_by_host: dict[str, list[Route]] = {}
@@ -132,6 +133,7 @@
             for host, routes in routes_by_host.items()
         }
         object.__setattr__(self, "_routes_by_host", ordered)
+        object.__setattr__(self, "_urgency_by_tiers", self._ranked_tiers())
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins a path, or None.
@@ -157,3 +159,33 @@
         if account is not None and account.tier is not None:
             return account.tier
         return route.tier
+
+    def urgency_of(self, route: Route, account: ClientAccount | None) -> int:
+        """Return the rank of a request among those that engines run; 0 is the most urgent.
+
+        The tier decides, and among requests of one tier the route's own: an account's tier would
+        otherwise make its drafts as urgent as its chats, and an engine that is full puts back
+        whichever came last.
+
+        Example:
+            >>> from datetime import timedelta
+            >>> def route(name, tier):
+            ...     return Route(name, "a.example", "/", (), Repetition.RESUMABLE, True,
+            ...                  timedelta(seconds=1), timedelta(seconds=1), tier, 1)
+            >>> chats, drafts = route("chats", 0), route("drafts", 1)
+            >>> account = ClientAccount("litia", tier=1)
+            >>> table = RoutingTable(1, (chats, drafts), {}, {"key": account})
+            >>> table.urgency_of(chats, account) < table.urgency_of(drafts, account)
+            True
+        """
+        tiers = (self.tier_of(route, account), route.tier)
+        return min(LEAST_URGENT_TIER, self._urgency_by_tiers[tiers])
+
+    def _ranked_tiers(self) -> dict[tuple[int, int], int]:
+        accounts = {*self.accounts_by_key.values(), None}
+        tiers = {
+            (self.tier_of(route, account), route.tier)
+            for route in self.routes
+            for account in accounts
+        }
+        return {pair: rank for rank, pair in enumerate(sorted(tiers))}
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
@@ -146,4 +146,6 @@
         )
 
     def _question(self, request: WaitingRequest, now: Instant) -> PlacementQuestion:
-        return PlacementQuestion(self._service, request.prompt, request.waiter.target_at - now)
+        waiter = request.waiter
+        target = waiter.target_at - now
+        return PlacementQuestion(self._service, request.prompt, target, waiter.urgency)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_order.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_order.py
@@ -25,7 +25,8 @@
 class Waiter:
     """What the order depends on."""
 
-    tier: int
+    urgency: int
+    """Rank among the requests that engines run; 0 is the most urgent."""
     target_at: Instant
     """Until when the first event is on time."""
     deadline: Instant
@@ -37,17 +38,17 @@
 def waiting_order(waiter: Waiter, now: Instant) -> tuple[int, bool, bool, float]:
     """Return the key by which waiting requests are served: least first.
 
-    Tiers are strict. Within one, a broken answer goes on first; then those that can still be on
-    time, nearest target first; then the late ones, nearest deadline first.
+    Urgency is strict. Within a rank, a broken answer goes on first; then those that can still be
+    on time, nearest target first; then the late ones, nearest deadline first.
 
     Example:
-        >>> fresh = Waiter(tier=1, target_at=2.0, deadline=9.0, arrived_at=1.0)
-        >>> late = Waiter(tier=1, target_at=0.5, deadline=4.0, arrived_at=0.0)
+        >>> fresh = Waiter(urgency=1, target_at=2.0, deadline=9.0, arrived_at=1.0)
+        >>> late = Waiter(urgency=1, target_at=0.5, deadline=4.0, arrived_at=0.0)
         >>> waiting_order(fresh, now=1.0) < waiting_order(late, now=1.0)
         True
     """
     late = now > waiter.target_at
-    return (waiter.tier, not waiter.resumed, late, waiter.deadline if late else waiter.target_at)
+    return (waiter.urgency, not waiter.resumed, late, waiter.deadline if late else waiter.target_at)
 
 
 def must_give_up(waiter: Waiter, now: Instant) -> bool:
--- a/packages/ragwortwing-policy/tests/direct/test_peer_digest.py
+++ b/packages/ragwortwing-policy/tests/direct/test_peer_digest.py
@@ -34,7 +34,7 @@
     placed = 0
     for _ in range(8):
         for entry in entries:
-            if entry.load.fits(prompt(500)):
+            if entry.load.fits(prompt(500), urgency=0):
                 entry.send(500, 0.0)
                 placed += 1
             for other in entries:
--- a/packages/ragwortwing-policy/tests/direct/test_placement.py
+++ b/packages/ragwortwing-policy/tests/direct/test_placement.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import pytest
 
+from ragwortwing_policy.direct.engine_load import EngineLoad, PromptReading
 from ragwortwing_policy.direct.lanes import Lanes
 from ragwortwing_policy.direct.placement import NoRoom, Placed, Placement, PlacementQuestion
+from ragwortwing_policy.direct.prompt_parts import Prompt, PromptPart
 
 from .builders import TRAITS, engines, prompt
 
 if TYPE_CHECKING:
-    from ragwortwing_policy.direct.prompt_parts import Prompt
+    from ragwortwing_policy.direct.routing_table import EngineTraits
 
 SERVICE = "engines"
 
@@ -20,18 +23,19 @@
 class Site:
     """One entry's view of six engines."""
 
-    def __init__(self, count: int = 6) -> None:
+    def __init__(self, count: int = 6, traits: EngineTraits = TRAITS) -> None:
         self.engines = engines(count)
+        self.traits = traits
         self.placement = Placement()
         self._tickets = 0
 
     def ask(self, asked: Prompt, now: float, target: float = 0.6) -> Placed | NoRoom:
         question = PlacementQuestion(SERVICE, asked, target)
         self.placement.arrived(question, now)
-        found = self.placement.place(question, self.engines, TRAITS, now)
+        found = self.placement.place(question, self.engines, self.traits, now)
         if isinstance(found, Placed):
             self._tickets += 1
-            load = self.placement.load(found.backend, TRAITS)
+            load = self.placement.load(found.backend, self.traits)
             load.begin(str(self._tickets), asked, found.reading, now)
         return found
 
@@ -126,3 +130,60 @@
         load.first_event(ticket, moment * 10.0 + 0.035 + 8_000 / 80_000)
         load.end(ticket, moment * 10.0 + 1.0)
     assert load.tokens_per_second == pytest.approx(80_000, rel=0.1)
+
+
+FETCHING = replace(TRAITS, bytes_per_token=1_000, link_bytes_per_second=1e9)
+"""Engines that fetch 1,000 tokens from each other in 1 ms."""
+
+
+def menu(own: str) -> Prompt:
+    """Return a draft for one baker: a long part that all of hers share, and one of its own."""
+    parts = (PromptPart("menu", 4_000), PromptPart(own, 3_000))
+    return Prompt("m", parts, 7_000, 50)
+
+
+def test_an_engine_that_is_busy_lets_another_fetch_what_it_keeps() -> None:
+    """Drafts of one baker come while the engine that keeps her catalogue is busy reading.
+
+    Another engine that reads all of it anew is slowed for everyone else; it fetches that part.
+    """
+    site = Site(count=4, traits=FETCHING)
+    first = site.ask(menu("a"), 0.0)
+    assert isinstance(first, Placed)
+    assert first.reading == PromptReading(7_000)
+    site.placement.load(first.backend, FETCHING).add_reading(1.0, 0.0)
+    second = site.ask(menu("b"), 0.0)
+    assert isinstance(second, Placed)
+    assert second.backend != first.backend
+    assert second.reading == PromptReading(3_000, first.backend, 0.004)
+
+
+def test_little_is_read_rather_than_fetched() -> None:
+    site = Site(count=2, traits=FETCHING)
+    first = site.ask(prompt(500), 0.0)
+    assert isinstance(first, Placed)
+    site.placement.load(first.backend, FETCHING).add_reading(1.0, 0.0)
+    second = site.ask(prompt(500, own="other"), 0.0)
+    assert isinstance(second, Placed)
+    assert second.reading.fetch_from is None
+
+
+def test_engines_that_cannot_fetch_read_all() -> None:
+    site = Site(count=2)
+    first = site.ask(menu("a"), 0.0)
+    assert isinstance(first, Placed)
+    site.placement.load(first.backend, TRAITS).add_reading(1.0, 0.0)
+    second = site.ask(menu("b"), 0.0)
+    assert isinstance(second, Placed)
+    assert second.reading == PromptReading(7_000)
+
+
+@pytest.mark.parametrize(("urgency", "taken"), [(0, 48), (1, 47), (3, 45), (9, 42)])
+def test_less_urgent_requests_leave_room_for_more_urgent_ones(urgency: int, taken: int) -> None:
+    """26 entries fill an engine on what they knew 0.2 s ago. When it is full, a more urgent chat
+    puts back a less urgent one, whose prompt is read twice; so the less urgent stop earlier."""
+    traits = replace(TRAITS, slots=48, memory_tokens=1_000_000)
+    load = EngineLoad("i-1", SERVICE, traits)
+    while load.fits(prompt(300), urgency):
+        load.begin(str(load.running), prompt(300), PromptReading(300), 0.0)
+    assert load.running == taken
