--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
@@ -39,6 +39,18 @@
 PEER_SILENCE = 1.8
 """Seconds without a digest after which an entry is no good watcher; one comes every second."""
 
+PROBE_RETRY = 0.4
+"""Longest seconds between attempts of the entries that look for the store's return for all."""
+
+TURNED_AWAY_RETRY = 1.0
+"""Longest seconds between attempts while others hear the store: it turns this entry away, and will
+not sooner serve it for being asked more often. Its promises bind it again 3 s after that ends."""
+
+IDLE_RETRY = 3.0
+"""Longest seconds between attempts of the others while nobody hears the store: they are told of its
+return, and this is for the case that they are not. 26 entries that all asked at the probers' pace
+made 260 calls a second, each of them paid for."""
+
 BEHIND_FOR = 0.15
 """Seconds for which an entry stays behind before it asks again: its own read's answer is most
 likely on the way."""
@@ -60,6 +72,7 @@
         self._told_by_feed: dict[str, tuple[int, Instant]] = {}
         self._heard_store_at: Instant | None = None
         self._unsure_until: Instant = 0.0
+        self._regained_at: Instant | None = None
 
     @property
     def positions_by_feed(self) -> Mapping[str, int]:
@@ -98,6 +111,9 @@
         An entry whose read waited through a whole outage learns of it only in this way.
         """
         self.outage_over(now + unsure_for)
+        before = self._peers_by_name.get(peer)
+        if hears_store and before is not None and not before.hears_store:
+            self._regained_at = now
         self._peers_by_name[peer] = _PeerNews(now, hears_store)
         for feed, position in positions_by_feed.items():
             known, _ = self._told_by_feed.get(feed, (-1, 0.0))
@@ -110,12 +126,29 @@
         Without three others that hear the store it is one: during an outage all of them look for
         the store's return.
         """
-        good = [
+        return self._is_among_first(self._peers(now, hearing=True))
+
+    def retry_limit(self, now: Instant) -> float:
+        """Return the longest seconds until the next attempt at a store that does not answer."""
+        if self._peers(now, hearing=True):
+            return TURNED_AWAY_RETRY
+        probes = self._is_among_first(self._peers(now, hearing=False))
+        return PROBE_RETRY if probes else IDLE_RETRY
+
+    def regained_since(self, since: Instant) -> bool:
+        """Return whether another entry has come to hear the store again."""
+        return self._regained_at is not None and self._regained_at >= since
+
+    def _peers(self, now: Instant, *, hearing: bool) -> list[str]:
+        """Return the other entries that are alive, or those of them that hear the store."""
+        return [
             name
             for name, news in self._peers_by_name.items()
-            if news.hears_store and now - news.heard_at < PEER_SILENCE
+            if now - news.heard_at < PEER_SILENCE and (news.hears_store or not hearing)
         ]
-        ahead = sum(1 for name in good if rank("watch", name) < rank("watch", self._name))
+
+    def _is_among_first(self, names: list[str]) -> bool:
+        ahead = sum(1 for name in names if rank("watch", name) < rank("watch", self._name))
         return ahead < WATCHERS
 
     def is_behind(self, feed: str, now: Instant) -> bool:
--- a/packages/ragwortwing-policy/tests/direct/test_feed_watch.py
+++ b/packages/ragwortwing-policy/tests/direct/test_feed_watch.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from ragwortwing_policy.direct.feed_watch import LONG_WAIT, SHORT_WAIT, WATCHERS, FeedWatch
+from ragwortwing_policy.direct.feed_watch import (
+    IDLE_RETRY,
+    LONG_WAIT,
+    PROBE_RETRY,
+    SHORT_WAIT,
+    TURNED_AWAY_RETRY,
+    WATCHERS,
+    FeedWatch,
+)
 
 NAMES = [f"entry-{number}" for number in range(26)]
 
@@ -79,3 +87,34 @@
     watch.told("noticed", {}, 10.0, hears_store=True, unsure_for=2.0)
     assert watch.unsure_for(11.5) == 0.5
     assert watch.unsure_for(12.5) == 0.0
+
+
+def test_few_look_for_a_store_that_is_away_and_tell_the_others() -> None:
+    """The store is down for all. If each of 26 entries asked every 0.2 s, they would make 260 calls
+    a second that are paid for; three do, and all hear at once when one of them is answered."""
+    watches = fleet()
+    for moment in range(1, 8):
+        tell(watches, moment / 2)
+    limits = sorted(watch.retry_limit(3.5) for watch in watches.values())
+    assert limits == [PROBE_RETRY] * WATCHERS + [IDLE_RETRY] * (len(NAMES) - WATCHERS)
+    prober = next(name for name, watch in watches.items() if watch.retry_limit(3.5) == PROBE_RETRY)
+    watches[prober].reached("operator", 4, 3.6)
+    tell(watches, 3.7)
+    assert all(watch.regained_since(3.5) for name, watch in watches.items() if name != prober)
+
+
+def test_an_entry_that_the_store_turns_away_asks_less_often() -> None:
+    """The store serves most entries and refuses one; asking often would bring it nothing."""
+    watches = fleet()
+    refused = NAMES[0]
+    for moment in range(1, 8):
+        for name, watch in watches.items():
+            if name != refused:
+                watch.reached("operator", 4, moment / 2)
+        tell(watches, moment / 2)
+    assert watches[refused].retry_limit(3.5) == TURNED_AWAY_RETRY
+    assert not watches[refused].regained_since(1.0)
+
+
+def test_an_entry_on_its_own_looks_for_the_store_itself() -> None:
+    assert FeedWatch("alone").retry_limit(100.0) == PROBE_RETRY
