Soak the platform's entries with random faults

Real entries as processes, stand-ins of store and backend servers, a proxy on each link; 19 kinds of faults from outside (kills, pauses, planned stops, reloads; a store that is silent, busy, slow, forgets, turns one away; links cut, silent, one way, slow; backend servers that misbehave, crash, leave; changes of configuration), in series and overlapping. Checked while it runs and after: what may run once, what was told as not run, whole and own answers, an end for every request, no entry that ends by itself, recovery, the newest configuration in force, nothing that runs on for callers that are gone.

The harness of the adapter's tests moved into the lab, so that both use one. Not covered: the time of day (nothing decides by it), a disk (there is none).

--- a/tests/platform_bench.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/platform_site.py
@@ -1,9 +1,14 @@
-"""Entries as real processes between stand-ins of the users' published protocol."""
+"""Entries of the platform as real processes, between stand-ins of the users' published protocol.
+
+The stand-ins run in the process that starts the entries, so that a test or a soak can look into
+them and change what they do at any moment.
+"""
 
 from __future__ import annotations
 
 import os
 import signal
+import socket
 import subprocess
 import sys
 from contextlib import asynccontextmanager
@@ -15,8 +20,8 @@
 import msgspec
 import trio
 
-from ragwortwing_lab.standins.published_backend import PublishedBackend
-from ragwortwing_lab.standins.published_store import PublishedStore
+from .standins.published_backend import PublishedBackend
+from .standins.published_store import PublishedStore
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -110,7 +115,7 @@
         headers: dict[str, str] | None = None,
         method: str = "POST",
     ) -> None:
-        """Send one request."""
+        """Send one request, on the open connection where there is one."""
         if self.stream is None:
             await self.open()
         assert self.stream is not None
@@ -211,13 +216,15 @@
 
 
 @dataclass(slots=True)
-class PlatformBench:
+class PlatformSite:
     """Stand-ins and entries of one test."""
 
     nursery: trio.Nursery
     folder: Path
     store: PublishedStore
     store_address: str
+    grace: float = 3.0
+    """Seconds between the word to stop and the end of an entry."""
     backends_by_id: dict[str, PublishedBackend] = field(default_factory=dict)
     entries: list[EntryProcess] = field(default_factory=list)
 
@@ -234,7 +241,7 @@
 
     async def add_entry(self, name: str = "entry-1", store: str | None = None) -> EntryProcess:
         """Start an entry and wait until it listens."""
-        settings = _settings(name, store or self.store_address)
+        settings = _settings(name, store or self.store_address, self.grace)
         settings_path = self.folder / f"{name}.json"
         settings_path.write_bytes(msgspec.json.encode(settings))
         log_path = self.folder / f"{name}.log"
@@ -294,21 +301,21 @@
 
 
 @asynccontextmanager
-async def platform_bench(folder: Path) -> AsyncIterator[PlatformBench]:
+async def platform_site(folder: Path, grace: float = 3.0) -> AsyncIterator[PlatformSite]:
     """Start a store with a configuration; everything ends with the context."""
     store = PublishedStore()
     store.put("keyed.op", "config", configuration())
     async with trio.open_nursery() as nursery:
         address = await nursery.start(store.serve)
-        bench = PlatformBench(nursery, folder, store, address)
+        site = PlatformSite(nursery, folder, store, address, grace)
         try:
-            yield bench
+            yield site
         finally:
-            bench.end_entries()
+            site.end_entries()
             nursery.cancel_scope.cancel()
 
 
-def _settings(name: str, store: str) -> dict[str, Any]:
+def _settings(name: str, store: str, grace: float) -> dict[str, Any]:
     return {
         "node_id": name,
         "ip": "127.0.0.1",
@@ -316,14 +323,19 @@
         "listen": {"front": _free_address(), "readiness_addr": _free_address()},
         "inner_ports": [_free_port(), 0],
         "platform": {"address": store},
-        "bounds": {"grace_s": 3, "budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 20},
+        "bounds": {
+            "grace_s": grace,
+            "budget_ratio": 0.2,
+            "budget_window_s": 10,
+            "budget_extra": 20,
+        },
         "unknown_field": {"is": "passed over"},
     }
 
 
 def _free_port() -> int:
-    with trio.socket.socket() as sock:
-        sock._sock.bind(("127.0.0.1", 0))
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
         return int(sock.getsockname()[1])
 
 
--- /dev/null
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/checks.py
@@ -0,0 +1,103 @@
+"""What must hold in a soak, judged by what callers and backend servers saw."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from .observations import Kind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from ..platform_site import Got
+    from ..standins.published_backend import PublishedBackend
+    from .observations import Attempt
+
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+EVENTS = 10
+"""Events of a whole stream."""
+
+
+class SoakPromise(StrEnum):
+    """A promise that a soak can see broken."""
+
+    ONCE = "once"
+    """What may not be repeated runs once at most."""
+    NOT_RUN = "not_run"
+    """What is told as not run has not run and does not run later."""
+    WHOLE_AND_OWN = "whole_and_own"
+    """A success is the whole answer of a backend server to that request."""
+    ANSWERED = "answered"
+    """Every request ends."""
+    ALIVE = "alive"
+    """No entry ends by itself."""
+    RECOVERS = "recovers"
+    """Without faults, every entry serves every kind again."""
+    IN_FORCE = "in_force"
+    """The newest configuration is in force at every entry."""
+    LETS_GO = "lets_go"
+    """No backend server works on for callers that are gone."""
+
+
+@dataclass(frozen=True, slots=True)
+class SoakViolation:
+    """A promise that was broken, and what shows it."""
+
+    promise: SoakPromise
+    detail: str
+
+
+def check_runs(
+    attempts: Iterable[Attempt], backends: Iterable[PublishedBackend]
+) -> Iterator[SoakViolation]:
+    """Check what ran against what callers were told."""
+    runs = [(run.request_id, run.path) for backend in backends for run in backend.runs]
+    runs_by_id = Counter(request_id for request_id, _ in runs)
+    path_by_id = dict(runs)
+    for request_id, count in runs_by_id.items():
+        kind = path_by_id[request_id].split("/")[1]
+        if count > 1 and kind in (Kind.ORDER, Kind.CHAT):
+            yield SoakViolation(SoakPromise.ONCE, f"{kind} {request_id} ran {count} times")
+    for attempt in attempts:
+        if attempt.got is None or not runs_by_id[attempt.request_id]:
+            continue
+        once = attempt.kind in (Kind.ORDER, Kind.CHAT)
+        if once and attempt.got.status in NOT_RUN_STATUSES:
+            detail = f"{attempt.kind} {attempt.request_id}: told {attempt.got.status}, yet it ran"
+            yield SoakViolation(SoakPromise.NOT_RUN, detail)
+
+
+def check_answers(
+    attempts: Iterable[Attempt], backend_ids: frozenset[str]
+) -> Iterator[SoakViolation]:
+    """Check that each success is whole and the request's own."""
+    for attempt in attempts:
+        fault = None if attempt.got is None else _fault(attempt, attempt.got, backend_ids)
+        if fault is not None:
+            detail = f"{attempt.kind} {attempt.request_id} by {attempt.entry}: {fault}"
+            yield SoakViolation(SoakPromise.WHOLE_AND_OWN, detail)
+
+
+def _fault(attempt: Attempt, got: Got, backend_ids: frozenset[str]) -> str | None:
+    if got.status is None or got.headers.get("x-request-id") not in (None, attempt.request_id):
+        return None if got.status is None else f"answer of {got.headers['x-request-id']}"
+    if got.status != 200:
+        return None
+    if "x-server-stamp" not in got.headers:
+        return "a success without a stamp"
+    if attempt.kind.streams:
+        return _stream_fault(attempt.request_id, got)
+    expected = {f"{attempt.request_id} by {backend}".encode() for backend in backend_ids}
+    return None if got.body in expected or not got.whole else f"body {got.body[:60]!r}"
+
+
+def _stream_fault(request_id: str, got: Got) -> str | None:
+    events = got.body.split(b"\n\n")
+    expected = [b"id: %d\ndata: %s-%d" % (n, request_id.encode(), n) for n in range(EVENTS)]
+    if got.whole and events != [*expected, b""]:
+        return f"a whole stream of {len(events) - 1} events: {got.body[-60:]!r}"
+    seen = events[:-1]
+    return None if seen == expected[: len(seen)] else f"events out of order: {got.body[:80]!r}"
--- /dev/null
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/injector.py
@@ -0,0 +1,251 @@
+"""Brings the faults of a soak about from outside, and undoes them."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+import trio
+
+from ..standins.faults import Direction, Fault, FaultKind
+from ..standins.published_backend import Misbehaviour
+from ..standins.published_store import StoreMood
+from .fleet import DRAIN, end_backend
+from .schedule import SoakFault
+
+if TYPE_CHECKING:
+    from ..fault_proxy import FaultProxy
+    from ..platform_site import EntryProcess
+    from .fleet import Fleet, Seat
+    from .schedule import PlannedFault
+
+Handler = Callable[["Injector", "PlannedFault"], Awaitable[None]]
+
+_handlers_by_kind: dict[SoakFault, Handler] = {}
+
+HELD_UP = 0.15
+"""Seconds for which a slow link holds each piece."""
+
+STORE_DELAY = 0.3
+"""Seconds that each call to a slow store takes longer."""
+
+
+def strikes(kind: SoakFault) -> Callable[[Handler], Handler]:
+    """Register the handler of a kind of fault."""
+
+    def register(handler: Handler) -> Handler:
+        _handlers_by_kind[kind] = handler
+        return handler
+
+    return register
+
+
+class Injector:
+    """Strikes a fleet by a schedule."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.struck: list[PlannedFault] = []
+        self._busy: set[object] = set()
+
+    async def run(self, schedule: tuple[PlannedFault, ...]) -> None:
+        """Bring each fault about at its time and return when all are undone."""
+        start = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for fault in schedule:
+                await trio.sleep_until(start + fault.at)
+                nursery.start_soon(self._strike, fault)
+
+    async def _strike(self, fault: PlannedFault) -> None:
+        self.struck.append(fault)
+        await _handlers_by_kind[fault.kind](self, fault)
+
+    async def on_entry(
+        self, fault: PlannedFault, strike: Callable[[EntryProcess, int], Awaitable[None]]
+    ) -> None:
+        """Strike one entry, unless it is being struck by something that replaces it."""
+        number = fault.place % len(self.fleet.entries)
+        if number in self._busy:
+            return
+        self._busy.add(number)
+        try:
+            await strike(self.fleet.entries[number], number)
+        finally:
+            self._busy.discard(number)
+
+    def seat(self, fault: PlannedFault) -> Seat:
+        """Return the struck place of a backend server."""
+        return self.fleet.seats[fault.place % len(self.fleet.seats)]
+
+    async def replace(self, seat: Seat) -> None:
+        """Put a new incarnation in a seat whose backend server has ended."""
+        if seat.number in self._busy_seats(seat):
+            return
+        self._busy.add((seat.service, seat.number))
+        try:
+            await self.fleet.seat_backend(seat)
+        finally:
+            self._busy.discard((seat.service, seat.number))
+
+    def _busy_seats(self, seat: Seat) -> set[int]:
+        return {seat.number} if (seat.service, seat.number) in self._busy else set()
+
+
+async def _fault_for(proxy: FaultProxy, seconds: float, fault: Fault) -> None:
+    proxy.set_fault(fault)
+    await trio.sleep(seconds)
+    proxy.faults.clear()
+
+
+@strikes(SoakFault.KILL_ENTRY)
+async def _kill_entry(injector: Injector, fault: PlannedFault) -> None:
+    async def kill(entry: EntryProcess, number: int) -> None:
+        injector.fleet.note_ended(entry)
+        injector.fleet.signal(entry, signal.SIGKILL)
+        await injector.fleet.restart(entry, number)
+
+    await injector.on_entry(fault, kill)
+
+
+@strikes(SoakFault.FREEZE_ENTRY)
+async def _freeze_entry(injector: Injector, fault: PlannedFault) -> None:
+    async def freeze(entry: EntryProcess, _: int) -> None:
+        injector.fleet.signal(entry, signal.SIGSTOP)
+        await trio.sleep(fault.seconds)
+        injector.fleet.signal(entry, signal.SIGCONT)
+
+    await injector.on_entry(fault, freeze)
+
+
+@strikes(SoakFault.STOP_ENTRY)
+async def _stop_entry(injector: Injector, fault: PlannedFault) -> None:
+    async def stop(entry: EntryProcess, number: int) -> None:
+        injector.fleet.note_ended(entry)
+        injector.fleet.signal(entry, signal.SIGTERM)
+        await injector.fleet.restart(entry, number)
+
+    await injector.on_entry(fault, stop)
+
+
+@strikes(SoakFault.RELOAD_ENTRY)
+async def _reload_entry(injector: Injector, fault: PlannedFault) -> None:
+    entries = injector.fleet.entries
+    injector.fleet.signal(entries[fault.place % len(entries)], signal.SIGHUP)
+
+
+async def _store_mood(injector: Injector, fault: PlannedFault, mood: StoreMood) -> None:
+    store = injector.fleet.site.store
+    store.mood = mood
+    await trio.sleep(fault.seconds)
+    store.mood = StoreMood.WELL
+
+
+@strikes(SoakFault.STORE_SILENT)
+async def _store_silent(injector: Injector, fault: PlannedFault) -> None:
+    await _store_mood(injector, fault, StoreMood.SILENT)
+
+
+@strikes(SoakFault.STORE_BUSY)
+async def _store_busy(injector: Injector, fault: PlannedFault) -> None:
+    await _store_mood(injector, fault, StoreMood.BUSY)
+
+
+@strikes(SoakFault.STORE_RESETS)
+async def _store_resets(injector: Injector, fault: PlannedFault) -> None:
+    await _store_mood(injector, fault, StoreMood.RESET)
+
+
+@strikes(SoakFault.STORE_SLOW)
+async def _store_slow(injector: Injector, fault: PlannedFault) -> None:
+    store = injector.fleet.site.store
+    store.faults.set(Fault(FaultKind.SLOW, seconds=STORE_DELAY))
+    await trio.sleep(fault.seconds)
+    store.faults.clear()
+
+
+@strikes(SoakFault.STORE_FORGETS)
+async def _store_forgets(injector: Injector, _: PlannedFault) -> None:
+    injector.fleet.site.store.forget_history()
+
+
+def _store_link(injector: Injector, fault: PlannedFault) -> FaultProxy:
+    proxies = injector.fleet.store_proxies
+    return proxies[fault.place % len(proxies)]
+
+
+@strikes(SoakFault.STORE_REFUSES_ONE)
+async def _store_refuses_one(injector: Injector, fault: PlannedFault) -> None:
+    proxy = _store_link(injector, fault)
+    proxy.set_fault(Fault(FaultKind.CUT))
+    await _fault_for(proxy, fault.seconds, Fault(FaultKind.REFUSE))
+
+
+@strikes(SoakFault.STORE_LINK_SILENT)
+async def _store_link_silent(injector: Injector, fault: PlannedFault) -> None:
+    silent = Fault(FaultKind.SILENT, existing_only=True)
+    await _fault_for(_store_link(injector, fault), fault.seconds, silent)
+
+
+@strikes(SoakFault.LINK_CUT)
+async def _link_cut(injector: Injector, fault: PlannedFault) -> None:
+    await _fault_for(injector.seat(fault).proxy, 0.0, Fault(FaultKind.CUT))
+
+
+@strikes(SoakFault.LINK_SILENT)
+async def _link_silent(injector: Injector, fault: PlannedFault) -> None:
+    silent = Fault(FaultKind.SILENT, existing_only=True)
+    await _fault_for(injector.seat(fault).proxy, fault.seconds, silent)
+
+
+@strikes(SoakFault.LINK_ONE_WAY)
+async def _link_one_way(injector: Injector, fault: PlannedFault) -> None:
+    one_way = Fault(FaultKind.SILENT, direction=Direction.TO_CLIENT)
+    await _fault_for(injector.seat(fault).proxy, fault.seconds, one_way)
+
+
+@strikes(SoakFault.LINK_SLOW)
+async def _link_slow(injector: Injector, fault: PlannedFault) -> None:
+    slow = Fault(FaultKind.SLOW, seconds=HELD_UP)
+    await _fault_for(injector.seat(fault).proxy, fault.seconds, slow)
+
+
+@strikes(SoakFault.BACKEND_MISBEHAVES)
+async def _backend_misbehaves(injector: Injector, fault: PlannedFault) -> None:
+    backend = injector.seat(fault).backend
+    assert backend is not None
+    backend.misbehaviour = injector.fleet.random.choice(list(Misbehaviour))
+    await trio.sleep(fault.seconds)
+    backend.misbehaviour = Misbehaviour.NONE
+
+
+@strikes(SoakFault.BACKEND_CRASHES)
+async def _backend_crashes(injector: Injector, fault: PlannedFault) -> None:
+    seat = injector.seat(fault)
+    backend = seat.backend
+    assert backend is not None
+    end_backend(seat.scopes)
+    await trio.sleep(fault.seconds)
+    injector.fleet.site.store.drop("keyed.servers", backend.id)
+    if seat.backend is backend:
+        await injector.replace(seat)
+
+
+@strikes(SoakFault.BACKEND_LEAVES)
+async def _backend_leaves(injector: Injector, fault: PlannedFault) -> None:
+    fleet, seat = injector.fleet, injector.seat(fault)
+    backend, scopes = seat.backend, seat.scopes
+    assert backend is not None
+    await injector.replace(seat)
+    if seat.backend is backend:
+        return
+    backend.announce(fleet.site.store, state="draining")
+    fleet.left_at_by_id[backend.id] = trio.current_time()
+    await trio.sleep(DRAIN + fault.seconds)
+    end_backend(scopes)
+    fleet.site.store.drop("keyed.servers", backend.id)
+
+
+@strikes(SoakFault.CONFIGURE)
+async def _configure(injector: Injector, _: PlannedFault) -> None:
+    injector.fleet.publish()
