Prefer an engine of the entry's own availability zone among equals

Cause: bytes between zones are paid for; among equally good engines the session's hash decided alone.

Test: test_placement.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -77,7 +77,13 @@
 class Placement:
     """Places requests on the engines of any number of services."""
 
-    def __init__(self) -> None:
+    def __init__(self, zone: str = "") -> None:
+        """Create the placement of one entry.
+
+        Args:
+            zone: The entry's availability zone; among equally good engines one there goes first.
+        """
+        self.zone = zone
         self.loads_by_id: dict[str, EngineLoad] = {}
         self._lanes_by_service: dict[str, Lanes] = {}
 
@@ -181,9 +187,9 @@
         after_by_id = {each.id: self._first_event_after(each) for each in fitting}
         earliest = min(after_by_id.values())
         best = self._home(fitting)
-        if after_by_id[best.id] > earliest + (HOME_ADVANTAGE if at_home else 0.0):
+        if not at_home or after_by_id[best.id] > earliest + HOME_ADVANTAGE:
             equal = [each for each in fitting if after_by_id[each.id] <= earliest + EQUAL_WITHIN]
-            best = min(equal, key=lambda each: rank(prompt.session, each.id))
+            best = min(equal, key=lambda each: self._preference(each, at_home=at_home))
         after = after_by_id[best.id]
         if at_home and after > self.question.latency_target:
             return NoRoom(after)
@@ -216,6 +222,14 @@
             key=lambda each: (self._load(each).kept_tokens(prompt), -rank(prompt.session, each.id)),
         )
 
+    def _preference(self, engine: BackendServer, *, at_home: bool) -> tuple[bool, int]:
+        """Return what decides among equals: the zone, where no session is to be kept; the session.
+
+        Bytes between availability zones are paid for.
+        """
+        elsewhere = not at_home and engine.zone != self._placement.zone
+        return elsewhere, rank(self.question.prompt.session, engine.id)
+
     def _load(self, engine: BackendServer) -> EngineLoad:
         return self._placement.load(engine, self._traits)
 
--- a/packages/ragwortwing-policy/tests/direct/test_placement.py
+++ b/packages/ragwortwing-policy/tests/direct/test_placement.py
@@ -187,3 +187,15 @@
     while load.fits(prompt(300), urgency):
         load.begin(str(load.running), prompt(300), PromptReading(300), 0.0)
     assert load.running == taken
+
+
+def test_among_equals_a_chat_goes_to_its_own_zone() -> None:
+    """Bytes between availability zones are paid for; an idle engine nearby is as good."""
+    placement = Placement("nadi")
+    zones = ("suva", "nadi", "lautoka")
+    spread = [replace(each, zone=zones[n % 3]) for n, each in enumerate(engines(9))]
+    for number in range(20):
+        question = PlacementQuestion(SERVICE, prompt(300, f"c-{number}"), 0.4)
+        found = placement.place(question, spread, TRAITS, 0.0)
+        assert isinstance(found, Placed)
+        assert found.backend.zone == "nadi"
