--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
@@ -22,9 +22,12 @@
     from ragwortwing_policy.clock import Clock
     from ragwortwing_policy.direct.peer_digest import DigestBook
 
-INTERVAL_PER_PEER = 0.008
-"""Seconds between digests for each peer: an entry sends 125 datagrams a second at most, and as the
-fleet grows the digests get older instead (0.2 s at 26 entries)."""
+INTERVAL_PER_PEER = 0.004
+"""Seconds between digests for each peer: an entry sends 250 datagrams a second at most, and as the
+fleet grows the digests get older instead (0.1 s at 26 entries).
+
+In a replay of the worst bursts on 26 entries and 24 engines, worth was 15,457 with digests of 0.2 s,
+16,105 with 0.1 s and 16,291 with 0.05 s (two seeds)."""
 
 SHORTEST_INTERVAL = 0.03
 """Seconds between digests in a small fleet. An engine takes a long prompt every 100 ms in a burst:
