Tell the age of what an entry knows, and how urgent what waits is

New: seconds since the store last answered each feed, waiting requests by urgency, store calls by call and outcome.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -88,6 +89,11 @@
         room = self._rooms_by_service.get(service)
         return len(room) if room is not None else 0
 
+    def waiting_by_urgency(self) -> Counter[int]:
+        """Return how many requests of each rank wait for an engine."""
+        rooms = self._rooms_by_service.values()
+        return sum((room.waiting_by_urgency() for room in rooms), Counter())
+
     def pick_service(self, route: Route) -> str:
         """Return one of a route's services, by their weights."""
         if len(route.shares) == 1:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
@@ -13,10 +13,12 @@
 from prometheus_client.core import GaugeMetricFamily
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable, Iterator, Mapping
 
     from prometheus_client.core import Metric
 
+    from ragwortwing_policy.clock import Instant
+
     from .direct_entry import DirectEntry
 
 SECONDS_BUCKETS = (0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 3.0, 5.0, 10.0, 15.0)
@@ -72,7 +74,7 @@
     def __init__(
         self,
         entry: DirectEntry,
-        store_calls_by_outcome: Callable[[], dict[str, int]],
+        store_calls_by_outcome: Callable[[], Mapping[tuple[str, str], int]],
         lines_left_out: Callable[[], int],
     ) -> None:
         self._entry = entry
@@ -105,11 +107,35 @@
             lambda service: state.budget(service).left(now),
         )
         calls = GaugeMetricFamily(
-            "ragwortwing_store_calls", "Calls to the store, by outcome.", labels=("outcome",)
+            "ragwortwing_store_calls",
+            "Calls to the store, by call and outcome.",
+            labels=("call", "outcome"),
         )
-        for outcome, count in self._store_calls_by_outcome().items():
-            calls.add_metric((outcome,), count)
+        for labels, count in self._store_calls_by_outcome().items():
+            calls.add_metric(labels, count)
         yield calls
+        yield self._ages(now)
+        yield self._waiting_by_urgency()
+
+    def _ages(self, now: Instant) -> Metric:
+        family = GaugeMetricFamily(
+            "ragwortwing_feed_age_seconds",
+            "Time since the store last answered a read of a feed.",
+            labels=("feed",),
+        )
+        for feed, heard_at in self._entry.state.watch.heard_at_by_feed.items():
+            family.add_metric((feed,), now - heard_at)
+        return family
+
+    def _waiting_by_urgency(self) -> Metric:
+        family = GaugeMetricFamily(
+            "ragwortwing_waiting_by_urgency",
+            "Requests that wait for an engine, by rank; 0 is the most urgent.",
+            labels=("urgency",),
+        )
+        for urgency, count in sorted(self._entry.waiting_by_urgency().items()):
+            family.add_metric((str(urgency),), count)
+        return family
 
     def _by_service(self, name: str, text: str, value: Callable[[str], float]) -> Metric:
         family = GaugeMetricFamily(name, text, labels=("service",))
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/waiting_room.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/waiting_room.py
@@ -14,6 +14,7 @@
 from .ports import Refused
 
 if TYPE_CHECKING:
+    from collections import Counter
     from collections.abc import Sequence
 
     from ragwortwing_policy.direct.backend_list import BackendServer
@@ -45,6 +46,10 @@
     def __len__(self) -> int:
         return len(self._line)
 
+    def waiting_by_urgency(self) -> Counter[int]:
+        """Return how many requests of each rank wait."""
+        return self._line.waiting_by_urgency()
+
     async def place(self, request: WaitingRequest) -> Granted | Refused:
         """Wait for an engine; the engine's load counts the request from then on."""
         place = self._places_by_ticket[request.ticket] = _Place()
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
@@ -71,6 +71,7 @@
         self._position_by_feed: dict[str, int] = {}
         self._told_by_feed: dict[str, tuple[int, Instant]] = {}
         self._heard_store_at: Instant | None = None
+        self._heard_at_by_feed: dict[str, Instant] = {}
         self._unsure_until: Instant = 0.0
         self._regained_at: Instant | None = None
 
@@ -79,9 +80,15 @@
         """How far this entry has read."""
         return self._position_by_feed
 
+    @property
+    def heard_at_by_feed(self) -> Mapping[str, Instant]:
+        """When the store last answered a read of each feed."""
+        return self._heard_at_by_feed
+
     def reached(self, feed: str, position: int, now: Instant) -> None:
         """Note an answer of the store, and how far this entry has read."""
         self._heard_store_at = now
+        self._heard_at_by_feed[feed] = now
         self._position_by_feed[feed] = position
 
     def outage_over(self, unsure_until: Instant) -> None:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import TYPE_CHECKING
@@ -72,6 +73,10 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
+    def waiting_by_urgency(self) -> Counter[int]:
+        """Return how many requests of each rank wait."""
+        return Counter(each.waiter.urgency for each in self._waiting.values())
+
     def enter(self, request: WaitingRequest, now: Instant) -> None:
         """Put a request into the line."""
         self._placement.arrived(self._question(request, now), now)
--- a/packages/ragwortwing-policy/tests/direct/test_waiting_line.py
+++ b/packages/ragwortwing-policy/tests/direct/test_waiting_line.py
@@ -81,3 +81,11 @@
     line.enter(request("r", 300, tier=0), 0.0)
     line.leave("r")
     assert look(line, 0.0) == []
+
+
+def test_what_waits_is_counted_by_urgency() -> None:
+    line = new_line()
+    for number in range(3):
+        line.enter(request(f"draft-{number}", 9_000, tier=1), 0.0)
+    line.enter(request("chat", 300, tier=0), 0.0)
+    assert line.waiting_by_urgency() == {0: 1, 1: 3}
