--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/callers.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/callers.py
@@ -6,13 +6,13 @@
 
 import trio
 
-from ..platform_site import Caller
+from ..standins.platform_site import CHAT_PROMPT, DRAFT_PROMPT, Caller
 from .observations import Attempt, Kind
 
 if TYPE_CHECKING:
     from random import Random
 
-    from ..platform_site import EntryProcess
+    from ..standins.platform_site import EntryProcess
     from .fleet import Fleet
 
 REQUESTS_A_CONNECTION = 8
@@ -27,10 +27,7 @@
 ANSWER_LIMIT = 8.0
 """Seconds after which an answer counts as never coming; twice the longest timeout of a route."""
 
-PROMPTS = {
-    Kind.CHAT: {"x-token-count": "300,40", "x-prompt-prefix": "aa:200,bb:100"},
-    Kind.DRAFT: {"x-token-count": "6000,40", "x-prompt-prefix": "cc:4000,dd:2000"},
-}
+PROMPTS = {Kind.CHAT: CHAT_PROMPT, Kind.DRAFT: DRAFT_PROMPT}
 
 
 class Callers:
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/checks.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/checks.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-    from ..platform_site import Got
+    from ..standins.platform_site import Got
     from ..standins.published_backend import PublishedBackend
     from .observations import Attempt
 
@@ -86,7 +86,7 @@
         return None if got.status is None else f"answer of {got.headers['x-request-id']}"
     if got.status != 200:
         return None
-    if "x-server-stamp" not in got.headers:
+    if not got.is_stamped:
         return "a success without a stamp"
     if attempt.kind.streams:
         return _stream_fault(attempt.request_id, got)
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/fleet.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/fleet.py
@@ -8,7 +8,14 @@
 import trio
 
 from ..fault_proxy import FaultProxy
-from ..platform_site import DESK, ENGINES, EntryProcess, PlatformSite, configuration
+from ..standins.platform_site import (
+    DESK,
+    ENGINES,
+    EntryProcess,
+    PlatformSite,
+    configuration,
+    renamed_route,
+)
 from ..standins.published_backend import Pace, PublishedBackend
 
 if TYPE_CHECKING:
@@ -111,9 +118,8 @@
         document = configuration(self.version)
         lookups = next(each for each in document["routes"] if each["name"] == "lookups")
         for number in range(2, self.version + 1):
-            route = {"name": f"added-{number}", "path_prefix": f"/added-{number}/"}
-            document["routes"].append(lookups | route)
-        self.site.store.put("keyed.op", "config", document)
+            document["routes"].append(renamed_route(lookups, f"added-{number}"))
+        self.site.configure(document)
 
     def note_ended(self, entry: EntryProcess) -> None:
         """Note that the soak ends this process."""
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/injector.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/injector.py
@@ -9,14 +9,14 @@
 import trio
 
 from ..standins.faults import Direction, Fault, FaultKind
-from ..standins.published_backend import Misbehaviour
+from ..standins.published_backend import SERVERS_TOPIC, Misbehaviour
 from ..standins.published_store import StoreMood
 from .fleet import DRAIN, end_backend
 from .schedule import SoakFault
 
 if TYPE_CHECKING:
     from ..fault_proxy import FaultProxy
-    from ..platform_site import EntryProcess
+    from ..standins.platform_site import EntryProcess
     from .fleet import Fleet, Seat
     from .schedule import PlannedFault
 
@@ -226,7 +226,7 @@
     assert backend is not None
     end_backend(seat.scopes)
     await trio.sleep(fault.seconds)
-    injector.fleet.site.store.drop("keyed.servers", backend.id)
+    injector.fleet.site.store.drop(SERVERS_TOPIC, backend.id)
     if seat.backend is backend:
         await injector.replace(seat)
 
@@ -243,7 +243,7 @@
     fleet.left_at_by_id[backend.id] = trio.current_time()
     await trio.sleep(DRAIN + fault.seconds)
     end_backend(scopes)
-    fleet.site.store.drop("keyed.servers", backend.id)
+    fleet.site.store.drop(SERVERS_TOPIC, backend.id)
 
 
 @strikes(SoakFault.CONFIGURE)
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/observations.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/observations.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from ..platform_site import Got
+from ..standins.platform_site import Got
 
 
 class Kind(StrEnum):
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/runner.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/runner.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from ..platform_site import call, platform_site
+from ..standins.platform_site import call, platform_site
 from ..standins.published_store import StoreMood
 from .callers import Callers
 from .checks import SoakPromise, SoakViolation, check_answers, check_runs
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
 
-    from ..platform_site import EntryProcess
+    from ..standins.platform_site import EntryProcess
 
 GRACE = 8.0
 CALLERS = 12
--- a/packages/ragwortwing-lab/tests/test_fault_proxy.py
+++ b/packages/ragwortwing-lab/tests/test_fault_proxy.py
@@ -13,6 +13,9 @@
 A_WHILE = 0.05
 """Seconds in which nothing may come; too short a time can only hide a fault, not report one."""
 
+LIMIT = 10.0
+"""Seconds for what must come; only a guard against hanging."""
+
 
 @asynccontextmanager
 async def proxied_echo():
@@ -41,8 +44,18 @@
 
 
 async def echoed(stream: trio.SocketStream, data: bytes = b"x") -> bool:
+    """Send some bytes and return whether they come back, which they must."""
+    return await _comes_back(stream, data, LIMIT)
+
+
+async def stays_silent(stream: trio.SocketStream, data: bytes = b"x") -> bool:
+    """Send some bytes and return whether nothing comes back for a while."""
+    return not await _comes_back(stream, data, A_WHILE)
+
+
+async def _comes_back(stream: trio.SocketStream, data: bytes, seconds: float) -> bool:
     await stream.send_all(data)
-    with trio.move_on_after(A_WHILE):
+    with trio.move_on_after(seconds):
         return await stream.receive_some() == data
     return False
 
@@ -79,17 +92,17 @@
         stream = await connect()
         assert await echoed(stream, b"a")
         proxy.set_fault(Fault(FaultKind.SILENT, direction=direction, existing_only=True))
-        assert not await echoed(stream, b"b")
+        assert await stays_silent(stream, b"b")
         assert (b"b" in received) is reaches_target
         assert await echoed(await connect(), b"c")
         proxy.faults.clear()
-        assert not await echoed(stream, b"d")
+        assert await stays_silent(stream, b"d")
 
 
 async def test_silent_for_all_until_cleared() -> None:
     async with proxied_echo() as (proxy, connect, _):
         proxy.set_fault(Fault(FaultKind.SILENT))
-        assert not await echoed(await connect())
+        assert await stays_silent(await connect())
         proxy.faults.clear()
         assert await echoed(await connect())
 
--- a/packages/ragwortwing-lab/tests/test_soak.py
+++ b/packages/ragwortwing-lab/tests/test_soak.py
@@ -7,11 +7,11 @@
 
 import pytest
 
-from ragwortwing_lab.platform_site import Got
 from ragwortwing_lab.soak.checks import SoakPromise, check_answers, check_runs
 from ragwortwing_lab.soak.observations import Attempt, Kind
 from ragwortwing_lab.soak.runner import SoakShape, run_soak
 from ragwortwing_lab.soak.schedule import SoakFault, draw_schedule
+from ragwortwing_lab.standins.platform_site import Got
 from ragwortwing_lab.standins.published_backend import PublishedBackend, SeenRun
 
 if TYPE_CHECKING:
