Let the replay's refused callers come back

Cause: the figures of Retry-After and of the order of return in docs/decisions/platform.md are of a replay in which refused callers come back, and the lab could not repeat it. `Replay(returns=1)` does; without it all is as before. Test: test_refused_callers_come_back_as_often_as_they_do.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
@@ -19,7 +19,12 @@
 from ragwortwing_policy.direct.placement import Placement
 from ragwortwing_policy.direct.prompt_parts import Prompt, PromptPart
 from ragwortwing_policy.direct.routing_table import EngineTraits
-from ragwortwing_policy.direct.waiting_line import Granted, WaitingLine, WaitingRequest
+from ragwortwing_policy.direct.waiting_line import (
+    Granted,
+    TurnedAway,
+    WaitingLine,
+    WaitingRequest,
+)
 from ragwortwing_policy.direct.waiting_order import Waiter
 
 from .batching_engine import BatchingEngine, EnginePace, EngineRun
@@ -87,6 +92,8 @@
     bursts: tuple[Burst, ...] = (Burst("draft", 0.5, 9.0, 2.3), Burst("chat", 6.0, 10.0, 1.8))
     pace: EnginePace = EnginePace()
     kinds: tuple[Kind, ...] = (CHAT, DRAFT)
+    returns: int = 0
+    """How often a caller that is told to come back does so."""
 
 
 @dataclass(slots=True)
@@ -96,6 +103,8 @@
     asked: int = 0
     on_time: int = 0
     late: int = 0
+    refused: int = 0
+    """Refusals, those of callers that came back among them."""
     worth: float = 0.0
 
     @property
@@ -109,6 +118,7 @@
     kind: Kind
     prompt: Prompt
     arrived_at: float
+    returns: int = 0
     last_event_at: float | None = None
     first_event_after: float = 0.0
     longest_pause: float = 0.0
@@ -224,7 +234,8 @@
 def _enter(fleet: _Fleet, entry: _Entry, ticket: str, now: float) -> None:
     request = fleet.requests_by_ticket[ticket]
     kind = request.kind
-    waiter = Waiter(kind.tier, now + kind.target, now + kind.deadline, now)
+    # An entry does not know when a caller that comes back first asked, only what is left to it.
+    waiter = Waiter(kind.tier, now + kind.target, request.arrived_at + kind.deadline, now)
     entry.line.enter(WaitingRequest(ticket, ticket, request.prompt, waiter), now)
     _look(fleet, entry, now)
 
@@ -236,6 +247,21 @@
             source = decision.reading.fetch_from
             fetch_from = None if source is None else fleet.engines[fleet.servers.index(source)]
             _submit(fleet, entry, decision.request.ticket, number, now, fetch_from)
+        else:
+            _come_back(fleet, decision, now)
+
+
+def _come_back(fleet: _Fleet, decision: TurnedAway, now: float) -> None:
+    """Let a refused caller come back to any entry when it was told to."""
+    ticket = decision.request.ticket
+    request = fleet.requests_by_ticket[ticket]
+    fleet.results_by_kind[request.kind.name].refused += 1
+    if decision.retry_after is None or request.returns >= fleet.replay.returns:
+        return
+    request.returns += 1
+    entry = fleet.random.choice(fleet.entries)
+    returns_at = now + decision.retry_after.total_seconds()
+    fleet.at(returns_at, lambda at: _enter(fleet, entry, ticket, at))
 
 
 def _looks(fleet: _Fleet, entry: _Entry) -> Callable[[float], None]:
--- a/packages/ragwortwing-lab/tests/test_burst_replay.py
+++ b/packages/ragwortwing-lab/tests/test_burst_replay.py
@@ -64,6 +64,17 @@
     assert chats.on_time + chats.late > 0.97 * chats.asked
 
 
+def test_refused_callers_come_back_as_often_as_they_do() -> None:
+    """Drafts come at four times their rate. Of those that are refused and come back, some are
+    served, late: their target counts from the first attempt."""
+    bursts = (Burst("draft", 0.5, 8.0, 4.0),)
+    gone = run_replay(Replay(Placing.OURS, 1, bursts=bursts))["draft"]
+    back = run_replay(Replay(Placing.OURS, 1, bursts=bursts, returns=1))["draft"]
+    assert gone.refused > 0
+    assert back.late > gone.late
+    assert back.on_time + back.late + back.refused >= back.asked
+
+
 def run_alone(engine: BatchingEngine, prompt: Prompt) -> list[float]:
     events: list[float] = []
     ends: list[float] = []
