Keep sums of an engine's load, and look at each engine's cache once a placement

Cause: since engines fetch from each other, a placement took 17.9 µs an engine (9.0 before), as it looked into each engine's cache up to four times, hashed and sorted all engines for the split, and added up the shares of all peers twice for each. At 790 engines that is 14 ms of the one loop; requests that wait are placed anew every 20 ms.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
@@ -95,7 +95,11 @@
     runs_by_ticket: dict[str, RunOnEngine] = field(default_factory=dict)
     short_running: int = 0
     """Requests with short prompts among them."""
-    shares_by_peer: dict[str, PeerShare] = field(default_factory=dict)
+    _shares_by_peer: dict[str, PeerShare] = field(default_factory=dict)
+    # Sums, kept up: each placement asks every engine for them, and each has a share of every peer.
+    _own_memory_tokens: int = 0
+    _peers_running: int = 0
+    _peers_memory_tokens: int = 0
 
     def __post_init__(self) -> None:
         self.cache = PartCache(int(self.traits.memory_tokens * CACHE_PART))
@@ -123,20 +127,17 @@
     @property
     def running(self) -> int:
         """Requests that run or wait on the engine, those of other entries among them."""
-        return len(self.runs_by_ticket) + sum(
-            share.running for share in self.shares_by_peer.values()
-        )
+        return len(self.runs_by_ticket) + self._peers_running
 
     @property
     def own_memory_tokens(self) -> int:
         """Tokens of memory that this entry's requests take at their end."""
-        return sum(run.memory_tokens for run in self.runs_by_ticket.values())
+        return self._own_memory_tokens
 
     @property
     def memory_tokens(self) -> int:
         """Tokens of memory that what runs takes at its end."""
-        peers = sum(share.memory_tokens for share in self.shares_by_peer.values())
-        return self.own_memory_tokens + peers
+        return self._own_memory_tokens + self._peers_memory_tokens
 
     def fits(self, prompt: Prompt, urgency: int) -> bool:
         """Return whether a slot and the memory for a request should be free.
@@ -157,6 +158,7 @@
         read_by = now + queued + seconds
         self.add_reading(seconds, now)
         self.cache.use(prompt.parts)
+        self._own_memory_tokens += prompt.memory_tokens
         self.runs_by_ticket[ticket] = RunOnEngine(
             reading.unread_tokens,
             prompt.memory_tokens,
@@ -190,14 +192,27 @@
     def end(self, ticket: str, now: Instant) -> None:
         """Note that a request no longer runs; a prompt that was not read is taken back."""
         run = self.runs_by_ticket.pop(ticket, None)
-        self.short_running -= run is not None and not run.is_long
-        if run is not None and not run.read:
+        if run is None:
+            return
+        self._own_memory_tokens -= run.memory_tokens
+        self.short_running -= not run.is_long
+        if not run.read:
             reading = run.unread_tokens / self.tokens_per_second
             self.read_by = max(now, self.read_by - reading)
 
+    def take_share(self, peer: str, share: PeerShare) -> None:
+        """Take over what a peer says that it has here."""
+        self.forget_peer(peer)
+        self._shares_by_peer[peer] = share
+        self._peers_running += share.running
+        self._peers_memory_tokens += share.memory_tokens
+
     def forget_peer(self, peer: str) -> None:
         """Drop what a peer said: it is gone."""
-        self.shares_by_peer.pop(peer, None)
+        share = self._shares_by_peer.pop(peer, None)
+        if share is not None:
+            self._peers_running -= share.running
+            self._peers_memory_tokens -= share.memory_tokens
 
     def _learn_rate(self, run: RunOnEngine, now: Instant) -> None:
         reading = now - run.sent_at - FIRST_EVENT_OVERHEAD - run.queued
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/lanes.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/lanes.py
@@ -79,6 +79,8 @@
         self.own_short_running = 0
         """Short requests that this entry has on engines."""
         self.short_running_by_peer: dict[str, int] = {}
+        self._ordered_from: tuple[BackendServer, ...] = ()
+        self._ordered: Sequence[BackendServer] = ()
 
     @property
     def totals(self) -> tuple[float, float]:
@@ -119,6 +121,14 @@
         self, engines: Sequence[BackendServer], service: str, slots: int, now: Instant
     ) -> tuple[Sequence[BackendServer], Sequence[BackendServer]]:
         """Return the engines for short prompts and those for long ones."""
-        ordered = sorted(engines, key=lambda each: rank(service, each.id))
+        ordered = self._in_order(engines, service)
         count = self.short_engines(len(ordered), slots, now)
         return ordered[:count], ordered[count:]
+
+    def _in_order(self, engines: Sequence[BackendServer], service: str) -> Sequence[BackendServer]:
+        """Return the engines in the order that all entries agree on, sorted once for each list."""
+        known = tuple(engines)
+        if known != self._ordered_from:
+            self._ordered_from = known
+            self._ordered = sorted(known, key=lambda each: rank(service, each.id))
+        return self._ordered
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_digest.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_digest.py
@@ -198,7 +198,7 @@
         peer.reading_by_backend[engine.backend_id] = engine.reading_total
         if engine.reading_total > known:
             load.add_reading(min(LARGEST_LEAP, engine.reading_total - known), now)
-        load.shares_by_peer[sender] = PeerShare(engine.running, engine.memory_tokens, now)
+        load.take_share(sender, PeerShare(engine.running, engine.memory_tokens, now))
 
     def _take_work(self, sender: str, peer: _Peer, work: ServiceWork, now: Instant) -> None:
         known = peer.work_by_service.get(work.service, ServiceWork(work.service, 0.0, 0.0))
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -137,8 +137,7 @@
         lanes = self.lanes(question.service)
         lanes.own_short_running = self.short_running(question.service)
         short, long = lanes.split(engines, question.service, traits.slots, now)
-        keeper = self._keeper(question.prompt, engines, traits)
-        choice = _Choice(self, question, keeper, traits, now)
+        choice = _Choice(self, question, engines, traits, now)
         if question.prompt.is_long:
             return _place_long(choice, short, long)
         found = choice.best(short or long, at_home=False)
@@ -147,19 +146,6 @@
             return found
         return _earlier(found, choice.best(long, at_home=False))
 
-    def _keeper(
-        self, prompt: Prompt, engines: Sequence[BackendServer], traits: EngineTraits
-    ) -> BackendServer | None:
-        """Return the engine that should keep most of a prompt, home first among equals."""
-        return max(
-            engines,
-            key=lambda each: (
-                self.load(each, traits).kept_tokens(prompt),
-                -rank(prompt.session, each.id),
-            ),
-            default=None,
-        )
-
 
 class _Choice:
     """The choice of an engine for one request."""
@@ -168,15 +154,18 @@
         self,
         placement: Placement,
         question: PlacementQuestion,
-        keeper: BackendServer | None,
+        engines: Sequence[BackendServer],
         traits: EngineTraits,
         now: Instant,
     ) -> None:
         self.question = question
         self._placement = placement
-        self._keeper = keeper
         self._traits = traits
         self._now = now
+        self._kept_by_id = {
+            each.id: placement.load(each, traits).kept_tokens(question.prompt) for each in engines
+        }
+        self._keeper = self._home(engines) if engines else None
 
     def best(self, engines: Sequence[BackendServer], *, at_home: bool) -> Placed | NoRoom:
         """Return the engine with the earliest first event, near enough the session's home."""
@@ -203,24 +192,21 @@
 
     def reading(self, engine: BackendServer) -> PromptReading:
         """Return how an engine would come by the prompt."""
-        prompt = self.question.prompt
-        alone = self._load(engine).reading_of(prompt)
+        tokens, kept = self.question.prompt.prompt_tokens, self._kept_by_id[engine.id]
+        alone = PromptReading(max(1, tokens - kept))
         if self._keeper is None:
             return alone
-        helped = self._load(self._keeper).reading_of(prompt)
-        lacking = alone.unread_tokens - helped.unread_tokens
-        seconds = self._traits.fetch_seconds(lacking)
-        if lacking < LEAST_FETCHED_TOKENS or seconds is None:
+        kept_there = self._kept_by_id[self._keeper.id]
+        seconds = self._traits.fetch_seconds(kept_there - kept)
+        if kept_there - kept < LEAST_FETCHED_TOKENS or seconds is None:
             return alone
-        return PromptReading(helped.unread_tokens, self._keeper, seconds)
+        return PromptReading(max(1, tokens - kept_there), self._keeper, seconds)
 
     def _home(self, engines: Sequence[BackendServer]) -> BackendServer:
         """Return the engine that keeps the session; where none does, every entry's same one."""
-        prompt = self.question.prompt
-        return max(
-            engines,
-            key=lambda each: (self._load(each).kept_tokens(prompt), -rank(prompt.session, each.id)),
-        )
+        most = max(self._kept_by_id[each.id] for each in engines)
+        keepers = [each for each in engines if self._kept_by_id[each.id] == most]
+        return min(keepers, key=lambda each: rank(self.question.prompt.session, each.id))
 
     def _preference(self, engine: BackendServer, *, at_home: bool) -> tuple[bool, int]:
         """Return what decides among equals: the zone, where no session is to be kept; the session.
