--- a/packages/ragwortwing-lab/src/ragwortwing_lab/platform_site.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/platform_site.py
@@ -20,17 +20,22 @@
 import msgspec
 import trio
 
-from .standins.published_backend import PublishedBackend
-from .standins.published_store import PublishedStore
+from .published_backend import PublishedBackend
+from .published_store import PublishedStore
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
+OPERATOR_TOPIC = "keyed.op"
 HOST = "bakery.example"
 KEY = "suva-key"
 ENGINES = "engines"
 DESK = "desk"
 NOBODY = "127.0.0.1:1"
+CHAT_PROMPT = {"x-token-count": "300,40", "x-prompt-prefix": "aa:200,bb:100"}
+DRAFT_PROMPT = {"x-token-count": "6000,40", "x-prompt-prefix": "cc:4000,dd:2000"}
+"""Headers that tell of a short and of a long prompt."""
+
 WAIT_LIMIT = 20.0
 """Seconds for any condition; only a guard against hanging."""
 
@@ -81,6 +86,11 @@
     } | more
 
 
+def renamed_route(route: dict[str, Any], name: str) -> dict[str, Any]:
+    """Return a route like another, under a name and a prefix of its own."""
+    return route | {"name": name, "path_prefix": f"/{name}/"}
+
+
 @dataclass(frozen=True, slots=True)
 class Got:
     """What a caller saw."""
@@ -93,6 +103,11 @@
     """Whether the answer's end came."""
     took: float
 
+    @property
+    def is_stamped(self) -> bool:
+        """Whether it bears the mark of a backend server."""
+        return "x-server-stamp" in self.headers
+
 
 class Caller:
     """One connection of a caller."""
@@ -228,6 +243,10 @@
     backends_by_id: dict[str, PublishedBackend] = field(default_factory=dict)
     entries: list[EntryProcess] = field(default_factory=list)
 
+    def configure(self, document: dict[str, Any]) -> None:
+        """Publish a configuration."""
+        self.store.put(OPERATOR_TOPIC, "config", document)
+
     async def add_backend(
         self, backend_id: str, service: str, *, announce: bool = True, **more: Any
     ) -> PublishedBackend:
@@ -304,7 +323,7 @@
 async def platform_site(folder: Path, grace: float = 3.0) -> AsyncIterator[PlatformSite]:
     """Start a store with a configuration; everything ends with the context."""
     store = PublishedStore()
-    store.put("keyed.op", "config", configuration())
+    store.put(OPERATOR_TOPIC, "config", configuration())
     async with trio.open_nursery() as nursery:
         address = await nursery.start(store.serve)
         site = PlatformSite(nursery, folder, store, address, grace)
