--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/routing_table.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/routing_table.py
@@ -54,10 +54,6 @@
     """Backend servers that one request may be sent to."""
     public: bool = False
     """Whether requests need no key."""
-    prompts: bool = False
-    """Whether requests name the parts of their prompt."""
-    pause_target: timedelta | None = None
-    """Longest pause between events that is still on time."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,10 +80,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A service and the limits of its backend servers."""
+    """A service that requests are sent to."""
 
     name: str
-    maximum_connections: int
     engine: EngineTraits | None = None
     """Traits of its model engines; None for a plain service."""
 
