Check in the soak that planned stops cut nothing

Cause: the soak noted when it stopped an entry and never looked at what became of its answers. Now an answer that was sent before, or up to 2.5 s after, the word to stop has to be whole, unless another fault that cuts answers was in force within 4 s of it. Tests: a table of cases.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/callers.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/callers.py
@@ -7,7 +7,7 @@
 import trio
 
 from ..standins.platform_site import CHAT_PROMPT, DRAFT_PROMPT, Caller
-from .observations import Attempt, Kind
+from .observations import Attempt, Kind, incarnation
 
 if TYPE_CHECKING:
     from random import Random
@@ -82,13 +82,13 @@
             await caller.send(f"/{kind}/x", request_id, headers=PROMPTS.get(kind))
             got = await caller.receive()
         ended_at = trio.current_time()
-        incarnation = f"{entry.name}/{entry.handle.pid}"
+        process = incarnation(entry)
         if scope.cancelled_caught:
-            attempt = Attempt(request_id, kind, incarnation, sent_at, ended_at, None)
+            attempt = Attempt(request_id, kind, process, sent_at, ended_at, None)
             if not leaves:
                 self.unanswered.append(attempt)
             return False
-        self.attempts.append(Attempt(request_id, kind, incarnation, sent_at, ended_at, got))
+        self.attempts.append(Attempt(request_id, kind, process, sent_at, ended_at, got))
         if not got.whole or got.headers.get("connection") == "close":
             return False
         caller.next_request()
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/checks.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/checks.py
@@ -10,13 +10,20 @@
 from .observations import Kind
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterable, Iterator, Mapping
 
     from ..standins.platform_site import Got
     from ..standins.published_backend import PublishedBackend
-    from .observations import Attempt
+    from .observations import Attempt, Span
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+TAKES_FOR = 2.5
+"""Seconds after the word to stop in which a request must still be served whole; an entry takes
+them for three, and this leaves it time to hear the word."""
+
+AFTERMATH = 4.0
+"""Seconds after a fault in which it may still cut an answer: silence shows after time limits."""
+
 EVENTS = 10
 """Events of a whole stream."""
 
@@ -30,6 +37,8 @@
     """What is told as not run has not run and does not run later."""
     WHOLE_AND_OWN = "whole_and_own"
     """A success is the whole answer of a backend server to that request."""
+    STOP_CUTS_NOTHING = "stop_cuts_nothing"
+    """A planned stop cuts no answer."""
     ANSWERED = "answered"
     """Every request ends."""
     ALIVE = "alive"
@@ -81,6 +90,33 @@
             yield SoakViolation(SoakPromise.WHOLE_AND_OWN, detail)
 
 
+def check_planned_stops(
+    attempts: Iterable[Attempt],
+    stopped_at_by_incarnation: Mapping[str, float],
+    cutting: Iterable[Span],
+) -> Iterator[SoakViolation]:
+    """Check that stops cut nothing, where no other fault can have cut it."""
+    spans = tuple(cutting)
+    for attempt in attempts:
+        stopped_at = stopped_at_by_incarnation.get(attempt.entry)
+        if stopped_at is None or attempt.got is None:
+            continue
+        in_time = attempt.ended_at >= stopped_at >= attempt.sent_at - TAKES_FOR
+        if not in_time or attempt.got.whole or _may_be_cut(attempt, spans):
+            continue
+        detail = (
+            f"{attempt.kind} {attempt.request_id}, stopped at {stopped_at - attempt.sent_at:.2f} s"
+        )
+        yield SoakViolation(SoakPromise.STOP_CUTS_NOTHING, detail)
+
+
+def _may_be_cut(attempt: Attempt, spans: tuple[Span, ...]) -> bool:
+    return any(
+        span.began <= attempt.ended_at and attempt.sent_at <= span.ended + AFTERMATH
+        for span in spans
+    )
+
+
 def _fault(attempt: Attempt, got: Got, backend_ids: frozenset[str]) -> str | None:
     if got.status is None or got.headers.get("x-request-id") not in (None, attempt.request_id):
         return None if got.status is None else f"answer of {got.headers['x-request-id']}"
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/fleet.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/fleet.py
@@ -57,6 +57,7 @@
         self.ended_by_us: set[int] = set()
         """Process ids of entries that the soak has killed or stopped."""
         self.stopped_at_by_incarnation: dict[str, float] = {}
+        """When an entry was asked to stop as planned."""
         self.store_proxies: list[FaultProxy] = [
             FaultProxy(site.store_address) for _ in range(entries)
         ]
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/injector.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/injector.py
@@ -12,7 +12,8 @@
 from ..standins.published_backend import SERVERS_TOPIC, Misbehaviour
 from ..standins.published_store import StoreMood
 from .fleet import DRAIN, end_backend
-from .schedule import SoakFault
+from .observations import Span, incarnation
+from .schedule import CUTS_ANSWERS, SoakFault
 
 if TYPE_CHECKING:
     from ..fault_proxy import FaultProxy
@@ -47,7 +48,10 @@
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
         self.struck: list[PlannedFault] = []
-        self._busy: set[object] = set()
+        self.cutting: list[Span] = []
+        """When faults that may cut an answer were in force."""
+        self._busy_entries: set[int] = set()
+        self._busy_seats: set[tuple[str, int]] = set()
 
     async def run(self, schedule: tuple[PlannedFault, ...]) -> None:
         """Bring each fault about at its time and return when all are undone."""
@@ -59,20 +63,23 @@
 
     async def _strike(self, fault: PlannedFault) -> None:
         self.struck.append(fault)
+        began = trio.current_time()
         await _handlers_by_kind[fault.kind](self, fault)
+        if fault.kind in CUTS_ANSWERS:
+            self.cutting.append(Span(began, trio.current_time()))
 
     async def on_entry(
         self, fault: PlannedFault, strike: Callable[[EntryProcess, int], Awaitable[None]]
     ) -> None:
         """Strike one entry, unless it is being struck by something that replaces it."""
         number = fault.place % len(self.fleet.entries)
-        if number in self._busy:
+        if number in self._busy_entries:
             return
-        self._busy.add(number)
+        self._busy_entries.add(number)
         try:
             await strike(self.fleet.entries[number], number)
         finally:
-            self._busy.discard(number)
+            self._busy_entries.discard(number)
 
     def seat(self, fault: PlannedFault) -> Seat:
         """Return the struck place of a backend server."""
@@ -80,16 +87,14 @@
 
     async def replace(self, seat: Seat) -> None:
         """Put a new incarnation in a seat whose backend server has ended."""
-        if seat.number in self._busy_seats(seat):
+        key = (seat.service, seat.number)
+        if key in self._busy_seats:
             return
-        self._busy.add((seat.service, seat.number))
+        self._busy_seats.add(key)
         try:
             await self.fleet.seat_backend(seat)
         finally:
-            self._busy.discard((seat.service, seat.number))
-
-    def _busy_seats(self, seat: Seat) -> set[int]:
-        return {seat.number} if (seat.service, seat.number) in self._busy else set()
+            self._busy_seats.discard(key)
 
 
 async def _fault_for(proxy: FaultProxy, seconds: float, fault: Fault) -> None:
@@ -122,6 +127,7 @@
 async def _stop_entry(injector: Injector, fault: PlannedFault) -> None:
     async def stop(entry: EntryProcess, number: int) -> None:
         injector.fleet.note_ended(entry)
+        injector.fleet.stopped_at_by_incarnation[incarnation(entry)] = trio.current_time()
         injector.fleet.signal(entry, signal.SIGTERM)
         await injector.fleet.restart(entry, number)
 
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/observations.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/observations.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from ..standins.platform_site import Got
+from ..standins.platform_site import EntryProcess, Got
 
 
 class Kind(StrEnum):
@@ -25,6 +25,19 @@
         return self in (Kind.CHAT, Kind.DRAFT)
 
 
+@dataclass(frozen=True, slots=True)
+class Span:
+    """A stretch of the soak."""
+
+    began: float
+    ended: float
+
+
+def incarnation(entry: EntryProcess) -> str:
+    """Return a name that no other process has."""
+    return f"{entry.name}/{entry.handle.pid}"
+
+
 @dataclass(frozen=True, slots=True)
 class Attempt:
     """One request as its caller saw it."""
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/runner.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/runner.py
@@ -14,7 +14,13 @@
 from ..standins.platform_site import call, platform_site
 from ..standins.published_store import StoreMood
 from .callers import Callers
-from .checks import SoakPromise, SoakViolation, check_answers, check_runs
+from .checks import (
+    SoakPromise,
+    SoakViolation,
+    check_answers,
+    check_planned_stops,
+    check_runs,
+)
 from .fleet import Fleet
 from .injector import Injector
 from .observations import Kind
@@ -85,6 +91,9 @@
         if not violations:
             violations += [each async for each in _check_after(fleet, callers)]
             violations += _check_now(fleet, callers)
+            violations += check_planned_stops(
+                callers.attempts, fleet.stopped_at_by_incarnation, injector.cutting
+            )
     return SoakRun(seed, tuple(injector.struck), _count(callers), tuple(violations))
 
 
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/schedule.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/schedule.py
@@ -57,6 +57,22 @@
     """A configuration with one more route is published."""
 
 
+CUTS_ANSWERS = frozenset(
+    {
+        SoakFault.KILL_ENTRY,
+        SoakFault.FREEZE_ENTRY,
+        SoakFault.LINK_CUT,
+        SoakFault.LINK_SILENT,
+        SoakFault.LINK_ONE_WAY,
+        SoakFault.LINK_SLOW,
+        SoakFault.BACKEND_MISBEHAVES,
+        SoakFault.BACKEND_CRASHES,
+        SoakFault.BACKEND_LEAVES,
+    }
+)
+"""Faults by which an answer may be cut that a planned stop alone would not cut."""
+
+
 @dataclass(frozen=True, slots=True)
 class PlannedFault:
     """One strike."""
--- a/packages/ragwortwing-lab/tests/test_soak.py
+++ b/packages/ragwortwing-lab/tests/test_soak.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from ragwortwing_lab.soak.checks import SoakPromise, check_answers, check_runs
-from ragwortwing_lab.soak.observations import Attempt, Kind
+from ragwortwing_lab.soak.checks import SoakPromise, check_answers, check_planned_stops, check_runs
+from ragwortwing_lab.soak.observations import Attempt, Kind, Span
 from ragwortwing_lab.soak.runner import SoakShape, run_soak
 from ragwortwing_lab.soak.schedule import SoakFault, draw_schedule
 from ragwortwing_lab.standins.platform_site import Got
@@ -69,6 +69,26 @@
     assert (list(check_answers([seen], frozenset({"i-1"}))) == []) is is_sound
 
 
+@pytest.mark.parametrize(
+    ("stopped_at", "whole", "spans", "is_sound"),
+    [
+        (0.05, False, (), False),
+        (0.05, True, (), True),
+        (0.05, False, (Span(-1.0, -0.5),), True),
+        (0.05, False, (Span(-9.0, -5.0),), False),
+        (-2.0, False, (), False),
+        (-3.5, False, (), True),
+        (0.2, False, (), True),
+    ],
+)
+def test_a_planned_stop_cuts_nothing(
+    stopped_at: float, whole: bool, spans: tuple[Span, ...], is_sound: bool
+) -> None:
+    seen = attempt(Kind.CHAT, 200, events(3), whole=whole)
+    found = list(check_planned_stops([seen], {"entry-0/1": stopped_at}, spans))
+    assert (found == []) is is_sound
+
+
 def test_a_schedule_is_its_seeds_and_strikes_in_series() -> None:
     faults = draw_schedule(Random(5), 300.0, 0.8)
     assert faults == draw_schedule(Random(5), 300.0, 0.8)
