Tell an outage of the store from one that a single entry saw

Now a loss of 4.3 s or more in which others heard the store counts as the entry's own; and the doubt of an entry that was silent until it spoke counts for nothing. A shorter loss counts as before, since others would not have noticed it yet. Tests: four in test_feed_watch.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
@@ -115,10 +115,12 @@
     ) -> None:
         """Take in what another entry tells.
 
-        An entry whose read waited through a whole outage learns of it only in this way.
+        An entry whose read waited through a whole outage learns of it only in this way. The doubt
+        of one that has been silent until now counts for nothing: it was cut off, not the store.
         """
-        self.outage_over(now + unsure_for)
         before = self._peers_by_name.get(peer)
+        if before is None or now - before.heard_at < PEER_SILENCE:
+            self.outage_over(now + unsure_for)
         if hears_store and before is not None and not before.hears_store:
             self._regained_at = now
         self._peers_by_name[peer] = _PeerNews(now, hears_store)
@@ -142,6 +144,20 @@
         probes = self._is_among_first(self._peers(now, hearing=False))
         return PROBE_RETRY if probes else IDLE_RETRY
 
+    def was_for_all(self, lost_at: Instant, now: Instant) -> bool:
+        """Return whether an outage that this entry saw may have been one for all.
+
+        Where others have heard the store long enough after the loss to have noticed an outage
+        themselves, it turned this entry away or its path was cut: no backend server's line lapsed.
+
+        Args:
+            lost_at: When this entry lost the store.
+            now: The present instant, at which it answers again.
+        """
+        if now - lost_at < STORE_SILENCE + PEER_SILENCE or self.regained_since(lost_at):
+            return True
+        return not self._peers(now, hearing=True)
+
     def regained_since(self, since: Instant) -> bool:
         """Return whether another entry has come to hear the store again."""
         return self._regained_at is not None and self._regained_at >= since
--- a/packages/ragwortwing-policy/tests/direct/test_feed_watch.py
+++ b/packages/ragwortwing-policy/tests/direct/test_feed_watch.py
@@ -118,3 +118,46 @@
 
 def test_an_entry_on_its_own_looks_for_the_store_itself() -> None:
     assert FeedWatch("alone").retry_limit(100.0) == PROBE_RETRY
+
+
+def test_a_store_that_served_the_others_was_not_away() -> None:
+    """One entry is cut from the store for 6 s while all others hear it. No server's line lapsed
+    meanwhile; taken for an outage of all, a server that leaves now would be kept for 2.5 s."""
+    watches = fleet()
+    cut = NAMES[0]
+    for moment in range(1, 13):
+        for name, watch in watches.items():
+            if name != cut:
+                watch.reached("operator", 4, moment / 2)
+        tell(watches, moment / 2)
+    assert not watches[cut].was_for_all(lost_at=0.5, now=6.0)
+
+
+def test_an_outage_of_all_is_one_for_whoever_hears_the_store_last() -> None:
+    """The store is down for 6 s. One entry is answered first and tells the others; for those that
+    are answered next it must not look as if the store had served it all the while."""
+    watches = fleet()
+    for moment in range(1, 13):
+        tell(watches, moment / 2)
+    first, *others = NAMES
+    assert watches[first].was_for_all(lost_at=0.5, now=6.1)
+    watches[first].reached("operator", 4, 6.1)
+    tell(watches, 6.2)
+    assert all(watches[name].was_for_all(lost_at=0.5, now=6.3) for name in others)
+
+
+def test_a_short_outage_counts_as_one_for_all() -> None:
+    watches = fleet()
+    assert watches[NAMES[0]].was_for_all(lost_at=0.5, now=2.0)
+
+
+def test_the_doubt_of_an_entry_that_was_cut_off_is_its_own() -> None:
+    """An entry comes back from behind a cut and says that removals may stem from an outage. The
+    others heard the store all the time, and a server that leaves now gets no more work."""
+    watch = FeedWatch("entry-1")
+    watch.told("entry-2", {}, 0.0, hears_store=True)
+    watch.told("entry-2", {}, 1.0, hears_store=True, unsure_for=2.5)
+    assert watch.unsure_for(1.0) == 2.5
+    watch.told("entry-3", {}, 0.0, hears_store=True)
+    watch.told("entry-3", {}, 6.0, hears_store=False, unsure_for=2.5)
+    assert watch.unsure_for(6.0) == 0.0
