Take a long wait that ends for no return of the store

Cause, read in the code: an entry that waits 10 s for news says between two answers that it does not hear the store. Each answer looked like the store's return: an entry that the store turns away asked again at once (2.3 times a second beside 23 such entries), and took its own loss for an outage of all. Now the store has come back only where nobody heard it. Test: test_feed_watch, failed before.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
@@ -121,7 +121,9 @@
         before = self._peers_by_name.get(peer)
         if before is None or now - before.heard_at < PEER_SILENCE:
             self.outage_over(now + unsure_for)
-        if hears_store and before is not None and not before.hears_store:
+        # One that waits long seems to have lost the store between two answers; only where nobody
+        # heard it has it come back.
+        if hears_store and before is not None and not self._peers(now, hearing=True):
             self._regained_at = now
         self._peers_by_name[peer] = _PeerNews(now, hears_store)
         for feed, position in positions_by_feed.items():
--- a/packages/ragwortwing-policy/tests/direct/test_feed_watch.py
+++ b/packages/ragwortwing-policy/tests/direct/test_feed_watch.py
@@ -161,3 +161,16 @@
     watch.told("entry-3", {}, 0.0, hears_store=True)
     watch.told("entry-3", {}, 6.0, hears_store=False, unsure_for=2.5)
     assert watch.unsure_for(6.0) == 0.0
+
+
+def test_a_long_wait_that_ends_is_no_return_of_the_store() -> None:
+    """All is well. An entry that waits long for news says between two answers that it does not hear
+    the store, and then that it does; taken for a return, one that the store turns away would ask
+    it again each time, and take its own loss for an outage of all."""
+    watch = FeedWatch("entry-1")
+    for moment in range(20):
+        now = moment / 2
+        watch.told("watcher", {}, now, hears_store=True)
+        watch.told("waits-long", {}, now, hears_store=moment % 5 == 0)
+    assert not watch.regained_since(0.6)
+    assert not watch.was_for_all(lost_at=1.0, now=9.6)
