--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/fleet.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/fleet.py
@@ -89,10 +89,12 @@
             streams=streams,
             pace=pace,
         )
-        seat.scopes = (trio.CancelScope(), trio.CancelScope())
-        address = await self.site.nursery.start(_serve_within, seat.scopes[0], backend)
-        seat.proxy = FaultProxy(address)
-        backend.address = await self.site.nursery.start(_serve_within, seat.scopes[1], seat.proxy)
+        scopes = (trio.CancelScope(), trio.CancelScope())
+        address = await self.site.nursery.start(_serve_within, scopes[0], backend)
+        proxy = FaultProxy(address)
+        backend.address = await self.site.nursery.start(_serve_within, scopes[1], proxy)
+        # Until both listen, a fault that strikes this seat is the former incarnation's.
+        seat.scopes, seat.proxy = scopes, proxy
         backend.announce(self.site.store)
         seat.backend = backend
         self.backends.append(backend)
--- a/packages/ragwortwing-lab/tests/test_soak.py
+++ b/packages/ragwortwing-lab/tests/test_soak.py
@@ -6,12 +6,14 @@
 from typing import TYPE_CHECKING
 
 import pytest
+import trio
 
 from ragwortwing_lab.soak.checks import SoakPromise, check_answers, check_planned_stops, check_runs
+from ragwortwing_lab.soak.fleet import Fleet, end_backend
 from ragwortwing_lab.soak.observations import Attempt, Kind, Span
 from ragwortwing_lab.soak.runner import SoakShape, run_soak
 from ragwortwing_lab.soak.schedule import SoakFault, draw_schedule
-from ragwortwing_lab.standins.platform_site import Got
+from ragwortwing_lab.standins.platform_site import Got, platform_site
 from ragwortwing_lab.standins.published_backend import PublishedBackend, SeenRun
 
 if TYPE_CHECKING:
@@ -96,6 +98,22 @@
     assert len(faults) > 1.3 * 0.8 * 300
 
 
+async def test_a_backend_server_is_struck_while_its_successor_starts(tmp_path: Path) -> None:
+    """Two faults of a series hit one place: a backend server is being replaced when a crash strikes
+    it. The crash is the former one's; the soak ended in an error when it hit the successor before
+    that one listened (seed 4242 with 20 entries)."""
+    async with platform_site(tmp_path) as site:
+        fleet = Fleet(site, Random(1), entries=1)
+        seat = fleet.seats[0]
+        await fleet.seat_backend(seat)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.seat_backend, seat)
+            await trio.lowlevel.checkpoint()
+            end_backend(seat.scopes)
+        assert seat.backend is not None
+        assert seat.backend.id.endswith("-2")
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 async def test_a_short_soak_keeps_every_promise(tmp_path: Path, seed: int) -> None:
     result = await run_soak(seed, SHORT, tmp_path)
