Look for a session's home only where it counts; drop what the soak noted and never read

Cause, found on reading the whole change: every placement of a short prompt hashed its session against all engines to name a home that only long prompts use; and the soak kept when backend servers said that they leave, which nothing looked at. Behaviour is as before.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/fleet.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/fleet.py
@@ -50,8 +50,6 @@
         self.random = random
         self.backends: list[PublishedBackend] = []
         """Every backend server that ever was."""
-        self.left_at_by_id: dict[str, float] = {}
-        """When a backend server said that it leaves."""
         self.version = 1
         self.entries: list[EntryProcess] = []
         self.ended_by_us: set[int] = set()
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/injector.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/injector.py
@@ -246,7 +246,6 @@
     if seat.backend is backend:
         return
     backend.announce(fleet.site.store, state="draining")
-    fleet.left_at_by_id[backend.id] = trio.current_time()
     await trio.sleep(DRAIN + fault.seconds)
     end_backend(scopes)
     fleet.site.store.drop(SERVERS_TOPIC, backend.id)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -175,8 +175,8 @@
             return NoRoom(None)
         after_by_id = {each.id: self._first_event_after(each) for each in fitting}
         earliest = min(after_by_id.values())
-        best = self._home(fitting)
-        if not at_home or after_by_id[best.id] > earliest + HOME_ADVANTAGE:
+        best = self._home(fitting) if at_home else None
+        if best is None or after_by_id[best.id] > earliest + HOME_ADVANTAGE:
             equal = [each for each in fitting if after_by_id[each.id] <= earliest + EQUAL_WITHIN]
             best = min(equal, key=lambda each: self._preference(each, at_home=at_home))
         after = after_by_id[best.id]
