End no resumed stream by an answer that is not its rest

Now such an answer counts as a lost send: resumed elsewhere within budget, deadline and number of sends, else broken off so that it looks cut.

Ruled out: an encoded answer and an echoed id of another request were refused already; they stand in the same table of cases now.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
@@ -83,6 +83,8 @@
     kind: AnswerKind
     head: Any
     """The adapter's own form of status and headers, for `CallerAnswer.begin`."""
+    carries_events: bool
+    """Whether it is a success whose body is a stream of events."""
 
     def pieces(self) -> AsyncIterator[AnswerPiece]:
         """Yield the body.
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -230,11 +230,14 @@
     async def _take(self, got: BackendAnswer, backend: BackendServer, send: Send) -> str | None:
         if got.kind in (AnswerKind.DECLINED, AnswerKind.ANOTHER_SERVER):
             return self._note_declined(got.kind, backend, send)
+        send.advance("begin_answer")
         if got.kind is AnswerKind.FAILURE and self._would_repeat():
-            send.advance("begin_answer")
             send.advance("lose")
             return self._note_failure(backend, send, "failed run")
-        send.advance("begin_answer")
+        if self._begun and not got.carries_events:
+            # The caller already has the head and some events of a stream. Any other answer that
+            # ended behind them would pass for the end of that stream, and half of it for all.
+            raise BackendLostError("the answer does not go on with the stream")
         await self._relay(got, backend)
         send.advance("end_answer")
         if got.kind is AnswerKind.FAILURE:
@@ -257,6 +260,7 @@
         if not self._route.streaming:
             await self._relay_whole(got)
             return
+        delivered_before = self._delivered_event if self._begun else None
         async for piece in got.pieces():
             if piece.event is not None and self._is_delivered(piece.event):
                 continue
@@ -264,6 +268,9 @@
             if piece.event is not None:
                 self._note_event(backend, piece.event)
             await self._answer.write(piece.data)
+        if delivered_before is not None and delivered_before == self._delivered_event:
+            # Nobody can say whether nothing was left or the engine lost its place.
+            raise BackendLostError("the stream ended where it was resumed")
         await self._begin(got)
         await self._answer.end()
 
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
@@ -45,6 +45,24 @@
     """Answers with bytes that are no answer."""
     SHORT_BODY = "short_body"
     """Ends a body before its announced length."""
+    RESUME_FAILED = "resume_failed"
+    """Breaks each stream off; answers 500 to a request that goes on behind an event."""
+    RESUME_REDIRECTED = "resume_redirected"
+    """The same with a redirect."""
+    RESUME_EMPTY = "resume_empty"
+    """The same with a whole stream that brings no event."""
+    RESUME_PLAIN = "resume_plain"
+    """The same with a success that is no stream of events."""
+    RESUME_ENCODED = "resume_encoded"
+    """The same with a stream in an encoding that nobody asked for."""
+    RESUME_OF_ANOTHER = "resume_of_another"
+    """The same with the stream of another request, and then nothing."""
+
+
+BREAKING_OFF = frozenset(
+    {Misbehaviour.RESET_AFTER_EVENTS, *(m for m in Misbehaviour if m.startswith("resume_"))}
+)
+"""What resets a stream in the middle of its fourth event."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,7 +163,9 @@
         if self.misbehaviour is Misbehaviour.FAIL:
             await exchange.respond(500, b"failed", self._head(request_id))
         elif self.streams:
-            await self._stream(exchange, request_id)
+            resumed = "last-event-id" in exchange.request.headers_by_name
+            if not (resumed and await self._resume_badly(exchange, request_id)):
+                await self._stream(exchange, request_id)
         else:
             await self._answer(exchange, request_id)
 
@@ -172,13 +192,36 @@
         await exchange.start(200, (*head, (b"transfer-encoding", b"chunked")))
         for number in range(first, self.pace.events):
             event = b"id: %d\ndata: %s-%d\n\n" % (number, request_id.encode(), number)
-            if number - first == 3 and self.misbehaviour is Misbehaviour.RESET_AFTER_EVENTS:
+            if number - first == 3 and self.misbehaviour in BREAKING_OFF:
                 await exchange.write(event[: len(event) // 2])
                 raise ConnectionCutError
             await exchange.write(event)
             await trio.sleep(self.pace.event_gap)
         await exchange.finish()
 
+    async def _resume_badly(self, exchange: Exchange, request_id: str) -> bool:
+        """Answer a resumed request in the way that is set; False where that is an ordinary one."""
+        head = self._head(request_id)
+        events = (b"content-type", b"text/event-stream")
+        match self.misbehaviour:
+            case Misbehaviour.RESUME_FAILED:
+                await exchange.respond(500, b"failed", head)
+            case Misbehaviour.RESUME_REDIRECTED:
+                await exchange.respond(302, b"", (*head, (b"location", b"/elsewhere")))
+            case Misbehaviour.RESUME_EMPTY:
+                await exchange.respond(200, b"", (*head, events))
+            case Misbehaviour.RESUME_PLAIN:
+                await exchange.respond(200, b"plain\n\n", (*head, (b"content-type", b"text/plain")))
+            case Misbehaviour.RESUME_ENCODED:
+                encoding = (b"content-encoding", b"gzip")
+                await exchange.respond(200, b"\x1f\x8b", (*head, events, encoding))
+            case Misbehaviour.RESUME_OF_ANOTHER:
+                await exchange.respond(200, b"id: 9\n\n", (*self._head("another"), events))
+                raise ConnectionCutError
+            case _:
+                return False
+        return True
+
     def _head(self, request_id: str) -> tuple[tuple[bytes, bytes], ...]:
         return (
             (b"x-request-id", request_id.encode()),
