Let engines fetch only parts that have been read

Now a part can be fetched once its first event has come, here or at a peer; on its own engine what comes behind it still counts on it.

The tests of fetching let the first engine read first now: they had it fetch what nobody had read.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
@@ -125,7 +125,12 @@
     def engine_first_event(self, backend_id: str, service: str, ticket: str) -> None:
         """Note that an engine has read a request's prompt."""
         load = self.state.placement.loads_by_id.get(backend_id)
-        if load is not None and load.first_event(ticket, self.state.clock.monotonic()):
+        if load is None:
+            return
+        run = load.first_event(ticket, self.state.clock.monotonic())
+        if run is not None:
+            self.state.digests.prompt_read(backend_id, run.parts)
+            self.state.peers.wake()
             self._look(service)
 
     def engine_call_ended(self, backend_id: str, service: str, ticket: str) -> None:
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
@@ -311,8 +311,10 @@
     def on_event(at: float) -> None:
         if request.last_event_at is None:
             request.first_event_after = at - request.arrived_at
-            if load is not None:
-                load.first_event(ticket, at)
+            if load is not None and entry is not None:
+                run = load.first_event(ticket, at)
+                if run is not None:
+                    entry.book.prompt_read(f"i-{number}", run.parts)
         else:
             request.longest_pause = max(request.longest_pause, at - request.last_event_at)
         request.last_event_at = at
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
@@ -8,7 +8,7 @@
 from ragwortwing_policy.clock import Instant
 
 from .backend_list import BackendServer
-from .prompt_parts import PartCache, Prompt
+from .prompt_parts import PartCache, Prompt, PromptPart
 from .routing_table import EngineTraits
 
 INITIAL_TOKENS_PER_SECOND = 40_000.0
@@ -55,6 +55,7 @@
 class RunOnEngine:
     """A request that this entry has sent to an engine."""
 
+    parts: tuple[PromptPart, ...]
     unread_tokens: int
     memory_tokens: int
     sent_at: Instant
@@ -108,6 +109,10 @@
         """Return the tokens of a prompt that this engine should keep."""
         return self.cache.kept_tokens(prompt.parts)
 
+    def read_tokens(self, prompt: Prompt) -> int:
+        """Return the tokens of a prompt that another engine can fetch from this one."""
+        return self.cache.read_tokens(prompt.parts)
+
     def backlog(self, now: Instant) -> float:
         """Return the seconds of reading that are ahead of a new request."""
         return max(0.0, self.read_by - now)
@@ -160,6 +165,7 @@
         self.cache.use(prompt.parts)
         self._own_memory_tokens += prompt.memory_tokens
         self.runs_by_ticket[ticket] = RunOnEngine(
+            prompt.parts,
             reading.unread_tokens,
             prompt.memory_tokens,
             now,
@@ -174,20 +180,21 @@
         """Put reading behind what is already waiting."""
         self.read_by = max(self.read_by, now) + seconds
 
-    def first_event(self, ticket: str, now: Instant) -> bool:
+    def first_event(self, ticket: str, now: Instant) -> RunOnEngine | None:
         """Note that a request's prompt has been read, and learn from when that was.
 
         Returns:
-            Whether this was news.
+            The request, where this was news.
         """
         run = self.runs_by_ticket.get(ticket)
         if run is None or run.read:
-            return False
+            return None
         run.read = True
+        self.cache.read(run.parts)
         late_by = now - FIRST_EVENT_OVERHEAD - run.read_by
         self.read_by = max(now, self.read_by + late_by)
         self._learn_rate(run, now)
-        return True
+        return run
 
     def end(self, ticket: str, now: Instant) -> None:
         """Note that a request no longer runs; a prompt that was not read is taken back."""
@@ -197,6 +204,7 @@
         self._own_memory_tokens -= run.memory_tokens
         self.short_running -= not run.is_long
         if not run.read:
+            self.cache.drop_unread(run.parts)
             reading = run.unread_tokens / self.tokens_per_second
             self.read_by = max(now, self.read_by - reading)
 
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_digest.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_digest.py
@@ -46,10 +46,12 @@
 
 @dataclass(frozen=True, slots=True)
 class PartsUse:
-    """Shared prompt parts that an engine has been made to read."""
+    """Shared prompt parts that an engine has been sent."""
 
     backend_id: str
     parts: tuple[PromptPart, ...]
+    read: bool = False
+    """Whether the engine has read them, so that others can fetch them there."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +118,11 @@
         if len(parts) > 1:
             self._uses.append(PartsUse(backend_id, parts[:-1]))
 
+    def prompt_read(self, backend_id: str, parts: tuple[PromptPart, ...]) -> None:
+        """Note that an engine has read a prompt that this entry has sent to it."""
+        if len(parts) > 1:
+            self._uses.append(PartsUse(backend_id, parts[:-1], read=True))
+
     def digest(self, now: Instant, *, whole: bool = True) -> PeerDigest:
         """Return the next digest to send.
 
@@ -178,7 +185,11 @@
         )
         for use in digest.uses:
             load = self._placement.loads_by_id.get(use.backend_id)
-            if load is not None:
+            if load is None:
+                continue
+            if use.read:
+                load.cache.read(use.parts)
+            else:
                 load.cache.use(use.parts)
 
     def drop_silent(self, now: Instant) -> tuple[str, ...]:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -165,7 +165,10 @@
         self._kept_by_id = {
             each.id: placement.load(each, traits).kept_tokens(question.prompt) for each in engines
         }
-        self._keeper = self._home(engines) if engines else None
+        self._fetchable_by_id = {
+            each.id: placement.load(each, traits).read_tokens(question.prompt) for each in engines
+        }
+        self._source = self._fetch_source(engines)
 
     def best(self, engines: Sequence[BackendServer], *, at_home: bool) -> Placed | NoRoom:
         """Return the engine with the earliest first event, near enough the session's home."""
@@ -194,13 +197,21 @@
         """Return how an engine would come by the prompt."""
         tokens, kept = self.question.prompt.prompt_tokens, self._kept_by_id[engine.id]
         alone = PromptReading(max(1, tokens - kept))
-        if self._keeper is None:
+        if self._source is None:
             return alone
-        kept_there = self._kept_by_id[self._keeper.id]
+        kept_there = self._fetchable_by_id[self._source.id]
         seconds = self._traits.fetch_seconds(kept_there - kept)
         if kept_there - kept < LEAST_FETCHED_TOKENS or seconds is None:
             return alone
-        return PromptReading(max(1, tokens - kept_there), self._keeper, seconds)
+        return PromptReading(max(1, tokens - kept_there), self._source, seconds)
+
+    def _fetch_source(self, engines: Sequence[BackendServer]) -> BackendServer | None:
+        """Return the engine that has read most of the prompt; every entry's same one of several."""
+        most = max(self._fetchable_by_id.values(), default=0)
+        if most < LEAST_FETCHED_TOKENS:
+            return None
+        sources = [each for each in engines if self._fetchable_by_id[each.id] == most]
+        return min(sources, key=lambda each: rank(self.question.prompt.session, each.id))
 
     def _home(self, engines: Sequence[BackendServer]) -> BackendServer:
         """Return the engine that keeps the session; where none does, every entry's same one."""
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/prompt_parts.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/prompt_parts.py
@@ -47,6 +47,10 @@
 class PartCache:
     """Parts that an engine is believed to keep: the least recently used yield.
 
+    A part is kept from the moment a prompt with it is sent there: what comes behind it on that
+    engine finds it read. Another engine can fetch it only once it has been read; one that tries
+    earlier gets nothing and reads all of it as well.
+
     Example:
         >>> cache = PartCache(capacity_tokens=100)
         >>> a, b = PromptPart("a", 60), PromptPart("b", 30)
@@ -56,11 +60,18 @@
         >>> cache.use((PromptPart("d", 50),))
         >>> cache.kept_tokens((a, b))
         0
+        >>> d = PromptPart("d", 50)
+        >>> cache.read_tokens((d,))
+        0
+        >>> cache.read((d,))
+        >>> cache.read_tokens((d,))
+        50
     """
 
     def __init__(self, capacity_tokens: int) -> None:
         self._capacity = capacity_tokens
         self._tokens_by_part: OrderedDict[str, int] = OrderedDict()
+        self._unread: set[str] = set()
         self._total = 0
 
     def kept_tokens(self, parts: tuple[PromptPart, ...]) -> int:
@@ -72,16 +83,41 @@
             kept += part.tokens
         return kept
 
+    def read_tokens(self, parts: tuple[PromptPart, ...]) -> int:
+        """Return the tokens that have been read, so that another engine can fetch them."""
+        read = 0
+        for part in parts:
+            if part.id not in self._tokens_by_part or part.id in self._unread:
+                break
+            read += part.tokens
+        return read
+
+    def read(self, parts: tuple[PromptPart, ...]) -> None:
+        """Note that an engine has read these parts."""
+        self.use(parts)
+        self._unread.difference_update(part.id for part in parts)
+
+    def drop_unread(self, parts: tuple[PromptPart, ...]) -> None:
+        """Forget those of some parts that were to be read by a request that has ended early."""
+        for part in parts:
+            if part.id in self._unread:
+                self._unread.discard(part.id)
+                self._total -= self._tokens_by_part.pop(part.id)
+
     def use(self, parts: tuple[PromptPart, ...]) -> None:
-        """Note that an engine reads these parts now."""
+        """Note that a prompt with these parts is sent to the engine."""
         for part in parts:
+            if part.id not in self._tokens_by_part:
+                self._unread.add(part.id)
             self._total += part.tokens - self._tokens_by_part.pop(part.id, 0)
             self._tokens_by_part[part.id] = part.tokens
         while self._total > self._capacity and self._tokens_by_part:
-            _, tokens = self._tokens_by_part.popitem(last=False)
+            part_id, tokens = self._tokens_by_part.popitem(last=False)
+            self._unread.discard(part_id)
             self._total -= tokens
 
     def clear(self) -> None:
         """Forget everything: the engine has started anew."""
         self._tokens_by_part.clear()
+        self._unread.clear()
         self._total = 0
--- a/packages/ragwortwing-policy/tests/direct/test_placement.py
+++ b/packages/ragwortwing-policy/tests/direct/test_placement.py
@@ -151,6 +151,7 @@
     first = site.ask(menu("a"), 0.0)
     assert isinstance(first, Placed)
     assert first.reading == PromptReading(7_000)
+    site.placement.load(first.backend, FETCHING).first_event("1", 0.0)
     site.placement.load(first.backend, FETCHING).add_reading(1.0, 0.0)
     second = site.ask(menu("b"), 0.0)
     assert isinstance(second, Placed)
@@ -158,10 +159,36 @@
     assert second.reading == PromptReading(3_000, first.backend, 0.004)
 
 
+def test_what_is_not_read_yet_cannot_be_fetched() -> None:
+    """The day begins: no engine keeps any catalogue, and every baker's is asked for several times
+    within the second in which the first engine still reads it.
+
+    An engine that is told to fetch from there gets nothing and reads all of it too, behind a
+    prediction that said otherwise; so the prediction counts the whole reading.
+    """
+    site = Site(count=4, traits=FETCHING)
+    first = site.ask(menu("a"), 0.0)
+    assert isinstance(first, Placed)
+    site.placement.load(first.backend, FETCHING).add_reading(1.0, 0.0)
+    second = site.ask(menu("b"), 0.0)
+    assert isinstance(second, Placed)
+    assert second.reading == PromptReading(7_000)
+
+
+def test_a_run_that_ends_before_its_prompt_is_read_leaves_nothing_to_fetch() -> None:
+    site = Site(count=1)
+    placed = site.ask(menu("a"), 0.0)
+    assert isinstance(placed, Placed)
+    load = site.placement.load(placed.backend, TRAITS)
+    load.end("1", 0.1)
+    assert load.kept_tokens(menu("b")) == 0
+
+
 def test_little_is_read_rather_than_fetched() -> None:
     site = Site(count=2, traits=FETCHING)
     first = site.ask(prompt(500), 0.0)
     assert isinstance(first, Placed)
+    site.placement.load(first.backend, FETCHING).first_event("1", 0.0)
     site.placement.load(first.backend, FETCHING).add_reading(1.0, 0.0)
     second = site.ask(prompt(500, own="other"), 0.0)
     assert isinstance(second, Placed)
@@ -172,6 +199,7 @@
     site = Site(count=2)
     first = site.ask(menu("a"), 0.0)
     assert isinstance(first, Placed)
+    site.placement.load(first.backend, TRAITS).first_event("1", 0.0)
     site.placement.load(first.backend, TRAITS).add_reading(1.0, 0.0)
     second = site.ask(menu("b"), 0.0)
     assert isinstance(second, Placed)
