Tell streams apart by the pause that their route declares

Load: short answers whose pauses are late beside long prompts. Hypothesis: one in five replies has a prompt of over 2,000 tokens and was sent among the long ones, and the engines for short prompts were too few for their own reading (one of 25 read 80% of its time, its replies' pauses 142 ms at the median against 150 allowed). Now a route's declared pause target decides where the targets differ, the number of engines for short prompts follows their reading too, and the reading that may join them is a part of the shortest pause target.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -24,7 +24,12 @@
 
     from ragwortwing_policy.clock import Instant
     from ragwortwing_policy.direct.prompt_parts import Prompt
-    from ragwortwing_policy.direct.routing_table import ClientAccount, Route, RoutingTable
+    from ragwortwing_policy.direct.routing_table import (
+        ClientAccount,
+        PauseTargets,
+        Route,
+        RoutingTable,
+    )
 
     from .direct_entry import DirectEntry
     from .ports import BackendAnswer, CallerAnswer, CallerRequest
@@ -149,25 +154,31 @@
 
     async def _place(self) -> _Destination | Refused:
         table = self._state.table
+        prompt = self._request.prompt
         service = table.services_by_name.get(self._service) if table else None
-        if service is None or service.engine is None or self._request.prompt is None:
+        if table is None or service is None or service.engine is None or prompt is None:
             backend = self._entry.pick_plain(self._service, self._tried)
             if backend is None:
                 return Refused(NotRunReason.NO_BACKEND, self._entry.retry_after())
             return _Destination(backend)
         granted = await self._entry.waiting_room(self._service).place(
-            WaitingRequest(
-                ticket=self._ticket,
-                request_id=self._request.id,
-                prompt=self._request.prompt,
-                waiter=self._waiter(),
-                avoid=frozenset(self._tried),
-            )
+            self._waiting_request(prompt, table.pause_targets(self._service))
         )
         if isinstance(granted, Refused):
             return granted
         return _Destination(granted.backend, granted.reading.fetch_from)
 
+    def _waiting_request(self, prompt: Prompt, pauses: PauseTargets | None) -> WaitingRequest:
+        bears_reading = pauses.bears_reading(self._route.pause_target) if pauses else None
+        return WaitingRequest(
+            ticket=self._ticket,
+            request_id=self._request.id,
+            prompt=replace(prompt, bears_reading=bears_reading),
+            waiter=self._waiter(),
+            avoid=frozenset(self._tried),
+            shortest_pause=pauses.shortest.total_seconds() if pauses else None,
+        )
+
     def _waiter(self) -> Waiter:
         arrived_at = self._request.arrived_at
         return Waiter(
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/lanes.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/lanes.py
@@ -25,6 +25,10 @@
 MEMORY = 8.0
 """Seconds over which the work of either kind is forgotten; bursts last 3 to 9 s."""
 
+SHORT_READING = 0.3
+"""Part of an engine's time that the reading of short prompts may take. Prompts that arrive within
+the time of one event are read in that same pause: fuller engines pass the target by chance."""
+
 SHORT_WEIGHT = 2.0
 """Weight of short prompts' reading against long ones'.
 
@@ -35,6 +39,9 @@
 """Part of the slots for short prompts that is meant to be filled: the rest takes what comes until
 the split has moved."""
 
+SHORTEST_VIEW = 1.0
+"""Seconds of traffic below which a rate is not told from chance."""
+
 SPARE = 0.25
 """Part of an engine by which the share of short work may overshoot before one more is taken."""
 
@@ -76,6 +83,9 @@
         self._long = _Work()
         self._own_short = 0.0
         self._own_long = 0.0
+        self._began_at: Instant | None = None
+        self.tokens_per_second = 0.0
+        """Prompt tokens that one engine reads a second; 0 while that is not known."""
         self.own_short_running = 0
         """Short requests that this entry has on engines."""
         self.short_running_by_peer: dict[str, int] = {}
@@ -89,11 +99,13 @@
 
     def count_elsewhere(self, short: float, long: float, now: Instant) -> None:
         """Count what another entry has counted."""
+        self._begin(now)
         self._short.add(short, now)
         self._long.add(long, now)
 
     def count(self, unread_tokens: int, *, is_long: bool, now: Instant) -> None:
         """Count a request that was sent or wanted to be."""
+        self._begin(now)
         if is_long:
             self._own_long += unread_tokens
         else:
@@ -103,8 +115,8 @@
     def short_engines(self, engines: int, slots: int, now: Instant) -> int:
         """Return how many engines are for short prompts; the others are for long ones.
 
-        There are as many as the share of short work asks for, or as the short requests that run
-        need slots, whichever is more.
+        There are as many as the share of short work asks for, as its reading needs, or as the short
+        requests that run need slots, whichever is most.
         """
         short = SHORT_WEIGHT * self._short.at(now)
         total = short + self._long.at(now)
@@ -115,7 +127,19 @@
         running = self.own_short_running + sum(self.short_running_by_peer.values())
         for_work = ceil(engines * short / total - SPARE)
         for_slots = ceil(running / (SLOTS_FILLED * slots))
-        return min(engines - 1, max(1, for_work, for_slots))
+        return min(engines - 1, max(1, for_work, for_slots, self._for_reading(now)))
+
+    def _for_reading(self, now: Instant) -> int:
+        """Return how many engines read the short prompts in a small part of their time."""
+        if not self.tokens_per_second or self._began_at is None:
+            return 0
+        seen_for = max(SHORTEST_VIEW, now - self._began_at)
+        rate = self._short.at(now) / (MEMORY * (1 - exp(-seen_for / MEMORY)))
+        return ceil(rate / (SHORT_READING * self.tokens_per_second) - SPARE)
+
+    def _begin(self, now: Instant) -> None:
+        if self._began_at is None:
+            self._began_at = now
 
     def split(
         self, engines: Sequence[BackendServer], service: str, slots: int, now: Instant
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -26,9 +26,12 @@
 """Seconds of reading ahead up to which an engine counts as idle."""
 
 BRIEF_READING = 0.1
-"""Seconds of reading up to which a long prompt may go to an idle engine for short ones.
+"""Seconds of reading up to which a long prompt may go to an idle engine for short ones, where no
+pause target is declared."""
 
-A chat whose pauses may be 300 ms is not late by one such prompt, nor by two in a row."""
+BRIEF_PART = 1 / 3
+"""Part of the shortest pause target that such a prompt may take to be read: streams beside it are
+not late by one, nor by two in a row."""
 
 EQUAL_WITHIN = 0.03
 """Seconds of first event within which engines count as equally good.
@@ -54,6 +57,8 @@
     """Seconds from now in which the first event is on time; may be negative."""
     urgency: int = 0
     """Rank among the requests that engines run; 0 is the most urgent."""
+    shortest_pause: float | None = None
+    """Shortest pause target in seconds of the streams on the service's engines, where declared."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +105,12 @@
             load.short_running for load in self.loads_by_id.values() if load.service == service
         )
 
+    def _tokens_per_second(self, service: str) -> float:
+        rates = [
+            load.tokens_per_second for load in self.loads_by_id.values() if load.service == service
+        ]
+        return sum(rates) / len(rates) if rates else 0.0
+
     def forget(self, backend_id: str) -> None:
         """Forget an engine that is gone."""
         self.loads_by_id.pop(backend_id, None)
@@ -136,6 +147,7 @@
         """
         lanes = self.lanes(question.service)
         lanes.own_short_running = self.short_running(question.service)
+        lanes.tokens_per_second = self._tokens_per_second(question.service)
         short, long = lanes.split(engines, question.service, traits.slots, now)
         choice = _Choice(self, question, engines, traits, now)
         if question.prompt.is_long:
@@ -191,7 +203,9 @@
         """Return whether a long prompt pauses the short requests on an engine only briefly."""
         load = self._load(engine)
         idle = load.backlog(self._now) <= IDLE_BACKLOG
-        return idle and load.reading_seconds(self.reading(engine)) <= BRIEF_READING
+        pause = self.question.shortest_pause
+        longest = BRIEF_READING if pause is None else BRIEF_PART * pause
+        return idle and load.reading_seconds(self.reading(engine)) <= longest
 
     def reading(self, engine: BackendServer) -> PromptReading:
         """Return how an engine would come by the prompt."""
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/prompt_parts.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/prompt_parts.py
@@ -26,6 +26,9 @@
     prompt_tokens: int
     output_tokens: int
     """Most tokens that the answer may have."""
+    bears_reading: bool | None = None
+    """Whether its stream stands more reading beside it than others on its engines do; None where
+    that is not told, and the prompt's length decides."""
 
     @property
     def memory_tokens(self) -> int:
@@ -34,7 +37,13 @@
 
     @property
     def is_long(self) -> bool:
-        """Whether reading the prompt is a noticeable pause for all that runs on an engine."""
+        """Whether it belongs with the prompts that are read beside one another.
+
+        Streams with the shortest pause target keep to engines where little is read. Where all have
+        the same, those whose reading is a noticeable pause keep away from the others.
+        """
+        if self.bears_reading is not None:
+            return self.bears_reading
         return self.prompt_tokens >= LONG_PROMPT_TOKENS
 
     @property
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/routing_table.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/routing_table.py
@@ -54,6 +54,8 @@
     """Backend servers that one request may be sent to."""
     public: bool = False
     """Whether requests need no key."""
+    pause_target: timedelta | None = None
+    """Longest pause between two events of a stream that is on time; None where none is declared."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +107,35 @@
     idle_timeout: timedelta = timedelta(seconds=15)
 
 
+ALIKE = 1.25
+"""Factor within which two pause targets count as alike."""
+
+
+@dataclass(frozen=True, slots=True)
+class PauseTargets:
+    """The shortest and the longest pause target of the streams that share a service's engines.
+
+    Example:
+        >>> targets = PauseTargets(timedelta(milliseconds=120), timedelta(milliseconds=500))
+        >>> targets.bears_reading(timedelta(milliseconds=120))
+        False
+        >>> targets.bears_reading(timedelta(milliseconds=200))
+        True
+    """
+
+    shortest: timedelta
+    longest: timedelta
+
+    def bears_reading(self, target: timedelta | None) -> bool | None:
+        """Return whether a stream can stand more reading beside it than the most sensitive ones.
+
+        None where the targets do not tell streams apart.
+        """
+        if target is None or self.longest <= self.shortest * ALIKE:
+            return None
+        return target > self.shortest * ALIKE
+
+
 @dataclass(frozen=True, slots=True)
 class RoutingTable:
     """One version of the configuration, ready for look-ups."""
@@ -118,6 +149,7 @@
     """False where the configuration has no client accounts at all."""
     _routes_by_host: Mapping[str, tuple[Route, ...]] = field(init=False, repr=False)
     _urgency_by_tiers: Mapping[tuple[int, int], int] = field(init=False, repr=False)
+    _pauses_by_service: Mapping[str, PauseTargets] = field(init=False, repr=False)
 
     def __post_init__(self) -> None:
         routes_by_host: dict[str, list[Route]] = {}
@@ -129,6 +161,7 @@
         }
         object.__setattr__(self, "_routes_by_host", ordered)
         object.__setattr__(self, "_urgency_by_tiers", self._ranked_tiers())
+        object.__setattr__(self, "_pauses_by_service", self._pause_targets())
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins a path, or None.
@@ -176,6 +209,18 @@
         tiers = (self.tier_of(route, account), route.tier)
         return min(LEAST_URGENT_TIER, self._urgency_by_tiers[tiers])
 
+    def pause_targets(self, service: str) -> PauseTargets | None:
+        """Return the pause targets of the streams that share a service's engines."""
+        return self._pauses_by_service.get(service)
+
+    def _pause_targets(self) -> dict[str, PauseTargets]:
+        declared: dict[str, list[timedelta]] = {}
+        for route in self.routes:
+            if route.pause_target is not None:
+                for share in route.shares:
+                    declared.setdefault(share.service, []).append(route.pause_target)
+        return {name: PauseTargets(min(each), max(each)) for name, each in declared.items()}
+
     def _ranked_tiers(self) -> dict[tuple[int, int], int]:
         accounts = {*self.accounts_by_key.values(), None}
         tiers = {
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
@@ -34,6 +34,8 @@
     waiter: Waiter
     avoid: frozenset[str] = frozenset()
     """Backend servers that have failed it."""
+    shortest_pause: float | None = None
+    """Shortest pause target in seconds of the streams on the service's engines, where declared."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,4 +155,6 @@
     def _question(self, request: WaitingRequest, now: Instant) -> PlacementQuestion:
         waiter = request.waiter
         target = waiter.target_at - now
-        return PlacementQuestion(self._service, request.prompt, target, waiter.urgency)
+        return PlacementQuestion(
+            self._service, request.prompt, target, waiter.urgency, request.shortest_pause
+        )
