Take an engine's backlog from what it has yet to read, by urgency

Load: engines that read for seconds, for 28 entries at once. Hypothesis: each entry ran a clock for each engine, corrected by its own first events only, and every event of a request sent before a correction corrected again; urgent prompts, which overtake, set whole backlogs to nothing. Now the backlog is the reading of prompts that are at least as urgent and have had no first event, as every entry tells its own; a lost digest is made good by the next, and a slow engine keeps its backlog.

Tests: a late joiner's case sees the old work read first (a gauge tells what is unread, and unread work is no old work); the replay counts answers cut at the deadline, which its account of all requests left out and refusals counted twice had hidden.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
@@ -105,6 +105,8 @@
     late: int = 0
     refused: int = 0
     """Refusals, those of callers that came back among them."""
+    cut: int = 0
+    """Answers that had begun and were not whole at the deadline."""
     worth: float = 0.0
 
     @property
@@ -346,6 +348,7 @@
 def _settle(fleet: _Fleet, request: _Request, at: float) -> None:
     kind, result = request.kind, fleet.results_by_kind[request.kind.name]
     if at - request.arrived_at > kind.deadline:
+        result.cut += 1
         return
     if request.first_event_after <= kind.target and request.longest_pause <= kind.pause:
         result.on_time += 1
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
@@ -1,4 +1,4 @@
-"""What an entry believes of one engine: when it has read all prompts, what runs, what it keeps."""
+"""What an entry believes of one engine: what it has yet to read, what runs, what it keeps."""
 
 from __future__ import annotations
 
@@ -9,7 +9,8 @@
 
 from .backend_list import BackendServer
 from .prompt_parts import PartCache, Prompt, PromptPart
-from .routing_table import EngineTraits
+from .routing_table import LEAST_URGENT_TIER, EngineTraits
+from .unread_prompts import UnreadPrompts
 
 INITIAL_TOKENS_PER_SECOND = 40_000.0
 """Prompt tokens read a second before anything is measured; engines read 41,000 to 52,000."""
@@ -59,32 +60,36 @@
     unread_tokens: int
     memory_tokens: int
     sent_at: Instant
-    read_by: Instant
-    """When its prompt should be read, as predicted when it was sent."""
+    urgency: int
+    reading_seconds: float
+    """Seconds in which the engine should read its prompt."""
     queued: float
-    """Seconds of reading that were ahead of it."""
+    """Seconds of any reading that was ahead of it when it was sent."""
     is_long: bool
     fetched: bool = False
     """Whether some of its prompt is fetched from another engine."""
     read: bool = False
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class PeerShare:
     """What another entry said that it has on an engine."""
 
     running: int = 0
     memory_tokens: int = 0
-    told_at: Instant = 0.0
+    unread_prompts: int = 0
+    unread_seconds: tuple[tuple[int, float], ...] = ()
+    """Seconds of their reading, by urgency."""
 
 
 @dataclass(slots=True)
 class EngineLoad:
     """The load of one engine as seen from one entry.
 
-    Prompts are read one after another, so the backlog is one instant: `read_by`, at which the
-    engine has read all that was sent. Sends of other entries move it too. Each first event tells
-    how far the prediction was off, and moves it back.
+    An engine reads the more urgent prompts first. What is ahead of a request is therefore the
+    reading of all prompts, of every entry, that are at least as urgent and have had no first event:
+    a slow engine keeps them unread for longer, and one that was believed faster than it is corrects
+    itself with each event, whichever entry's.
     """
 
     backend_id: str
@@ -92,7 +97,6 @@
     traits: EngineTraits
     cache: PartCache = field(init=False)
     tokens_per_second: float = INITIAL_TOKENS_PER_SECOND
-    read_by: Instant = 0.0
     runs_by_ticket: dict[str, RunOnEngine] = field(default_factory=dict)
     short_running: int = 0
     """Requests with short prompts among them."""
@@ -101,6 +105,10 @@
     _own_memory_tokens: int = 0
     _peers_running: int = 0
     _peers_memory_tokens: int = 0
+    _unread: UnreadPrompts = field(default_factory=UnreadPrompts)
+    _peers_unread: UnreadPrompts = field(default_factory=UnreadPrompts)
+    _progress_at: Instant = 0.0
+    """When the engine last ended the reading of a prompt, or began after it had none."""
 
     def __post_init__(self) -> None:
         self.cache = PartCache(int(self.traits.memory_tokens * CACHE_PART))
@@ -113,9 +121,18 @@
         """Return the tokens of a prompt that another engine can fetch from this one."""
         return self.cache.read_tokens(prompt.parts)
 
-    def backlog(self, now: Instant) -> float:
-        """Return the seconds of reading that are ahead of a new request."""
-        return max(0.0, self.read_by - now)
+    def backlog(self, now: Instant, urgency: int = LEAST_URGENT_TIER) -> float:
+        """Return the seconds of reading that are ahead of a new request of some urgency."""
+        ahead = self._unread.seconds(urgency) + self._peers_unread.seconds(urgency)
+        if ahead <= 0.0:
+            return 0.0
+        return max(0.0, ahead - self._begun_reading(now))
+
+    def _begun_reading(self, now: Instant) -> float:
+        """Return the seconds that the prompt read now has taken so far, its length at most."""
+        prompts = max(1, self._unread.prompts + self._peers_unread.prompts)
+        longest = (self._unread.seconds() + self._peers_unread.seconds()) / prompts
+        return min(now - self._progress_at, longest)
 
     def reading_of(self, prompt: Prompt) -> PromptReading:
         """Return how this engine comes by a prompt without the help of another."""
@@ -125,9 +142,11 @@
         """Return how long this engine takes until a prompt is read."""
         return reading.unread_tokens / self.tokens_per_second + reading.fetch_seconds
 
-    def first_event_after(self, reading: PromptReading, now: Instant) -> float:
+    def first_event_after(
+        self, reading: PromptReading, now: Instant, urgency: int = LEAST_URGENT_TIER
+    ) -> float:
         """Return the seconds after which a request sent now should have its first event."""
-        return self.backlog(now) + self.reading_seconds(reading) + FIRST_EVENT_OVERHEAD
+        return self.backlog(now, urgency) + self.reading_seconds(reading) + FIRST_EVENT_OVERHEAD
 
     @property
     def running(self) -> int:
@@ -155,13 +174,20 @@
             return False
         return self.memory_tokens + prompt.memory_tokens <= self.traits.memory_tokens * open_part
 
-    def begin(self, ticket: str, prompt: Prompt, reading: PromptReading, now: Instant) -> float:
-        """Note a send; return the seconds of reading that it adds."""
+    def begin(
+        self,
+        ticket: str,
+        prompt: Prompt,
+        reading: PromptReading,
+        now: Instant,
+        urgency: int = LEAST_URGENT_TIER,
+    ) -> None:
+        """Note a send."""
         self.short_running += not prompt.is_long
         seconds = self.reading_seconds(reading)
         queued = self.backlog(now)
-        read_by = now + queued + seconds
-        self.add_reading(seconds, now)
+        self._note_start(now)
+        self._unread.add(urgency, seconds)
         self.cache.use(prompt.parts)
         self._own_memory_tokens += prompt.memory_tokens
         self.runs_by_ticket[ticket] = RunOnEngine(
@@ -169,16 +195,16 @@
             reading.unread_tokens,
             prompt.memory_tokens,
             now,
-            read_by,
+            urgency,
+            seconds,
             queued,
             prompt.is_long,
             reading.fetch_from is not None,
         )
-        return seconds
 
-    def add_reading(self, seconds: float, now: Instant) -> None:
-        """Put reading behind what is already waiting."""
-        self.read_by = max(self.read_by, now) + seconds
+    def _note_start(self, now: Instant) -> None:
+        if not self._unread.prompts and not self._peers_unread.prompts:
+            self._progress_at = now
 
     def first_event(self, ticket: str, now: Instant) -> RunOnEngine | None:
         """Note that a request's prompt has been read, and learn from when that was.
@@ -191,8 +217,8 @@
             return None
         run.read = True
         self.cache.read(run.parts)
-        late_by = now - FIRST_EVENT_OVERHEAD - run.read_by
-        self.read_by = max(now, self.read_by + late_by)
+        self._unread.remove(run.urgency, run.reading_seconds)
+        self._progress_at = now
         self._learn_rate(run, now)
         return run
 
@@ -205,12 +231,23 @@
         self.short_running -= not run.is_long
         if not run.read:
             self.cache.drop_unread(run.parts)
-            reading = run.unread_tokens / self.tokens_per_second
-            self.read_by = max(now, self.read_by - reading)
+            self._unread.remove(run.urgency, run.reading_seconds)
 
-    def take_share(self, peer: str, share: PeerShare) -> None:
+    @property
+    def own_unread(self) -> UnreadPrompts:
+        """What this entry has sent and the engine has yet to read."""
+        return self._unread
+
+    def take_share(self, peer: str, share: PeerShare, now: Instant) -> None:
         """Take over what a peer says that it has here."""
+        known = self._shares_by_peer.get(peer)
+        if share == known:
+            return
+        if known is not None and share.unread_prompts < known.unread_prompts:
+            self._progress_at = now
+        self._note_start(now)
         self.forget_peer(peer)
+        self._peers_unread.count(share.unread_prompts, share.unread_seconds)
         self._shares_by_peer[peer] = share
         self._peers_running += share.running
         self._peers_memory_tokens += share.memory_tokens
@@ -221,6 +258,8 @@
         if share is not None:
             self._peers_running -= share.running
             self._peers_memory_tokens -= share.memory_tokens
+            taken_out = tuple((urgency, -each) for urgency, each in share.unread_seconds)
+            self._peers_unread.count(-share.unread_prompts, taken_out)
 
     def _learn_rate(self, run: RunOnEngine, now: Instant) -> None:
         reading = now - run.sent_at - FIRST_EVENT_OVERHEAD - run.queued
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_digest.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_digest.py
@@ -25,9 +25,6 @@
 SILENCE = 2.5
 """Seconds after which a silent peer's share is dropped: its requests have been cut with it."""
 
-LARGEST_LEAP = 5.0
-"""Seconds of reading that one digest may add to an engine; more is a sender's mistake."""
-
 USES_KEPT = 64
 """Latest uses of prompt parts that wait for the next digest."""
 
@@ -39,9 +36,10 @@
     backend_id: str
     running: int
     memory_tokens: int
-    reading_total: float
-    """Seconds of reading that the sender has sent to it since the sender's start; a running sum, so
-    that a lost digest is made good by the next."""
+    unread_prompts: int = 0
+    """Prompts that the sender has sent and the engine has yet to read."""
+    unread_seconds: tuple[tuple[int, float], ...] = ()
+    """Seconds of their reading, by urgency."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,17 +82,11 @@
 
 
 class _Peer:
-    """The sums that a peer told last; those of its first digest are where counting begins.
-
-    What its later digests name for the first time it has begun since, so it counts from zero:
-    otherwise the first load of each engine by each entry would go unseen, which in a fleet of
-    26 entries before 24 engines is the whole first burst.
-    """
+    """The sums that a peer told last; those of its first digest are where counting begins."""
 
     def __init__(self, first: PeerDigest, now: Instant) -> None:
         self.started = first.started
         self.heard_at = now
-        self.reading_by_backend = {each.backend_id: each.reading_total for each in first.engines}
         self.work_by_service = {each.service: each for each in first.work}
 
 
@@ -107,14 +99,13 @@
         self._sender = sender
         self._started = started
         self._placement = placement
-        self._reading_by_backend: dict[str, float] = {}
+        self._used: set[str] = set()
         self._uses: deque[PartsUse] = deque(maxlen=USES_KEPT)
         self._peers_by_name: dict[str, _Peer] = {}
 
-    def placed(self, backend_id: str, reading: float, parts: tuple[PromptPart, ...]) -> None:
+    def placed(self, backend_id: str, parts: tuple[PromptPart, ...]) -> None:
         """Note a request that this entry has sent to an engine."""
-        total = self._reading_by_backend.get(backend_id, 0.0)
-        self._reading_by_backend[backend_id] = total + reading
+        self._used.add(backend_id)
         if len(parts) > 1:
             self._uses.append(PartsUse(backend_id, parts[:-1]))
 
@@ -136,7 +127,7 @@
         engines = {
             load.backend_id: self._engine(load)
             for load in self._placement.loads_by_id.values()
-            if load.backend_id in self._reading_by_backend
+            if load.backend_id in self._used
         }
         told, self._told_by_backend = self._told_by_backend, engines
         return PeerDigest(
@@ -160,7 +151,8 @@
             backend_id=load.backend_id,
             running=len(load.runs_by_ticket),
             memory_tokens=load.own_memory_tokens,
-            reading_total=round(self._reading_by_backend.get(load.backend_id, 0.0), 4),
+            unread_prompts=load.own_unread.prompts,
+            unread_seconds=load.own_unread.seconds_by_urgency(),
         )
 
     def take(self, digest: PeerDigest, now: Instant) -> None:
@@ -173,7 +165,7 @@
             peer = self._peers_by_name[digest.sender] = _Peer(digest, now)
         peer.heard_at = now
         for engine in digest.engines:
-            self._take_engine(digest.sender, peer, engine, now)
+            self._take_engine(digest.sender, engine, now)
         for work in digest.work:
             self._take_work(digest.sender, peer, work, now)
         self._watch.told(
@@ -201,15 +193,14 @@
             self._drop(name)
         return silent
 
-    def _take_engine(self, sender: str, peer: _Peer, engine: EngineDigest, now: Instant) -> None:
+    def _take_engine(self, sender: str, engine: EngineDigest, now: Instant) -> None:
         load = self._placement.loads_by_id.get(engine.backend_id)
         if load is None:
             return
-        known = peer.reading_by_backend.get(engine.backend_id, 0.0)
-        peer.reading_by_backend[engine.backend_id] = engine.reading_total
-        if engine.reading_total > known:
-            load.add_reading(min(LARGEST_LEAP, engine.reading_total - known), now)
-        load.take_share(sender, PeerShare(engine.running, engine.memory_tokens, now))
+        share = PeerShare(
+            engine.running, engine.memory_tokens, engine.unread_prompts, engine.unread_seconds
+        )
+        load.take_share(sender, share, now)
 
     def _take_work(self, sender: str, peer: _Peer, work: ServiceWork, now: Instant) -> None:
         known = peer.work_by_service.get(work.service, ServiceWork(work.service, 0.0, 0.0))
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -246,7 +246,8 @@
 
     def _first_event_after(self, engine: BackendServer) -> float:
         load = self._load(engine)
-        return load.first_event_after(self.reading(engine), self._now) + _crowding(load)
+        reading, urgency = self.reading(engine), self.question.urgency
+        return load.first_event_after(reading, self._now, urgency) + _crowding(load)
 
 
 def _place_long(
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
@@ -11,7 +11,7 @@
 from .engine_load import PromptReading
 from .placement import NoRoom, Placed, PlacementQuestion
 from .prompt_parts import Prompt
-from .waiting_order import Waiter, must_give_up, return_after, waiting_order
+from .waiting_order import LAST_CALL, Waiter, must_give_up, return_after, waiting_order
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -136,12 +136,12 @@
             request=request,
             backend=found.backend,
             reading=found.reading,
-            backlog=load.backlog(now),
+            backlog=load.backlog(now, request.waiter.urgency),
             running=load.running,
             first_event_after=found.first_event_after,
         )
-        reading = load.begin(request.ticket, request.prompt, found.reading, now)
-        self._digests.placed(found.backend.id, reading, request.prompt.parts)
+        load.begin(request.ticket, request.prompt, found.reading, now, request.waiter.urgency)
+        self._digests.placed(found.backend.id, request.prompt.parts)
         return granted
 
     def _turn_away(self, request: WaitingRequest, *, no_engine: bool, now: Instant) -> TurnedAway:
@@ -154,7 +154,9 @@
 
     def _question(self, request: WaitingRequest, now: Instant) -> PlacementQuestion:
         waiter = request.waiter
-        target = waiter.target_at - now
+        # One that comes back may have less time left than its target: an answer that begins after
+        # its deadline is of no use to anybody.
+        target = min(waiter.target_at, waiter.deadline - LAST_CALL) - now
         return PlacementQuestion(
             self._service, request.prompt, target, waiter.urgency, request.shortest_pause
         )
