--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
@@ -124,10 +124,8 @@
 
     def engine_first_event(self, backend_id: str, service: str, ticket: str) -> None:
         """Note that an engine has read a request's prompt."""
-        load = self.state.placement.loads_by_id.get(backend_id)
-        if load is None:
-            return
-        run = load.first_event(ticket, self.state.clock.monotonic())
+        now = self.state.clock.monotonic()
+        run = self.state.placement.first_event(backend_id, ticket, now)
         if run is not None:
             self.state.digests.prompt_read(backend_id, run.parts)
             self.state.peers.wake()
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
@@ -314,7 +314,7 @@
         if request.last_event_at is None:
             request.first_event_after = at - request.arrived_at
             if load is not None and entry is not None:
-                run = load.first_event(ticket, at)
+                run = entry.placement.first_event(f"i-{number}", ticket, at)
                 if run is not None:
                     entry.book.prompt_read(f"i-{number}", run.parts)
         else:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
@@ -63,6 +63,8 @@
     urgency: int
     reading_seconds: float
     """Seconds in which the engine should read its prompt."""
+    predicted: float
+    """Seconds of reading that were ahead of its first event, its own included."""
     queued: float
     """Seconds of any reading that was ahead of it when it was sent."""
     is_long: bool
@@ -143,10 +145,22 @@
         return reading.unread_tokens / self.tokens_per_second + reading.fetch_seconds
 
     def first_event_after(
-        self, reading: PromptReading, now: Instant, urgency: int = LEAST_URGENT_TIER
+        self,
+        reading: PromptReading,
+        now: Instant,
+        urgency: int = LEAST_URGENT_TIER,
+        stretch: float = 1.0,
     ) -> float:
-        """Return the seconds after which a request sent now should have its first event."""
-        return self.backlog(now, urgency) + self.reading_seconds(reading) + FIRST_EVENT_OVERHEAD
+        """Return the seconds after which a request sent now should have its first event.
+
+        Args:
+            reading: How the engine would come by the prompt.
+            now: The present instant.
+            urgency: The request's rank.
+            stretch: How much longer reading takes than its tokens alone.
+        """
+        ahead = self.backlog(now, urgency) + self.reading_seconds(reading)
+        return stretch * ahead + FIRST_EVENT_OVERHEAD
 
     @property
     def running(self) -> int:
@@ -186,6 +200,7 @@
         self.short_running += not prompt.is_long
         seconds = self.reading_seconds(reading)
         queued = self.backlog(now)
+        predicted = self.backlog(now, urgency) + seconds
         self._note_start(now)
         self._unread.add(urgency, seconds)
         self.cache.use(prompt.parts)
@@ -197,6 +212,7 @@
             now,
             urgency,
             seconds,
+            predicted,
             queued,
             prompt.is_long,
             reading.fetch_from is not None,
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING
 
 from .backend_list import BackendServer
-from .engine_load import EngineLoad, PromptReading
+from .engine_load import FIRST_EVENT_OVERHEAD, EngineLoad, PromptReading, RunOnEngine
+from .first_event_stretch import FirstEventStretch
 from .lanes import Lanes, rank
 from .prompt_parts import Prompt
 
@@ -91,6 +92,7 @@
         self.zone = zone
         self.loads_by_id: dict[str, EngineLoad] = {}
         self._lanes_by_service: dict[str, Lanes] = {}
+        self._stretch_by_service: dict[str, FirstEventStretch] = {}
 
     def load(self, backend: BackendServer, traits: EngineTraits) -> EngineLoad:
         """Return the load of an engine; a new one is idle."""
@@ -124,6 +126,23 @@
         """Return the split of a service's engines."""
         return self._lanes_by_service.setdefault(service, Lanes())
 
+    def stretch(self, service: str) -> FirstEventStretch:
+        """Return how late first events come on a service's engines."""
+        return self._stretch_by_service.setdefault(service, FirstEventStretch())
+
+    def first_event(self, backend_id: str, ticket: str, now: Instant) -> RunOnEngine | None:
+        """Note that a request's prompt has been read, and learn from when that was.
+
+        Returns:
+            The request, where this was news.
+        """
+        load = self.loads_by_id.get(backend_id)
+        run = load.first_event(ticket, now) if load is not None else None
+        if load is not None and run is not None:
+            took = now - run.sent_at - FIRST_EVENT_OVERHEAD
+            self.stretch(load.service).learn(run.urgency, run.predicted, took)
+        return run
+
     def arrived(self, question: PlacementQuestion, now: Instant) -> None:
         """Count a request's work for the split of the engines."""
         prompt = question.prompt
@@ -173,6 +192,7 @@
         self.question = question
         self._placement = placement
         self._traits = traits
+        self._stretch = placement.stretch(question.service).factor(question.urgency)
         self._now = now
         self._kept_by_id = {
             each.id: placement.load(each, traits).kept_tokens(question.prompt) for each in engines
@@ -247,7 +267,8 @@
     def _first_event_after(self, engine: BackendServer) -> float:
         load = self._load(engine)
         reading, urgency = self.reading(engine), self.question.urgency
-        return load.first_event_after(reading, self._now, urgency) + _crowding(load)
+        after = load.first_event_after(reading, self._now, urgency, self._stretch)
+        return after + _crowding(load)
 
 
 def _place_long(
