Let short prompts wait a little for an engine that reads nothing else

Load: replies that arrive together. Hypothesis: their own prompts, read in one go, make the pause; the first event has time that the pause has not. A prompt goes to an engine of sensitive streams only if what that reads in one go stays within half of the shortest pause target, and waits for it in the first two fifths of its target; long prompts join by the same rule.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import inf
 from typing import TYPE_CHECKING
 
 from .backend_list import BackendServer
@@ -23,16 +24,12 @@
 
 A session's own part of about 4,000 tokens costs 80 to 100 ms to read once more elsewhere."""
 
-IDLE_BACKLOG = 0.0
-"""Seconds of reading ahead up to which an engine counts as idle."""
+READING_PART = 0.5
+"""Part of the shortest pause target that may be read in one go beside the streams that have it: the
+rest of the pause is the tokens of their event, and what another entry sends meanwhile."""
 
-BRIEF_READING = 0.1
-"""Seconds of reading up to which a long prompt may go to an idle engine for short ones, where no
-pause target is declared."""
-
-BRIEF_PART = 1 / 3
-"""Part of the shortest pause target that such a prompt may take to be read: streams beside it are
-not late by one, nor by two in a row."""
+READING_ALLOWANCE = 0.1
+"""Seconds of reading in one go where no pause target is declared."""
 
 EQUAL_WITHIN = 0.03
 """Seconds of first event within which engines count as equally good.
@@ -60,6 +57,15 @@
     """Rank among the requests that engines run; 0 is the most urgent."""
     shortest_pause: float | None = None
     """Shortest pause target in seconds of the streams on the service's engines, where declared."""
+    may_wait: bool = False
+    """Whether it is early enough to wait for an engine that reads nothing else."""
+
+    @property
+    def reading_allowance(self) -> float:
+        """Seconds of reading in one go that the most sensitive streams stand."""
+        if self.shortest_pause is None:
+            return READING_ALLOWANCE
+        return READING_PART * self.shortest_pause
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,6 +177,9 @@
         choice = _Choice(self, question, engines, traits, now)
         if question.prompt.is_long:
             return _place_long(choice, short, long)
+        if question.may_wait and short:
+            quiet = choice.quiet(short)
+            return choice.best(quiet, at_home=False) if quiet else NoRoom(None)
         found = choice.best(short or long, at_home=False)
         limit = question.latency_target * BORROW_BEYOND
         if not long or (isinstance(found, Placed) and found.first_event_after <= limit):
@@ -219,13 +228,23 @@
             return NoRoom(after)
         return Placed(best, self.reading(best), after)
 
-    def is_brief(self, engine: BackendServer) -> bool:
-        """Return whether a long prompt pauses the short requests on an engine only briefly."""
+    def quiet(self, engines: Sequence[BackendServer]) -> list[BackendServer]:
+        """Return the engines whose streams the prompt pauses no longer than they stand.
+
+        Prompts that arrive together are read in one go: they are sent to an engine one after
+        another, as it has read what it was sent, while the first event's target leaves time.
+        """
+        return [each for each in engines if self._read_in_one_go(each) <= self._allowance(each)]
+
+    def _read_in_one_go(self, engine: BackendServer) -> float:
         load = self._load(engine)
-        idle = load.backlog(self._now) <= IDLE_BACKLOG
-        pause = self.question.shortest_pause
-        longest = BRIEF_READING if pause is None else BRIEF_PART * pause
-        return idle and load.reading_seconds(self.reading(engine)) <= longest
+        return load.backlog(self._now) + load.reading_seconds(self.reading(engine))
+
+    def _allowance(self, engine: BackendServer) -> float:
+        """Return the seconds of reading that an engine may have; a prompt alone always may."""
+        idle = self._load(engine).backlog(self._now) <= 0.0
+        allowance = self.question.reading_allowance
+        return inf if idle and not self.question.prompt.is_long else allowance
 
     def reading(self, engine: BackendServer) -> PromptReading:
         """Return how an engine would come by the prompt."""
@@ -277,8 +296,8 @@
     found = choice.best(long or short, at_home=True)
     if isinstance(found, Placed) or not long:
         return found
-    idle = [each for each in short if choice.is_brief(each)]
-    return choice.best(idle, at_home=True) if idle else found
+    quiet = choice.quiet(short)
+    return choice.best(quiet, at_home=True) if quiet else found
 
 
 CROWDED_RUN = 0.002
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
@@ -11,7 +11,7 @@
 from .engine_load import PromptReading
 from .placement import NoRoom, Placed, PlacementQuestion
 from .prompt_parts import Prompt
-from .waiting_order import LAST_CALL, Waiter, must_give_up, return_after, waiting_order
+from .waiting_order import LAST_CALL, Waiter, may_wait, must_give_up, return_after, waiting_order
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -158,5 +158,10 @@
         # its deadline is of no use to anybody.
         target = min(waiter.target_at, waiter.deadline - LAST_CALL) - now
         return PlacementQuestion(
-            self._service, request.prompt, target, waiter.urgency, request.shortest_pause
+            self._service,
+            request.prompt,
+            target,
+            waiter.urgency,
+            request.shortest_pause,
+            may_wait=may_wait(waiter, now),
         )
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_order.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_order.py
@@ -17,6 +17,9 @@
 """Seconds before its deadline at which a request that has not been placed is told so: an engine
 needs longer than that for the shortest answer."""
 
+EARLY_PART = 0.4
+"""Part of the way to its target in which a request may wait for a better place."""
+
 SHORTEST_RETURN = timedelta(milliseconds=200)
 """Shortest time after which a refused caller is asked to come back."""
 
@@ -51,6 +54,11 @@
     return (waiter.urgency, not waiter.resumed, late, waiter.deadline if late else waiter.target_at)
 
 
+def may_wait(waiter: Waiter, now: Instant) -> bool:
+    """Return whether a request is early enough to wait for a better place than there is."""
+    return now < waiter.arrived_at + EARLY_PART * (waiter.target_at - waiter.arrived_at)
+
+
 def must_give_up(waiter: Waiter, now: Instant) -> bool:
     """Return whether a waiting request has little chance of an engine that is of use to it."""
     if now >= waiter.deadline - LAST_CALL:
