Say "not run" only of a request that has not run

Only requests that may run twice were affected; their callers were told an untruth all the same. Now they are told that nobody knows (502).

Ruled out: requests that run at most once never get there (`may_send_again`).

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -143,7 +143,7 @@
         while True:
             placed = await self._place()
             if isinstance(placed, Refused):
-                await self._conclude(placed)
+                await self._conclude(self._true_of(placed))
                 return
             failure = await self._try_destination(placed)
             if failure is None:
@@ -339,11 +339,12 @@
     # Ends without a backend server's answer
 
     async def _give_up(self, failure: str) -> None:
-        if self._history.may_have_run:
-            await self._conclude(Unresolved(UnknownReason.BACKEND_LOST), failure=failure)
-        else:
-            refusal = Refused(NotRunReason.NO_BACKEND, self._entry.retry_after())
-            await self._conclude(refusal, failure=failure)
+        refusal = Refused(NotRunReason.NO_BACKEND, self._entry.retry_after())
+        await self._conclude(self._true_of(refusal), failure=failure)
+
+    def _true_of(self, refusal: Refused) -> Refused | Unresolved:
+        """Return what a caller may be told: a refusal promises that the request has not run."""
+        return Unresolved(UnknownReason.BACKEND_LOST) if self._history.may_have_run else refusal
 
     async def _time_out(self) -> None:
         send = self._send
