--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -37,7 +37,7 @@
         self.clock = clock
         self.table: RoutingTable | None = None
         self.backends = BackendList()
-        self.placement = Placement(identity.zone, identity.name)
+        self.placement = Placement(identity.zone)
         self.trust = BackendTrust()
         started = round(1000 * clock.utc_now().timestamp())
         self.watch = FeedWatch(identity.name)
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
@@ -178,7 +178,7 @@
         fleet.servers.append(BackendServer(f"i-{number}", SERVICE, "", "", replay.pace.slots))
         fleet.reported.append(0)
     for number in range(replay.entries):
-        placement = Placement(name=f"entry-{number}")
+        placement = Placement()
         book = DigestBook(f"entry-{number}", 1, placement, FeedWatch(f"entry-{number}"))
         fleet.entries.append(_Entry(placement, book, WaitingLine(SERVICE, placement, book)))
     return fleet
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -89,15 +89,13 @@
 class Placement:
     """Places requests on the engines of any number of services."""
 
-    def __init__(self, zone: str = "", name: str = "") -> None:
+    def __init__(self, zone: str = "") -> None:
         """Create the placement of one entry.
 
         Args:
             zone: The entry's availability zone; among equally good engines one there goes first.
-            name: The entry's name, by which entries prefer different engines among equals.
         """
         self.zone = zone
-        self.name = name
         self.loads_by_id: dict[str, EngineLoad] = {}
         self._lanes_by_service: dict[str, Lanes] = {}
         self._stretch_by_service: dict[str, FirstEventStretch] = {}
@@ -280,8 +278,7 @@
         Bytes between availability zones are paid for.
         """
         elsewhere = not at_home and engine.zone != self._placement.zone
-        chooser = self.question.prompt.session if at_home else self._placement.name
-        return elsewhere, rank(chooser, engine.id)
+        return elsewhere, rank(self.question.prompt.session, engine.id)
 
     def _load(self, engine: BackendServer) -> EngineLoad:
         return self._placement.load(engine, self._traits)
