--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
@@ -160,18 +160,7 @@
             stretch: How much longer reading takes than its tokens alone.
         """
         ahead = self.backlog(now, urgency) + self.reading_seconds(reading)
-        return stretch * ahead + self._overdue(now, urgency, stretch) + FIRST_EVENT_OVERHEAD
-
-    def _overdue(self, now: Instant, urgency: int, stretch: float) -> float:
-        """Return by how many seconds the first event of the oldest unread request is overdue.
-
-        First events teach how late an engine is only once they come. An engine that stalls, or a
-        burst on engines that were idle, shows earlier by what has not come.
-        """
-        for run in self.runs_by_ticket.values():
-            if not run.read and run.urgency <= urgency:
-                return max(0.0, now - run.sent_at - stretch * run.predicted - FIRST_EVENT_OVERHEAD)
-        return 0.0
+        return stretch * ahead + FIRST_EVENT_OVERHEAD
 
     @property
     def running(self) -> int:
