Tell a request that has missed its target so at once

Load: bursts beyond what fits. Since a long prompt is placed only where it can be on time, one that had waited past its target was never placed; it was held 0.8 s longer for nothing and its caller came back that much later. The test of fresh before late ones asserts the late one's refusal now.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_order.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_order.py
@@ -7,12 +7,6 @@
 
 from ragwortwing_policy.clock import Instant
 
-LATE_PATIENCE = 0.8
-"""Seconds past its target for which a request waits for an engine that is idle.
-
-In a burst of long prompts fresh ones take every engine, and a late one would wait for its deadline
-in vain. Told earlier, its caller may come back when the burst is over."""
-
 LAST_CALL = 0.25
 """Seconds before its deadline at which a request that has not been placed is told so: an engine
 needs longer than that for the shortest answer."""
@@ -63,7 +57,9 @@
     """Return whether a waiting request has little chance of an engine that is of use to it."""
     if now >= waiter.deadline - LAST_CALL:
         return True
-    return not waiter.resumed and now > waiter.target_at + LATE_PATIENCE
+    # In a burst fresh requests take every engine, and a late one would wait for its deadline in
+    # vain. Told at once, its caller has the more time left to come back after the burst.
+    return not waiter.resumed and now > waiter.target_at
 
 
 def return_after(waiter: Waiter, now: Instant) -> timedelta | None:
--- a/packages/ragwortwing-policy/tests/direct/test_waiting_line.py
+++ b/packages/ragwortwing-policy/tests/direct/test_waiting_line.py
@@ -46,7 +46,9 @@
     line.enter(request("late", 9_000, tier=1, arrived_at=0.0), 0.0)
     line.enter(request("fresh", 9_000, tier=1, arrived_at=0.7), 0.7)
     decisions = look(line, 0.7)
-    assert [each.request.ticket for each in decisions] == ["fresh"]
+    assert [each.request.ticket for each in decisions] == ["fresh", "late"]
+    assert isinstance(decisions[0], Granted)
+    assert isinstance(decisions[1], TurnedAway)
 
 
 def test_a_request_past_its_chance_is_told_when_to_come_back() -> None:
