--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
@@ -59,7 +59,6 @@
         if dict(addresses_by_name) != self._addresses:
             decided("peers_changed", peers=sorted(addresses_by_name))
         self._addresses = dict(addresses_by_name)
-        self._book.note_interval(self._interval if self._addresses else 0.0)
 
     def wake(self) -> None:
         """Note that there is something to tell."""
@@ -89,12 +88,7 @@
                     await sock.sendto(data, address)
                 except OSError as error:
                     decided("digest_not_sent", address=address, cause=str(error))
-            await trio.sleep(self._interval)
-
-    @property
-    def _interval(self) -> float:
-        """Seconds between two digests while there is something to tell."""
-        return max(SHORTEST_INTERVAL, INTERVAL_PER_PEER * len(self._addresses))
+            await trio.sleep(max(SHORTEST_INTERVAL, INTERVAL_PER_PEER * len(self._addresses)))
 
     async def _receive(self, sock: trio.socket.SocketType) -> None:
         while True:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_digest.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_digest.py
@@ -109,10 +109,6 @@
         if len(parts) > 1:
             self._uses.append(PartsUse(backend_id, parts[:-1]))
 
-    def note_interval(self, seconds: float) -> None:
-        """Note how old what the other entries tell may be."""
-        self._placement.news_age = seconds
-
     def prompt_read(self, backend_id: str, parts: tuple[PromptPart, ...]) -> None:
         """Note that an engine has read a prompt that this entry has sent to it."""
         if len(parts) > 1:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -9,7 +9,7 @@
 from .backend_list import BackendServer
 from .engine_load import FIRST_EVENT_OVERHEAD, EngineLoad, PromptReading, RunOnEngine
 from .first_event_stretch import FirstEventStretch
-from .lanes import SHORT_READING, Lanes, rank
+from .lanes import Lanes, rank
 from .prompt_parts import Prompt
 
 if TYPE_CHECKING:
@@ -96,8 +96,6 @@
             zone: The entry's availability zone; among equally good engines one there goes first.
         """
         self.zone = zone
-        self.news_age = 0.0
-        """Seconds for which what other entries have sent may still be unknown here."""
         self.loads_by_id: dict[str, EngineLoad] = {}
         self._lanes_by_service: dict[str, Lanes] = {}
         self._stretch_by_service: dict[str, FirstEventStretch] = {}
@@ -245,9 +243,7 @@
     def _allowance(self, engine: BackendServer) -> float:
         """Return the seconds of reading that an engine may have; a prompt alone always may."""
         idle = self._load(engine).backlog(self._now) <= 0.0
-        # What other entries send an engine before their next digest is read in the same go.
-        unseen = SHORT_READING * self._placement.news_age
-        allowance = self.question.reading_allowance - unseen
+        allowance = self.question.reading_allowance
         return inf if idle and not self.question.prompt.is_long else allowance
 
     def reading(self, engine: BackendServer) -> PromptReading:
