Let a prompt too large to be on time wait by its own reading

Load: bursts in which the largest prompts take most of their target to read alone. Cause: they were never placed unless an engine was idle, and refused each time they came back. Now the time until which a request waits includes its own reading.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -7,7 +7,13 @@
 from typing import TYPE_CHECKING
 
 from .backend_list import BackendServer
-from .engine_load import FIRST_EVENT_OVERHEAD, EngineLoad, PromptReading, RunOnEngine
+from .engine_load import (
+    FIRST_EVENT_OVERHEAD,
+    INITIAL_TOKENS_PER_SECOND,
+    EngineLoad,
+    PromptReading,
+    RunOnEngine,
+)
 from .first_event_stretch import FirstEventStretch
 from .lanes import Lanes, rank
 from .prompt_parts import Prompt
@@ -132,6 +138,12 @@
         """Return the split of a service's engines."""
         return self._lanes_by_service.setdefault(service, Lanes())
 
+    def alone(self, service: str, prompt: Prompt, urgency: int) -> float:
+        """Return the seconds to a first event where an engine reads this whole prompt only."""
+        rate = self._tokens_per_second(service) or INITIAL_TOKENS_PER_SECOND
+        stretch = self.stretch(service).factor(urgency)
+        return stretch * prompt.prompt_tokens / rate + FIRST_EVENT_OVERHEAD
+
     def stretch(self, service: str) -> FirstEventStretch:
         """Return how late first events come on a service's engines."""
         return self._stretch_by_service.setdefault(service, FirstEventStretch())
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
@@ -13,6 +13,7 @@
 from .prompt_parts import Prompt
 from .waiting_order import (
     Waiter,
+    due_at,
     may_wait,
     must_give_up,
     place_until,
@@ -127,7 +128,7 @@
         engines: Sequence[BackendServer],
         now: Instant,
     ) -> Granted | TurnedAway | None:
-        if traits is None or not engines or must_give_up(request.waiter, now):
+        if traits is None or not engines or must_give_up(request.waiter, self._due(request), now):
             return self._turn_away(request, no_engine=traits is None or not engines, now=now)
         question = self._question(request, now)
         found = self._placement.place(question, engines, traits, now)
@@ -159,9 +160,14 @@
             waiting=len(self._waiting),
         )
 
+    def _due(self, request: WaitingRequest) -> Instant:
+        waiter = request.waiter
+        alone = self._placement.alone(self._service, request.prompt, waiter.urgency)
+        return due_at(waiter, alone)
+
     def _question(self, request: WaitingRequest, now: Instant) -> PlacementQuestion:
         waiter = request.waiter
-        target = place_until(waiter) - now
+        target = place_until(waiter, self._due(request)) - now
         return PlacementQuestion(
             self._service,
             request.prompt,
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_order.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_order.py
@@ -12,6 +12,9 @@
 target. In a burst every placement fills what it may; with nothing left for the error of predictions
 half of them come a little late, while engines with a shorter queue read as much."""
 
+LARGE_WAIT = 0.5
+"""Part of its target that a request may wait besides the time that its own prompt takes."""
+
 LAST_CALL = 0.25
 """Seconds before its deadline at which a request that has not been placed is told so: an engine
 needs longer than that for the shortest answer."""
@@ -53,14 +56,29 @@
     return (waiter.urgency, not waiter.resumed, late, waiter.deadline if late else waiter.target_at)
 
 
-def place_until(waiter: Waiter) -> Instant:
-    """Return until when the first event has to be predicted for a placement to be on time.
+def due_at(waiter: Waiter, alone: float) -> Instant:
+    """Return until when a request's first event is waited for.
+
+    A prompt that takes most of its target to read alone would find every engine too busy and never
+    be served in a burst, though its caller minds being late less than being refused. It may wait
+    for half as long as the others all the same.
+
+    Args:
+        waiter: What is known of the request.
+        alone: Seconds to its first event on an engine that has nothing else to read.
+    """
+    target = waiter.target_at - waiter.arrived_at
+    return max(waiter.target_at, waiter.arrived_at + alone + LARGE_WAIT * target)
+
+
+def place_until(waiter: Waiter, due: Instant) -> Instant:
+    """Return until when the first event has to be predicted for a placement.
 
     One that comes back may have less time left than its target: an answer that begins after its
     deadline is of no use to anybody.
     """
     reserve = RESERVE * (waiter.target_at - waiter.arrived_at)
-    return min(waiter.target_at - reserve, waiter.deadline - LAST_CALL)
+    return min(due - reserve, waiter.deadline - LAST_CALL)
 
 
 def may_wait(waiter: Waiter, now: Instant) -> bool:
@@ -68,13 +86,13 @@
     return now < waiter.arrived_at + EARLY_PART * (waiter.target_at - waiter.arrived_at)
 
 
-def must_give_up(waiter: Waiter, now: Instant) -> bool:
+def must_give_up(waiter: Waiter, due: Instant, now: Instant) -> bool:
     """Return whether a waiting request has little chance of an engine that is of use to it."""
     if now >= waiter.deadline - LAST_CALL:
         return True
     # In a burst fresh requests take every engine, and a late one would wait for its deadline in
     # vain. Told at once, its caller has the more time left to come back after the burst.
-    return not waiter.resumed and now > waiter.target_at
+    return not waiter.resumed and now > due
 
 
 def return_after(waiter: Waiter, now: Instant) -> timedelta | None:
