Count for the split of engines what prompts leave to read

Cause: the split counted whole prompts; shared parts that engines keep are no work, and kept engines for long prompts that had little to read. Now the unread part counts.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -162,10 +162,16 @@
         return run
 
     def arrived(self, question: PlacementQuestion, now: Instant) -> None:
-        """Count a request's work for the split of the engines."""
+        """Count a request's work for the split of the engines: what it leaves an engine to read.
+
+        Shared parts that an engine keeps are no work. Counted, they would keep engines for long
+        prompts that have little to read, and short ones would be crowded on the others.
+        """
         prompt = question.prompt
-        lanes = self.lanes(question.service)
-        lanes.count(prompt.prompt_tokens, is_long=prompt.is_long, now=now)
+        loads = [each for each in self.loads_by_id.values() if each.service == question.service]
+        kept = max((each.kept_tokens(prompt) for each in loads), default=0)
+        unread = max(1, prompt.prompt_tokens - kept)
+        self.lanes(question.service).count(unread, is_long=prompt.is_long, now=now)
 
     def place(
         self,
