Hold the reading allowance for any span of a pause

Load: replies of one engine, a prompt each 70 ms. Hypothesis: the allowance bounded what was read in one go; as soon as it was read the next was sent, and both lay in the same pause. Now what was sent within the last pause target counts too.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 from math import ceil
 
@@ -37,6 +38,9 @@
 MOST_RESERVED = 0.125
 """Largest part of an engine that requests of any rank leave free."""
 
+SENDS_KEPT = 64
+"""Latest sends that are looked at for what is read within one pause."""
+
 CACHE_PART = 0.8
 """Part of an engine's memory that is believed to hold shared parts beside what runs."""
 
@@ -83,6 +87,11 @@
     unread_seconds: tuple[tuple[int, float], ...] = ()
     """Seconds of their reading, by urgency."""
 
+    @property
+    def reading_seconds(self) -> float:
+        """Seconds of reading of all its unread prompts."""
+        return sum(seconds for _, seconds in self.unread_seconds)
+
 
 @dataclass(slots=True)
 class EngineLoad:
@@ -109,6 +118,8 @@
     _peers_memory_tokens: int = 0
     _unread: UnreadPrompts = field(default_factory=UnreadPrompts)
     _peers_unread: UnreadPrompts = field(default_factory=UnreadPrompts)
+    _sent: deque[tuple[Instant, float]] = field(default_factory=lambda: deque(maxlen=SENDS_KEPT))
+    """Seconds of reading that were sent of late, by anyone as far as it is known."""
     _progress_at: Instant = 0.0
     """When the engine last ended the reading of a prompt, or began after it had none."""
 
@@ -130,6 +141,19 @@
             return 0.0
         return max(0.0, ahead - self._begun_reading(now))
 
+    def reading_within(self, span: float, now: Instant) -> float:
+        """Return the seconds of reading that fall into one span of time from now backwards.
+
+        What has been read a moment ago and what is read next may lie in the same pause of a stream.
+        """
+        since = now - span
+        sent = 0.0
+        for at, seconds in reversed(self._sent):
+            if at < since:
+                break
+            sent += seconds
+        return max(sent, self.backlog(now))
+
     def _begun_reading(self, now: Instant) -> float:
         """Return the seconds that the prompt read now has taken so far, its length at most."""
         prompts = max(1, self._unread.prompts + self._peers_unread.prompts)
@@ -203,6 +227,7 @@
         predicted = self.backlog(now, urgency) + seconds
         self._note_start(now)
         self._unread.add(urgency, seconds)
+        self._sent.append((now, seconds))
         self.cache.use(prompt.parts)
         self._own_memory_tokens += prompt.memory_tokens
         self.runs_by_ticket[ticket] = RunOnEngine(
@@ -259,6 +284,9 @@
         known = self._shares_by_peer.get(peer)
         if share == known:
             return
+        more = share.reading_seconds - (known.reading_seconds if known is not None else 0.0)
+        if more > 0.0:
+            self._sent.append((now, more))
         if known is not None and share.unread_prompts < known.unread_prompts:
             self._progress_at = now
         self._note_start(now)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -256,11 +256,13 @@
 
     def _read_in_one_go(self, engine: BackendServer) -> float:
         load = self._load(engine)
-        return load.backlog(self._now) + load.reading_seconds(self.reading(engine))
+        span = self.question.shortest_pause or 0.0
+        return load.reading_within(span, self._now) + load.reading_seconds(self.reading(engine))
 
     def _allowance(self, engine: BackendServer) -> float:
         """Return the seconds of reading that an engine may have; a prompt alone always may."""
-        idle = self._load(engine).backlog(self._now) <= 0.0
+        span = self.question.shortest_pause or 0.0
+        idle = self._load(engine).reading_within(span, self._now) <= 0.0
         allowance = self.question.reading_allowance
         return inf if idle and not self.question.prompt.is_long else allowance
 
