--- a/packages/ragwortwing-policy/tests/direct/test_placement.py
+++ b/packages/ragwortwing-policy/tests/direct/test_placement.py
@@ -264,15 +264,17 @@
     question = PlacementQuestion(SERVICE, asked, 0.8, shortest_pause=0.12, may_wait=True)
     load = site.placement.load(site.engines[0], TRAITS)
 
-    def place(question: PlacementQuestion) -> Placed | NoRoom:
-        return site.placement.place(question, site.engines, TRAITS, 0.0)
-
-    assert isinstance(place(question), Placed)
-    load.begin("1", note(2_000, "b"), PromptReading(2_000), 0.0, 0)
-    assert isinstance(place(question), NoRoom)
-    assert isinstance(place(replace(question, may_wait=False)), Placed)
-    load.first_event("1", 0.0)
-    assert isinstance(place(question), Placed)
+    def place(question: PlacementQuestion, now: float) -> Placed | NoRoom:
+        return site.placement.place(question, site.engines, TRAITS, now)
+
+    assert isinstance(place(question, 0.0), Placed)
+    load.begin("1", note(2_600, "b"), PromptReading(2_600), 0.0, 0)
+    assert isinstance(place(question, 0.0), NoRoom)
+    assert isinstance(place(replace(question, may_wait=False), 0.0), Placed)
+    load.first_event("1", 0.05)
+    # What has just been read and what would be read next lie in the same pause.
+    assert isinstance(place(question, 0.06), NoRoom)
+    assert isinstance(place(question, 0.13), Placed)
 
 
 def test_long_prompts_join_notes_only_for_as_long_as_these_may_pause() -> None:
