Let short prompts wait past their target for an engine with room

The refusal serves long prompts, which are never placed late; short ones are placed wherever there is room.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
@@ -19,6 +19,7 @@
     place_until,
     return_after,
     waiting_order,
+    waits_until,
 )
 
 if TYPE_CHECKING:
@@ -128,7 +129,8 @@
         engines: Sequence[BackendServer],
         now: Instant,
     ) -> Granted | TurnedAway | None:
-        if traits is None or not engines or must_give_up(request.waiter, self._due(request), now):
+        until = waits_until(request.waiter, self._due(request), is_long=request.prompt.is_long)
+        if traits is None or not engines or must_give_up(request.waiter, until, now):
             return self._turn_away(request, no_engine=traits is None or not engines, now=now)
         question = self._question(request, now)
         found = self._placement.place(question, engines, traits, now)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_order.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_order.py
@@ -19,6 +19,9 @@
 """Seconds before its deadline at which a request that has not been placed is told so: an engine
 needs longer than that for the shortest answer."""
 
+LATE_PATIENCE = 2.0
+"""Targets for which a short prompt waits past its own for an engine with room."""
+
 EARLY_PART = 0.4
 """Part of the way to its target in which a request may wait for a better place."""
 
@@ -86,13 +89,24 @@
     return now < waiter.arrived_at + EARLY_PART * (waiter.target_at - waiter.arrived_at)
 
 
-def must_give_up(waiter: Waiter, due: Instant, now: Instant) -> bool:
+def waits_until(waiter: Waiter, due: Instant, *, is_long: bool) -> Instant:
+    """Return when a request that has not been placed is told to come back.
+
+    A long prompt is placed only where it is not late: in a burst fresh ones take every engine, and
+    one past its time would wait for its deadline in vain. Told at once, its caller has the more
+    time left to come back after the burst. A short one is placed on any engine with room, so a
+    place that is free a moment later serves it sooner than its return would.
+    """
+    if is_long:
+        return due
+    return due + LATE_PATIENCE * (waiter.target_at - waiter.arrived_at)
+
+
+def must_give_up(waiter: Waiter, until: Instant, now: Instant) -> bool:
     """Return whether a waiting request has little chance of an engine that is of use to it."""
     if now >= waiter.deadline - LAST_CALL:
         return True
-    # In a burst fresh requests take every engine, and a late one would wait for its deadline in
-    # vain. Told at once, its caller has the more time left to come back after the burst.
-    return not waiter.resumed and now > due
+    return not waiter.resumed and now > until
 
 
 def return_after(waiter: Waiter, now: Instant) -> timedelta | None:
--- a/packages/ragwortwing-policy/tests/direct/test_waiting_line.py
+++ b/packages/ragwortwing-policy/tests/direct/test_waiting_line.py
@@ -68,6 +68,19 @@
     assert isinstance(decision, Granted)
 
 
+def test_a_short_prompt_waits_for_a_place_that_is_free_a_moment_later() -> None:
+    """All slots are taken when a chat comes, and one is free just after its target. Told to come
+    back, the chat would have its first event seconds later."""
+    line = new_line()
+    for number in range(TRAITS.slots + 1):
+        line.enter(request(f"chat-{number}", 300, tier=0), 0.0)
+    placed = look(line, 0.3)
+    assert len(placed) == TRAITS.slots
+    assert look(line, 0.7) == []
+    refused = look(line, 2.0)
+    assert [type(each) for each in refused] == [TurnedAway]
+
+
 def test_a_request_past_its_chance_is_told_when_to_come_back() -> None:
     line = new_line()
     for number in range(12):
