--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
@@ -24,10 +24,7 @@
 
 INTERVAL_PER_PEER = 0.004
 """Seconds between digests for each peer: an entry sends 250 datagrams a second at most, and as the
-fleet grows the digests get older instead (0.1 s at 26 entries).
-
-In a replay of the worst bursts on 26 entries and 24 engines, worth was 15,457 with digests of 0.2 s
-old, 16,105 with 0.1 s and 16,291 with 0.05 s (two seeds)."""
+fleet grows the digests get older instead (0.1 s at 26 entries)."""
 
 SHORTEST_INTERVAL = 0.03
 """Seconds between digests in a small fleet. An engine takes a long prompt every 100 ms in a burst:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
@@ -14,7 +14,7 @@
 from .unread_prompts import UnreadPrompts
 
 INITIAL_TOKENS_PER_SECOND = 40_000.0
-"""Prompt tokens read a second before anything is measured; engines read 41,000 to 52,000."""
+"""Prompt tokens read a second before anything is learned; rather too few than too many."""
 
 FIRST_EVENT_OVERHEAD = 0.035
 """Seconds from a send to the first event of a short prompt on an idle engine, network included."""
@@ -32,8 +32,8 @@
 RESERVED_PER_RANK = 1 / 48
 """Part of an engine that requests leave free for each rank that is more urgent than theirs.
 
-What an entry believes of an engine is up to 0.2 s old, in which an engine of 48 slots gets three or
-four requests."""
+What an entry believes of an engine is as old as its peers' digests, and more requests come to it
+meanwhile."""
 
 MOST_RESERVED = 0.125
 """Largest part of an engine that requests of any rank leave free."""
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/lanes.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/lanes.py
@@ -23,7 +23,7 @@
     from .backend_list import BackendServer
 
 MEMORY = 8.0
-"""Seconds over which the work of either kind is forgotten; bursts last 3 to 9 s."""
+"""Seconds over which the work of either kind is forgotten: about as long as a burst."""
 
 SHORT_READING = 0.5
 """Part of an engine's time that the reading of short prompts may take. Prompts that arrive within
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -26,9 +26,8 @@
     from .routing_table import EngineTraits
 
 HOME_ADVANTAGE = 0.12
-"""Seconds of first event by which another engine must be earlier to take a session from its home.
-
-A session's own part of about 4,000 tokens costs 80 to 100 ms to read once more elsewhere."""
+"""Seconds of first event by which another engine must be earlier to take a session from its home:
+what is read once more elsewhere delays others there."""
 
 READING_PART = 0.5
 """Part of the shortest pause target that may be read in one go beside the streams that have it: the
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/prompt_parts.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/prompt_parts.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 
 LONG_PROMPT_TOKENS = 2_000
-"""Prompts from here on are long: about 45 ms of reading, a noticeable pause in every stream."""
+"""Prompts from here on are long where no pause targets tell streams apart: their reading is a
+noticeable pause in every stream."""
 
 
 @dataclass(frozen=True, slots=True)
