Tell a cut of one's own from an outage of the store

Now an outage counts for all only where peers were heard meanwhile and none of them heard the store for all of it; a returned peer's doubt counts for nothing for 3 s.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
@@ -3,12 +3,13 @@
 A read of the store that waits for news brings it at once while all is well. What it does not show
 is a store that has stopped answering, or a connection that something on the way has forgotten: both
 look like no news until the wait is over. Short waits in every entry would show it, and each costs a
-call. So a few entries wait briefly and tell all others, in their digests, how far they have read;
+call. So a few entries wait briefly and tell all others, in their statuses, how far they have read;
 the others wait long, and ask again when they hear that they are behind.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -37,7 +38,7 @@
 time for an answer, and half a second."""
 
 PEER_SILENCE = 1.8
-"""Seconds without a digest after which an entry is no good watcher; one comes every second."""
+"""Seconds without a status after which an entry is no good watcher; one comes every second."""
 
 PROBE_RETRY = 0.4
 """Longest seconds between attempts of the entries that look for the store's return for all."""
@@ -51,6 +52,18 @@
 return, and this is for the case that they are not. 26 entries that all asked at the probers' pace
 made 260 calls a second, each of them paid for."""
 
+RETURN_SPREAD = 1.5
+"""Seconds within which all entries hear the store again once the first of them does."""
+
+DOUBT_DISCOUNTED_FOR = 3.0
+"""Seconds after a peer's return from silence in which its doubt of removals counts for nothing."""
+
+HISTORY_INTERVAL = 0.1
+"""Seconds between two entries of the history of what peers said of the store."""
+
+HISTORY_KEPT = 600
+"""Entries kept: half a minute with both kinds of them."""
+
 BEHIND_FOR = 0.15
 """Seconds for which an entry stays behind before it asks again: its own read's answer is most
 likely on the way."""
@@ -60,6 +73,8 @@
 class _PeerNews:
     heard_at: Instant
     hears_store: bool
+    returned_at: Instant | None = None
+    """When it was last heard again after a silence."""
 
 
 class FeedWatch:
@@ -74,6 +89,8 @@
         self._heard_at_by_feed: dict[str, Instant] = {}
         self._unsure_until: Instant = 0.0
         self._regained_at: Instant | None = None
+        self._history: deque[tuple[Instant, bool]] = deque(maxlen=HISTORY_KEPT)
+        """When peers said that they heard the store, or that they did not."""
 
     @property
     def positions_by_feed(self) -> Mapping[str, int]:
@@ -116,16 +133,20 @@
         """Take in what another entry tells.
 
         An entry whose read waited through a whole outage learns of it only in this way. The doubt
-        of one that has been silent until now counts for nothing: it was cut off, not the store.
+        of one that has been silent of late counts for nothing: it was cut off, not the store.
         """
         before = self._peers_by_name.get(peer)
-        if before is None or now - before.heard_at < PEER_SILENCE:
+        returned_at = before.returned_at if before is not None else None
+        if before is not None and now - before.heard_at >= PEER_SILENCE:
+            returned_at = now
+        if returned_at is None or now - returned_at >= DOUBT_DISCOUNTED_FOR:
             self.outage_over(now + unsure_for)
         # One that waits long seems to have lost the store between two answers; only where nobody
         # heard it has it come back.
         if hears_store and before is not None and not self._peers(now, hearing=True):
             self._regained_at = now
-        self._peers_by_name[peer] = _PeerNews(now, hears_store)
+        self._peers_by_name[peer] = _PeerNews(now, hears_store, returned_at)
+        self._note_in_history(now, hears_store=hears_store)
         for feed, position in positions_by_feed.items():
             known, _ = self._told_by_feed.get(feed, (-1, 0.0))
             if position > known:
@@ -149,16 +170,30 @@
     def was_for_all(self, lost_at: Instant, now: Instant) -> bool:
         """Return whether an outage that this entry saw may have been one for all.
 
-        Where others have heard the store long enough after the loss to have noticed an outage
-        themselves, it turned this entry away or its path was cut: no backend server's line lapsed.
+        It was not where a peer heard the store meanwhile: the store turned this entry away. Nor
+        where no peer was heard at all: this entry was cut off. What peers say just before this
+        entry hears the store again is no sign, as they may have regained it a little earlier.
 
         Args:
             lost_at: When this entry lost the store.
             now: The present instant, at which it answers again.
         """
-        if now - lost_at < STORE_SILENCE + PEER_SILENCE or self.regained_since(lost_at):
+        if now - lost_at < STORE_SILENCE + PEER_SILENCE or not self._peers_by_name:
             return True
-        return not self._peers(now, hearing=True)
+        meanwhile = [
+            (at, hears) for at, hears in self._history if lost_at < at < now - RETURN_SPREAD
+        ]
+        if any(hears and at > lost_at + STORE_SILENCE for at, hears in meanwhile):
+            return False
+        return bool(meanwhile)
+
+    def _note_in_history(self, now: Instant, *, hears_store: bool) -> None:
+        for at, hears in reversed(self._history):
+            if now - at > HISTORY_INTERVAL:
+                break
+            if hears is hears_store:
+                return
+        self._history.append((now, hears_store))
 
     def regained_since(self, since: Instant) -> bool:
         """Return whether another entry has come to hear the store again."""
--- a/packages/ragwortwing-policy/tests/direct/test_feed_watch.py
+++ b/packages/ragwortwing-policy/tests/direct/test_feed_watch.py
@@ -146,6 +146,32 @@
     assert all(watches[name].was_for_all(lost_at=0.5, now=6.3) for name in others)
 
 
+def test_an_entry_cut_off_from_everyone_does_not_take_that_for_an_outage() -> None:
+    """Guards against a leaving server kept for seconds by entries that come back from a cut."""
+    watches = fleet()
+    cut = NAMES[0]
+    for moment in range(1, 17):
+        now = moment / 2
+        for name, watch in watches.items():
+            if name != cut:
+                watch.reached("operator", 4, now)
+                for peer, other in watches.items():
+                    if peer not in (name, cut):
+                        other.told(name, {}, now, hears_store=True)
+    watches[cut].told(NAMES[1], {}, 8.4, hears_store=True)
+    assert not watches[cut].was_for_all(lost_at=2.0, now=8.5)
+
+
+def test_an_entry_that_the_store_turned_away_while_others_took_turns_to_hear_it() -> None:
+    """Guards against an outage seen in the gap between two watchers that the store serves."""
+    watch = FeedWatch("entry-1")
+    for moment in range(20):
+        now = moment / 2
+        watch.told("before", {}, now, hears_store=now < 4.0)
+        watch.told("after", {}, now, hears_store=now > 6.0)
+    assert not watch.was_for_all(lost_at=1.0, now=9.6)
+
+
 def test_a_short_outage_counts_as_one_for_all() -> None:
     watches = fleet()
     assert watches[NAMES[0]].was_for_all(lost_at=0.5, now=2.0)
@@ -161,6 +187,8 @@
     watch.told("entry-3", {}, 0.0, hears_store=True)
     watch.told("entry-3", {}, 6.0, hears_store=False, unsure_for=2.5)
     assert watch.unsure_for(6.0) == 0.0
+    watch.told("entry-3", {}, 6.1, hears_store=True, unsure_for=2.4)
+    assert watch.unsure_for(6.1) == 0.0
 
 
 def test_a_long_wait_that_ends_is_no_return_of_the_store() -> None:
