Relay the store's feeds from a few watchers; send to peers that are heard but not listed

Now three watchers, found by rendezvous hashing as before, read the store; the first of them passes records on with the offsets that they lie between. An entry takes them only without a gap, and asks the store itself when a watcher's status is ahead of it or no watcher was heard for 1 s (watchers send a status each 0.4 s). The store's answers stay the truth, and an entry that the store turns away lives on its peers.

Also: a request that waits for nobody is decided on alone, looks at the whole line are 8 ms apart at least, and a placement looks up each engine's load once (a fifth of its processor time).

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
@@ -13,6 +13,7 @@
 from .entry_counters import EntryCounters
 from .peer_messages import (
     DecisionMessage,
+    FeedMessage,
     PlaceMessage,
     ReportMessage,
     WithdrawMessage,
@@ -169,7 +170,10 @@
             pool.room.notify()
 
     def _take_message(self, message: PeerMessage, address: Address) -> None:
-        """Take in a message of another entry on one of the pools."""
+        """Take in a message of another entry."""
+        if isinstance(message, FeedMessage):
+            self.state.relay.take(message)
+            return
         if isinstance(message, ReportMessage):
             if self.state.ledger.take(report_of(message), self.state.clock.monotonic()):
                 self._notify(message.pool)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -15,6 +15,7 @@
 from ragwortwing_policy.direct.scheduler_choice import SchedulerChoice
 
 from .decision_log import decided
+from .feed_relay import FeedRelay
 from .peer_link import PeerLink
 
 if TYPE_CHECKING:
@@ -50,6 +51,7 @@
         self.ledger = RunLedger(self.placement, self.trust, self._engine)
         statuses = StatusBook(identity.name, identity.capacity, self.watch, self.choice)
         self.peers = PeerLink(statuses, clock)
+        self.relay = FeedRelay(identity.name, self.peers, self.watch, clock)
         self.in_flight_by_backend: dict[str, int] = {}
         self._allowance = allowance
         self._budgets_by_service: dict[str, RepeatBudget] = {}
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from ragwortwing_policy.clock import Clock
+    from ragwortwing_policy.clock import Clock, Instant
     from ragwortwing_policy.direct.peer_status import StatusBook
 
     Handler = Callable[[PeerMessage, "Address"], None]
@@ -34,6 +34,11 @@
 Address = tuple[str, int]
 """IP number and port."""
 
+LEARNED_FOR = 5.0
+"""Seconds for which a peer is sent to that is not on the list of members but sends statuses.
+
+The list shows a new entry late, and one that the store turns away not at all."""
+
 STATUS_POLL = 0.1
 """Seconds between two checks whether a status is due."""
 
@@ -44,7 +49,9 @@
     def __init__(self, book: StatusBook, clock: Clock) -> None:
         self._book = book
         self._clock = clock
+        self._member_addresses_by_name: dict[str, Address] = {}
         self._addresses_by_name: dict[str, Address] = {}
+        self._heard_at_by_name: dict[str, Instant] = {}
         self._socket: socket.socket | None = None
         self._status_due = trio.Event()
         self._handler: Handler | None = None
@@ -54,9 +61,11 @@
 
     def set_peers(self, addresses_by_name: Mapping[str, Address]) -> None:
         """Take over where the others are."""
-        if dict(addresses_by_name) != self._addresses_by_name:
+        if dict(addresses_by_name) != self._member_addresses_by_name:
             decided("peers_changed", peers=sorted(addresses_by_name))
-        self._addresses_by_name = dict(addresses_by_name)
+        self._member_addresses_by_name = dict(addresses_by_name)
+        self._addresses_by_name.update(addresses_by_name)
+        self._forget_silent(self._clock.monotonic())
 
     def on_message(self, handler: Handler, can_schedule: Callable[[], bool]) -> None:
         """Register who takes in messages, and who knows whether this entry can schedule."""
@@ -77,6 +86,11 @@
         if address is not None:
             self.send_to(message, address)
 
+    def broadcast(self, message: PeerMessage) -> None:
+        """Send a message to all peers."""
+        for address in self._addresses_by_name.values():
+            self.send_to(message, address)
+
     def send_to(self, message: PeerMessage, address: Address) -> None:
         """Send a message to an address."""
         if self._socket is None:
@@ -106,9 +120,8 @@
             status = self._book.due(now)
             if status is None:
                 continue
-            message = status_message(status)
-            for address in self._addresses_by_name.values():
-                self.send_to(message, address)
+            self._forget_silent(now)
+            self.broadcast(status_message(status))
 
     async def _receive(self, sock: trio.socket.SocketType) -> None:
         while True:
@@ -125,6 +138,18 @@
 
     def _take(self, message: PeerMessage, address: Address) -> None:
         if isinstance(message, StatusMessage):
-            self._book.take(status_of(message), self._clock.monotonic())
+            now = self._clock.monotonic()
+            self._addresses_by_name[message.sender] = address
+            self._heard_at_by_name[message.sender] = now
+            self._book.take(status_of(message), now)
         elif self._handler is not None:
             self._handler(message, address)
+
+    def _forget_silent(self, now: Instant) -> None:
+        """Stop sending to entries that are on no list and have fallen silent."""
+        for name in list(self._addresses_by_name):
+            heard_at = self._heard_at_by_name.get(name)
+            is_silent = heard_at is None or now - heard_at > LEARNED_FOR
+            if is_silent and name not in self._member_addresses_by_name:
+                del self._addresses_by_name[name]
+                self._heard_at_by_name.pop(name, None)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
@@ -102,6 +102,17 @@
     ticket: str
 
 
+class FeedMessage(msgspec.Struct, frozen=True, array_like=True, tag="f"):
+    """Records of one of the store's feeds, each a key, a value and an offset."""
+
+    sender: str
+    feed: str
+    first: int
+    end: int
+    records: tuple[tuple[str, bytes | None, int], ...]
+    unsure_for: float
+
+
 class Decision(IntEnum):
     """What a scheduler says of a request."""
 
@@ -129,7 +140,9 @@
     waiting: int = 0
 
 
-PeerMessage = StatusMessage | ReportMessage | PlaceMessage | WithdrawMessage | DecisionMessage
+PeerMessage = (
+    StatusMessage | ReportMessage | PlaceMessage | WithdrawMessage | DecisionMessage | FeedMessage
+)
 
 encode: Callable[[PeerMessage], bytes] = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(PeerMessage).decode
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/waiting_room.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/waiting_room.py
@@ -21,7 +21,7 @@
 LOOK_AGAIN = 0.02
 """Seconds between two looks at what waits: backlogs shrink without any event."""
 
-LEAST_LOOK_INTERVAL = 0.004
+LEAST_LOOK_INTERVAL = 0.008
 """Seconds between two looks however much happens: each asks every engine for all that wait."""
 
 
@@ -50,11 +50,10 @@
             on_decision: Called once, possibly before this returns. A granted engine's load counts
                 the request from then on.
         """
-        nobody_waits = not len(self._line)
         self._callbacks_by_ticket[request.ticket] = on_decision
         self._line.enter(request, self._state.clock.monotonic())
-        if nobody_waits:
-            self._look()
+        if self._line.is_first(request.ticket):
+            self._look(only=request.ticket)
         self.notify()
 
     def leave(self, ticket: str) -> None:
@@ -81,7 +80,7 @@
                 await trio.sleep(LEAST_LOOK_INTERVAL)
                 self._look()
 
-    def _look(self) -> None:
+    def _look(self, only: str | None = None) -> None:
         now = self._state.clock.monotonic()
         ready = self._state.backends.ready(self._service)
         trusted = self._state.trust.trusted(ready, now)
@@ -93,5 +92,5 @@
             fresh = [each for each in trusted if each.id not in request.avoid]
             return fresh or trusted
 
-        for decision in self._line.look(traits, engines_for, now):
+        for decision in self._line.look(traits, engines_for, now, only):
             self._callbacks_by_ticket.pop(decision.request.ticket)(decision)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
@@ -1,10 +1,10 @@
-"""Who of the entries asks the store often, so that all notice in time that it has something new.
+"""Which entries follow the store's feeds for all others.
 
 A read of the store that waits for news brings it at once while all is well. What it does not show
 is a store that has stopped answering, or a connection that something on the way has forgotten: both
 look like no news until the wait is over. Short waits in every entry would show it, and each costs a
-call. So a few entries wait briefly and tell all others, in their statuses, how far they have read;
-the others wait long, and ask again when they hear that they are behind.
+call. So a few entries, the watchers, wait briefly, pass the records on and tell in their statuses
+how far they have read; the others ask the store only when they are behind that.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 
 
 WATCHERS = 3
-"""Entries that wait briefly: two may be lost at one moment."""
+"""Entries that follow the store: two may be lost at one moment."""
 
 SHORT_WAIT = 1.2
 """Seconds for which a watcher's read waits.
@@ -30,8 +30,14 @@
 With the time for an answer on top, a store's return is noticed within 2 s, and a configuration
 accepted just after it is in force within the 2 s that it may take."""
 
-LONG_WAIT = 10.0
-"""Seconds for which the other entries' reads wait."""
+WATCHER_SILENCE = 1.0
+"""Seconds without a word of any watcher after which an entry asks the store itself."""
+
+TAKE_OVER_STEP = 0.005
+"""Seconds by which each entry gives way to those that come before it as watchers."""
+
+LONGEST_TAKE_OVER = 0.2
+"""Most seconds by which an entry gives way."""
 
 STORE_SILENCE = 2.5
 """Seconds without an answer of the store after which an entry is no good watcher: a short wait, the
@@ -106,7 +112,11 @@
         """Note an answer of the store, and how far this entry has read."""
         self._heard_store_at = now
         self._heard_at_by_feed[feed] = now
-        self._position_by_feed[feed] = position
+        self.advanced(feed, position)
+
+    def advanced(self, feed: str, position: int) -> None:
+        """Note how far this entry is by records that a watcher passed on."""
+        self._position_by_feed[feed] = max(position, self._position_by_feed.get(feed, -1))
 
     def outage_over(self, unsure_until: Instant) -> None:
         """Note that the store is back, and until when a removal may stem from the outage."""
@@ -132,7 +142,7 @@
     ) -> None:
         """Take in what another entry tells.
 
-        An entry whose read waited through a whole outage learns of it only in this way. The doubt
+        An entry that follows watchers learns of an outage only in this way. The doubt
         of one that has been silent of late counts for nothing: it was cut off, not the store.
         """
         before = self._peers_by_name.get(peer)
@@ -141,8 +151,8 @@
             returned_at = now
         if returned_at is None or now - returned_at >= DOUBT_DISCOUNTED_FOR:
             self.outage_over(now + unsure_for)
-        # One that waits long seems to have lost the store between two answers; only where nobody
-        # heard it has it come back.
+        # An entry that follows watchers does not hear the store; only where nobody heard it has it
+        # come back.
         if hears_store and before is not None and not self._peers(now, hearing=True):
             self._regained_at = now
         self._peers_by_name[peer] = _PeerNews(now, hears_store, returned_at)
@@ -208,14 +218,31 @@
         ]
 
     def _is_among_first(self, names: list[str]) -> bool:
-        ahead = sum(1 for name in names if rank("watch", name) < rank("watch", self._name))
-        return ahead < WATCHERS
+        return self._ahead(names) < WATCHERS
+
+    def _ahead(self, names: list[str]) -> int:
+        own = rank("watch", self._name)
+        return sum(1 for name in names if rank("watch", name) < own)
 
     def is_behind(self, feed: str, now: Instant) -> bool:
         """Return whether others have read further for longer than an answer takes."""
         position, told_at = self._told_by_feed.get(feed, (-1, 0.0))
         return position > self._position_by_feed.get(feed, -1) and now - told_at > BEHIND_FOR
 
-    def wait(self, now: Instant) -> float:
-        """Return for how many seconds the next read waits for news."""
-        return SHORT_WAIT if self.is_watcher(now) else LONG_WAIT
+    def follows(self, now: Instant) -> bool:
+        """Return whether this entry may leave the store to watchers that it hears."""
+        recent = (
+            now - news.heard_at < WATCHER_SILENCE
+            for news in self._peers_by_name.values()
+            if news.hears_store
+        )
+        return any(recent) and not self.is_watcher(now)
+
+    def relays(self, now: Instant) -> bool:
+        """Return whether this entry passes on what it reads: the first of the watchers does."""
+        return self._ahead(self._peers(now, hearing=True)) == 0
+
+    def take_over_delay(self, now: Instant) -> float:
+        """Return for how many seconds this entry gives way to others that could watch instead."""
+        ahead = self._ahead(self._peers(now, hearing=False))
+        return min(LONGEST_TAKE_OVER, TAKE_OVER_STEP * ahead)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_status.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_status.py
@@ -17,6 +17,9 @@
 STATUS_INTERVAL = 1.0
 """Seconds between statuses while nothing changes."""
 
+WATCHER_INTERVAL = 0.4
+"""Seconds between statuses of an entry that watches the store: others rely on hearing one."""
+
 
 @dataclass(frozen=True, slots=True)
 class PeerStatus:
@@ -62,7 +65,9 @@
         """Return the status to send, if it is time or something that others act on has changed."""
         status = self.status(now)
         sent = self._sent
-        is_recent = sent is not None and now - self._sent_at < STATUS_INTERVAL
+        watches = status.hears_store and self._watch.is_watcher(now)
+        interval = WATCHER_INTERVAL if watches else STATUS_INTERVAL
+        is_recent = sent is not None and now - self._sent_at < interval
         if is_recent and self._acted_on(status, now) == self._acted_on(sent, now):
             return None
         self._sent, self._sent_at = status, now
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -231,11 +231,11 @@
         self._traits = traits
         self._stretch = placement.stretch(question.service).factor(question.urgency)
         self._now = now
-        self._kept_by_id = {
-            each.id: placement.load(each, traits).kept_tokens(question.prompt) for each in engines
-        }
+        self._load_by_id = {each.id: placement.load(each, traits) for each in engines}
+        prompt = question.prompt
+        self._kept_by_id = {key: load.kept_tokens(prompt) for key, load in self._load_by_id.items()}
         self._fetchable_by_id = {
-            each.id: placement.load(each, traits).read_tokens(question.prompt) for each in engines
+            key: load.read_tokens(prompt) for key, load in self._load_by_id.items()
         }
         self._source = self._fetch_source(engines)
 
@@ -262,19 +262,20 @@
         Prompts that arrive together are read in one go: they are sent to an engine one after
         another, as it has read what it was sent, while the first event's target leaves time.
         """
-        return [each for each in engines if self._read_in_one_go(each) <= self._allowance(each)]
+        return [each for each in engines if self._is_quiet(each)]
 
-    def _read_in_one_go(self, engine: BackendServer) -> float:
-        load = self._load(engine)
-        span = self.question.shortest_pause or 0.0
-        return load.reading_within(span, self._now) + load.reading_seconds(self.reading(engine))
+    def _is_quiet(self, engine: BackendServer) -> bool:
+        """Return whether an engine may read the prompt in one go with what it reads already.
 
-    def _allowance(self, engine: BackendServer) -> float:
-        """Return the seconds of reading that an engine may have; a prompt alone always may."""
-        span = self.question.shortest_pause or 0.0
-        idle = self._load(engine).reading_within(span, self._now) <= 0.0
-        allowance = self.question.reading_allowance
-        return inf if idle and not self.question.prompt.is_long else allowance
+        A short prompt that is alone always may.
+        """
+        load = self._load(engine)
+        going_on = load.reading_within(self.question.shortest_pause or 0.0, self._now)
+        if going_on <= 0.0 and not self.question.prompt.is_long:
+            return True
+        return going_on + load.reading_seconds(self.reading(engine)) <= (
+            self.question.reading_allowance
+        )
 
     def reading(self, engine: BackendServer) -> PromptReading:
         """Return how an engine would come by the prompt."""
@@ -311,7 +312,7 @@
         return elsewhere, rank(self.question.prompt.session, engine.id)
 
     def _load(self, engine: BackendServer) -> EngineLoad:
-        return self._placement.load(engine, self._traits)
+        return self._load_by_id[engine.id]
 
     def _first_event_after(self, engine: BackendServer) -> float:
         load = self._load(engine)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
@@ -99,11 +99,19 @@
         """Take a request out of the line."""
         self._waiting.pop(ticket, None)
 
+    def is_first(self, ticket: str) -> bool:
+        """Return whether a request waits for nobody: all that are as urgent have been placed."""
+        urgency = self._waiting[ticket].waiter.urgency
+        return not any(
+            each.waiter.urgency <= urgency for key, each in self._waiting.items() if key != ticket
+        )
+
     def look(
         self,
         traits: EngineTraits | None,
         engines_for: Callable[[WaitingRequest], Sequence[BackendServer]],
         now: Instant,
+        only: str | None = None,
     ) -> list[Granted | TurnedAway]:
         """Decide on everyone in the line, in the order of waiting.
 
@@ -111,11 +119,13 @@
             traits: What the configuration tells of the engines; None where it has none.
             engines_for: Returns the engines that a request may go to.
             now: The present instant.
+            only: Ticket of the only request to decide on, where there is one.
 
         Returns:
             What was decided; everyone else waits on.
         """
-        ordered = sorted(self._waiting.values(), key=lambda each: waiting_order(each.waiter, now))
+        looked_at = self._waiting.values() if only is None else (self._waiting[only],)
+        ordered = sorted(looked_at, key=lambda each: waiting_order(each.waiter, now))
         decisions: list[Granted | TurnedAway] = []
         self._earliest_by_urgency.clear()
         for request in ordered:
--- a/packages/ragwortwing-policy/tests/direct/test_feed_watch.py
+++ b/packages/ragwortwing-policy/tests/direct/test_feed_watch.py
@@ -4,10 +4,9 @@
 
 from ragwortwing_policy.direct.feed_watch import (
     IDLE_RETRY,
-    LONG_WAIT,
     PROBE_RETRY,
-    SHORT_WAIT,
     TURNED_AWAY_RETRY,
+    WATCHER_SILENCE,
     WATCHERS,
     FeedWatch,
 )
@@ -34,11 +33,36 @@
     return {name for name, watch in watches.items() if watch.is_watcher(now)}
 
 
-def test_three_of_many_wait_briefly() -> None:
+def test_three_of_many_watch_and_one_relays() -> None:
     watches = fleet()
     assert len(watchers(watches, 0.1)) == WATCHERS
-    waits = sorted(watch.wait(0.1) for watch in watches.values())
-    assert waits == [SHORT_WAIT] * WATCHERS + [LONG_WAIT] * (len(NAMES) - WATCHERS)
+    following = {name for name, watch in watches.items() if watch.follows(0.1)}
+    assert following == set(NAMES) - watchers(watches, 0.1)
+    relays = {name for name, watch in watches.items() if watch.relays(0.1)}
+    assert len(relays) == 1
+    assert relays < watchers(watches, 0.1)
+
+
+def test_nobody_follows_watchers_that_are_silent() -> None:
+    """Guards against a fleet that hears of no change for as long as its watchers are thought of."""
+    watches = fleet()
+    assert not any(watch.follows(WATCHER_SILENCE + 0.1) for watch in watches.values())
+
+
+def test_entries_give_way_to_those_that_watch_before_them() -> None:
+    """Guards against a call of every entry at the moment at which the watchers are lost."""
+    watches = fleet()
+    delays = sorted(watch.take_over_delay(0.1) for watch in watches.values())
+    assert delays[0] == 0.0
+    assert len(set(delays)) == len(NAMES)
+
+
+def test_relayed_records_are_no_answer_of_the_store() -> None:
+    watch = FeedWatch("entry-1")
+    watch.advanced("operator", 9)
+    watch.advanced("operator", 4)
+    assert watch.positions_by_feed == {"operator": 9}
+    assert not watch.hears_store(0.1)
 
 
 def test_an_entry_on_its_own_watches() -> None:
