--- a/packages/ragwortwing-entry/src/ragwortwing_entry/commands/inspect.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/commands/inspect.py
@@ -1,16 +1,21 @@
-"""`ragwortwing status`, `ragwortwing request show` and `ragwortwing request explain`."""
+"""`ragwortwing status`, and what `ragwortwing request` shows of requests and logs."""
 
 from __future__ import annotations
 
 import sys
-from typing import BinaryIO
+from pathlib import Path
+from typing import TYPE_CHECKING, BinaryIO
 
 import click
 import httpcore
 import msgspec
 
+from ragwortwing_entry.direct.log_losses import losses
 from ragwortwing_entry.direct.log_story import UnknownRequestError, tell_story
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 TIMEOUT_SECONDS = 5.0
 
 UNREACHABLE_EXIT_CODE = 1
@@ -62,6 +67,30 @@
         click.echo(f"{story.skipped} lines could not be read and were passed over", err=True)
 
 
+@request.command(name="losses")
+@click.argument("folder", type=click.Path(exists=True, path_type=Path))
+@click.option("--span", default=5.0, show_default=True, help="Seconds of each row.")
+@click.option("--csv", "as_csv", is_flag=True, help="Print comma-separated values.")
+def show_losses(folder: Path, span: float, *, as_csv: bool) -> None:
+    """Tell which requests missed their targets, by route, time and reason.
+
+    FOLDER holds the logs of one or more processes; a single file is taken too.
+    """
+    if span <= 0:
+        raise click.BadParameter("must be above 0", param_hint="--span")
+    files = sorted(folder.rglob("*")) if folder.is_dir() else [folder]
+    table = losses(_lines_of([each for each in files if each.is_file()]), span)
+    click.echo(table.to_csv() if as_csv else table.render(), nl=not as_csv)
+    if table.skipped:
+        click.echo(f"{table.skipped} lines could not be read and were passed over", err=True)
+
+
+def _lines_of(files: list[Path]) -> Iterator[bytes]:
+    for path in files:
+        with path.open("rb") as file:
+            yield from file
+
+
 def _get(address: str, path: str) -> str:
     timeouts = dict.fromkeys(("connect", "read", "write", "pool"), TIMEOUT_SECONDS)
     try:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/log_story.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/log_story.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
-from typing import Any
+from dataclasses import dataclass
 
-import msgspec
+from .log_lines import Fields, read_log_lines, time_of
 
 AROUND = 5.0
 """Seconds around a request in which a change of belief is told with it: longer than any outage is
@@ -15,7 +14,6 @@
 BELIEFS_ABOUT_ALL = ("store_lost", "store_regained", "configuration_in_force", "Draining")
 """Changes of belief that touch every request of a process."""
 
-Fields = dict[str, Any]
 Sentence = Callable[[Fields], str]
 
 SENTENCES_BY_MESSAGE: dict[str, Sentence] = {}
@@ -60,12 +58,6 @@
     """Lines that could not be read."""
 
 
-@dataclass(slots=True)
-class _Logs:
-    lines: list[Fields] = field(default_factory=list)
-    skipped: int = 0
-
-
 def tell_story(request_id: str, log_lines: Iterable[bytes]) -> Story:
     """Return the story of a request.
 
@@ -77,48 +69,29 @@
     Raises:
         UnknownRequestError: No line names the request.
     """
-    logs = _read(log_lines)
+    logs = read_log_lines(log_lines)
     own = [line for line in logs.lines if line.get("request_id") == request_id]
     if not own:
         raise UnknownRequestError(request_id, len(logs.lines), logs.skipped)
-    own.sort(key=_time)
-    chosen = sorted([*own, *_beliefs_near(own, logs.lines)], key=_time)
-    start = _time(own[0])
+    own.sort(key=time_of)
+    chosen = sorted([*own, *_beliefs_near(own, logs.lines)], key=time_of)
+    start = time_of(own[0])
     lines = tuple(
-        StoryLine(round(_time(line) - start, 3), str(line.get("process", "")), _sentence(line))
+        StoryLine(round(time_of(line) - start, 3), str(line.get("process", "")), _sentence(line))
         for line in chosen
     )
     return Story(request_id, lines, _cause(own), logs.skipped)
 
 
-def _read(log_lines: Iterable[bytes]) -> _Logs:
-    logs = _Logs()
-    for raw in log_lines:
-        try:
-            line = msgspec.json.decode(raw[raw.index(b"{") :], type=dict[str, Any])
-        except (ValueError, msgspec.MsgspecError):
-            logs.skipped += bool(raw.strip())
-            continue
-        if isinstance(line.get("message"), str) and isinstance(line.get("time"), float | int):
-            logs.lines.append(line)
-        else:
-            logs.skipped += "ready" not in line
-    return logs
-
-
-def _time(line: Fields) -> float:
-    return float(line["time"])
-
-
 def _beliefs_near(own: list[Fields], lines: list[Fields]) -> list[Fields]:
-    first, last = _time(own[0]) - AROUND, _time(own[-1]) + AROUND
+    first, last = time_of(own[0]) - AROUND, time_of(own[-1]) + AROUND
     processes = {line.get("process") for line in own}
     backends = {line["backend"] for line in own if line.get("backend")}
 
     def concerns(line: Fields) -> bool:
         if line.get("request_id") or line.get("process") not in processes:
             return False
-        if not first <= _time(line) <= last:
+        if not first <= time_of(line) <= last:
             return False
         return line["message"] in BELIEFS_ABOUT_ALL or line.get("backend") in backends
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -137,6 +137,8 @@
             version=table.version,
             prompt_tokens=self._request.prompt.prompt_tokens if self._request.prompt else None,
             left_s=round(self._deadline - self._now(), 3),
+            target_ms=_milliseconds(self._route.latency_target),
+            pause_target_ms=_milliseconds(self._route.pause_target),
         )
 
     # Sends
@@ -410,3 +412,7 @@
 
 def _cause(conclusion: Refused | Unresolved | Denial) -> str:
     return conclusion.value if isinstance(conclusion, Denial) else conclusion.reason.value
+
+
+def _milliseconds(span: timedelta | None) -> int | None:
+    return None if span is None else round(1000 * span.total_seconds())
