--- /dev/null
+++ b/packages/ragwortwing-entry/tests/direct/test_engine_admission.py
@@ -0,0 +1,254 @@
+"""An entry and the scheduler that it asks, over a network that loses what the test says."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from datetime import UTC, datetime, timedelta
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+import pytest
+import trio
+
+from ragwortwing_entry.direct.direct_entry import DirectEntry
+from ragwortwing_entry.direct.entry_state import EntryIdentity, EntryState
+from ragwortwing_entry.direct.peer_messages import (
+    Decision,
+    DecisionMessage,
+    PlaceMessage,
+    ReportMessage,
+)
+from ragwortwing_policy.direct.backend_list import BackendServer
+from ragwortwing_policy.direct.prompt_parts import Prompt, PromptPart
+from ragwortwing_policy.direct.repeat_budget import RepeatAllowance
+from ragwortwing_policy.direct.routing_table import EngineTraits, RoutingTable, Service
+from ragwortwing_policy.direct.run_ledger import GRANT_EXPIRY
+from ragwortwing_policy.direct.scheduler_choice import Candidate
+from ragwortwing_policy.direct.waiting_line import Granted, WaitingRequest
+from ragwortwing_policy.direct.waiting_order import Waiter
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from ragwortwing_entry.direct.ports import Refused
+
+POOL = "engines"
+TRAITS = EngineTraits(slots=4, memory_tokens=100_000, tokens_per_event=5)
+SERVERS = [BackendServer(f"i-{number}", POOL, "", "suva", TRAITS.slots) for number in range(2)]
+
+Drop = Callable[[str, Any], bool]
+
+
+class TrioClock:
+    def monotonic(self) -> float:
+        return trio.current_time()
+
+    def utc_now(self) -> datetime:
+        return datetime(2026, 1, 1, tzinfo=UTC)
+
+
+class Link:
+    """The datagrams of one entry; an address is the name of another."""
+
+    def __init__(self, name: str, links_by_name: dict[str, Link], network: Network) -> None:
+        self.name = name
+        self._links_by_name = links_by_name
+        self._network = network
+        self._handler: Callable[[Any, Any], None] = lambda *_: None
+
+    def on_message(self, handler: Callable[[Any, Any], None], _: Callable[[], bool]) -> None:
+        self._handler = handler
+
+    def wake(self) -> None:
+        pass
+
+    def knows(self, peer: str) -> bool:
+        return peer in self._links_by_name
+
+    def send(self, message: Any, peer: str) -> None:
+        self.send_to(message, (peer, 0))
+
+    def send_to(self, message: Any, address: tuple[str, int]) -> None:
+        self._network.sent.append((self.name, message))
+        if not self._network.drop(self.name, message):
+            receiver = self._links_by_name[address[0]]
+            self._network.deliver(receiver, message, (self.name, 0))
+
+    def receive(self, message: Any, address: tuple[str, int]) -> None:
+        self._handler(message, address)
+
+
+class Network:
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.drop: Drop = lambda *_: False
+        self.sent: list[tuple[str, Any]] = []
+        self._nursery = nursery
+
+    def deliver(self, receiver: Link, message: Any, address: tuple[str, int]) -> None:
+        async def later() -> None:
+            await trio.sleep(0.001)
+            receiver.receive(message, address)
+
+        self._nursery.start_soon(later)
+
+    def count(self, sender: str, kind: type) -> int:
+        return sum(name == sender and isinstance(message, kind) for name, message in self.sent)
+
+
+class Site:
+    """The entry of the test and the scheduler."""
+
+    def __init__(self, network: Network) -> None:
+        links: dict[str, Link] = {}
+        self.network = network
+        for name in ("scheduler", "entry"):
+            links[name] = Link(name, links, network)
+        self.scheduler = _entry(links["scheduler"])
+        self.entry = _entry(links["entry"])
+
+    async def keep_hearing(self) -> None:
+        while True:
+            now = trio.current_time()
+            candidate = Candidate("scheduler", 9.0, 60.0, now)
+            self.entry.state.choice.hear(candidate)
+            self.scheduler.state.choice.offer(candidate)
+            await trio.sleep(0.5)
+
+    async def admit(self, ticket: str = "r-1", tokens: int = 500) -> Granted | Refused:
+        now = trio.current_time()
+        waiter = Waiter(0, now + 0.4, now + 5.0, now)
+        prompt = Prompt("m", (PromptPart(ticket, tokens),), tokens, 10)
+        request = WaitingRequest(ticket, ticket, prompt, waiter)
+        return await self.entry.pool(POOL).admission.admit(request)
+
+    def running(self) -> int:
+        loads = self.scheduler.state.placement.loads_by_id.values()
+        return sum(load.running for load in loads)
+
+
+def _entry(link: Link) -> DirectEntry:
+    allowance = RepeatAllowance(0.2, 10, timedelta(seconds=10))
+    state = EntryState(EntryIdentity(link.name, "suva"), allowance, TrioClock())
+    state.peers = link  # type: ignore[assignment]
+    state.accept_table(RoutingTable(1, (), {POOL: Service(POOL, TRAITS)}, {}))
+    for server in SERVERS:
+        state.backends.put(server)
+    return DirectEntry(state, None, Random(1))  # type: ignore[arg-type]
+
+
+@pytest.fixture
+async def site(autojump_clock: object) -> AsyncIterator[Site]:
+    async with trio.open_nursery() as nursery:
+        found = Site(Network(nursery))
+        await nursery.start(found.entry.run)
+        await nursery.start(found.scheduler.run)
+        nursery.start_soon(found.keep_hearing)
+        await trio.sleep(0.01)
+        yield found
+        nursery.cancel_scope.cancel()
+
+
+def first(count: int, kind: type) -> Drop:
+    """Lose the first messages of a kind."""
+    left = [count]
+
+    def drop(_: str, message: Any) -> bool:
+        if not isinstance(message, kind) or not left[0]:
+            return False
+        left[0] -= 1
+        return True
+
+    return drop
+
+
+async def test_a_request_is_granted_by_the_scheduler(site: Site) -> None:
+    granted = await site.admit()
+    assert isinstance(granted, Granted)
+    await trio.sleep(0.1)
+    assert site.running() == 1
+    assert site.network.count("entry", PlaceMessage) == 1
+
+
+@pytest.mark.parametrize("kind", [PlaceMessage, DecisionMessage])
+async def test_a_lost_question_or_grant_is_made_good(site: Site, kind: type) -> None:
+    """Guards against a caller that waits, or an engine counted twice, for one lost datagram."""
+    site.network.drop = first(1, kind)
+    began = trio.current_time()
+    assert isinstance(await site.admit(), Granted)
+    assert trio.current_time() - began < 0.1
+    await trio.sleep(0.2)
+    assert site.running() == 1
+
+
+async def test_without_an_answer_the_entry_decides_itself(site: Site) -> None:
+    """Guards against callers that wait for a scheduler which is gone."""
+    site.network.drop = lambda sender, _: sender == "scheduler"
+    began = trio.current_time()
+    assert isinstance(await site.admit(), Granted)
+    assert trio.current_time() - began < 0.3
+
+
+async def test_answers_lost_one_way_leave_no_slot_taken(site: Site) -> None:
+    """Guards against grants that count for good because nobody got them."""
+    site.network.drop = lambda sender, message: (
+        sender == "scheduler" or isinstance(message, ReportMessage)
+    )
+    assert isinstance(await site.admit(), Granted)
+    await trio.sleep(GRANT_EXPIRY + 0.3)
+    assert site.running() == 0
+
+
+async def test_a_caller_that_leaves_frees_its_place(site: Site) -> None:
+    """Guards against a queue of requests that nobody waits for."""
+    for number in range(2 * TRAITS.slots):
+        assert isinstance(await site.admit(f"r-{number}"), Granted)
+    with trio.move_on_after(0.05):
+        await site.admit("leaves")
+    await trio.sleep(0.05)
+    assert len(site.scheduler.pool(POOL).room) == 0
+    assert site.running() == 2 * TRAITS.slots
+
+
+async def test_a_queued_request_of_a_lost_entry_is_dropped(site: Site) -> None:
+    """Guards against engines granted to an entry that died while its request waited."""
+    for number in range(2 * TRAITS.slots):
+        await site.admit(f"r-{number}")
+    site.network.drop = lambda sender, _: sender == "entry"
+    with trio.move_on_after(0.1):
+        await site.admit("lost")
+    await trio.sleep(4.0)
+    assert len(site.scheduler.pool(POOL).room) == 0
+    assert site.running() == 0
+
+
+async def test_a_scheduler_lost_while_a_request_is_queued_is_passed_over(site: Site) -> None:
+    for number in range(2 * TRAITS.slots):
+        await site.admit(f"r-{number}")
+    with trio.move_on_after(2.0) as scope:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(site.admit, "queued")
+            await trio.sleep(0.1)
+            assert len(site.scheduler.pool(POOL).room) == 1
+            site.network.drop = lambda sender, _: sender == "scheduler"
+            await trio.sleep(0.5)
+            assert len(site.entry.pool(POOL).room) == 1
+            nursery.cancel_scope.cancel()
+    assert not scope.cancelled_caught
+
+
+async def test_a_grant_of_a_server_that_leaves_is_not_used(site: Site) -> None:
+    """Guards against work for a leaving server, by a scheduler whose list is behind."""
+    site.entry.state.backends.put(replace(SERVERS[0], leaving=True))
+    for number in range(TRAITS.slots):
+        granted = await site.admit(f"r-{number}")
+        assert isinstance(granted, Granted)
+        assert granted.backend.id == SERVERS[1].id
+    await trio.sleep(GRANT_EXPIRY)
+    assert site.running() == TRAITS.slots
+
+
+async def test_a_grant_that_comes_too_late_is_handed_back(site: Site) -> None:
+    late = DecisionMessage("scheduler", POOL, "gone", Decision.GRANTED, backend_id="i-0")
+    site.entry.pool(POOL).admission.take(late)
+    assert site.network.sent[-1][1].ticket == "gone"
