Let large prompts find nearly as much backlog as others

With exact knowledge small prompts keep the backlog of every engine just below what they can stand themselves, 0.64 of the target, and a prompt that takes long to read alone was placed only behind 0.2 of it; entries that guessed let some in by chance.

The test replays that burst and failed before.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
@@ -172,6 +172,19 @@
     vain_fetches: int = 0
     """Fetches that brought nothing, so that the engine read what it had been told to fetch."""
     worth: float = 0.0
+    requests: list[_Request] = field(default_factory=list)
+
+    @property
+    def share_served(self) -> float:
+        """Answered whole before the deadline, of those asked."""
+        return (self.on_time + self.late) / self.asked if self.asked else 0.0
+
+    @property
+    def share_of_largest_served(self) -> float:
+        """The same of the tenth with the largest prompts."""
+        ordered = sorted(self.requests, key=lambda each: -each.prompt.prompt_tokens)
+        largest = ordered[: max(1, len(ordered) // 10)]
+        return sum(each.is_served for each in largest) / len(largest) if largest else 0.0
 
     @property
     def share_on_time(self) -> float:
@@ -188,6 +201,7 @@
     last_event_at: float | None = None
     first_event_after: float = 0.0
     longest_pause: float = 0.0
+    is_served: bool = False
 
 
 @dataclass(slots=True)
@@ -289,6 +303,7 @@
         ticket = f"{kind.name}-{next(fleet.order)}"
         fleet.requests_by_ticket[ticket] = request
         fleet.results_by_kind[kind.name].asked += 1
+        fleet.results_by_kind[kind.name].requests.append(request)
         if fleet.replay.placing is Placing.OURS:
             _enter(fleet, fleet.random.choice(fleet.entries), ticket, now)
         else:
@@ -480,6 +495,7 @@
     if at - request.arrived_at > kind.deadline:
         result.cut += 1
         return
+    request.is_served = True
     if request.first_event_after <= kind.target and request.longest_pause <= kind.pause:
         result.on_time += 1
         result.worth += kind.worth
--- a/packages/ragwortwing-lab/tests/test_burst_replay.py
+++ b/packages/ragwortwing-lab/tests/test_burst_replay.py
@@ -134,6 +134,22 @@
     assert sum(map(total, declared)) > sum(map(total, by_length))
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_large_prompts_are_served_in_a_burst(seed: int) -> None:
+    """Guards against small prompts that keep every engine too busy for a large one."""
+    replay = Replay(
+        Placing.OURS,
+        seed,
+        engines=6,
+        bursts=(Burst("review", 0.5, 10.0, 6.0),),
+        pace=SMALL_CHUNKS,
+        kinds=(NOTE, SUMMARY, REVIEW),
+    )
+    review = run_replay(replay)["review"]
+    assert review.share_served < 0.95
+    assert review.share_of_largest_served > 0.5 * review.share_served
+
+
 def run_alone(engine: BatchingEngine, prompt: Prompt) -> list[float]:
     events: list[float] = []
     ends: list[float] = []
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_order.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_order.py
@@ -12,7 +12,7 @@
 target. In a burst every placement fills what it may; with nothing left for the error of predictions
 half of them come a little late, while engines with a shorter queue read as much."""
 
-LARGE_WAIT = 0.5
+LARGE_WAIT = 0.9
 """Part of its target that a request may wait besides the time that its own prompt takes."""
 
 LAST_CALL = 0.25
@@ -62,9 +62,9 @@
 def due_at(waiter: Waiter, alone: float) -> Instant:
     """Return until when a request's first event is waited for.
 
-    A prompt that takes most of its target to read alone would find every engine too busy and never
-    be served in a burst, though its caller minds being late less than being refused. It may wait
-    for half as long as the others all the same.
+    Smaller prompts keep the backlog of every engine just below what they can stand themselves. A
+    prompt that takes long to read alone would never find one in a burst, though its caller minds
+    being late less than being refused: it may find nearly as much backlog as the others.
 
     Args:
         waiter: What is known of the request.
