--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -80,6 +80,22 @@
             restarted=restarted,
         )
 
+    def backend_removed(self, backend_id: str, unsure: float) -> bool:
+        """Take over that a backend server is no longer listed; return whether it is gone.
+
+        Args:
+            backend_id: The backend server.
+            unsure: Seconds for which the removal may still stem from an outage of the store.
+        """
+        if backend_id not in self.backends.by_id:
+            return False
+        if unsure > 0.0:
+            self.backends.mark_missing(backend_id, self.clock.monotonic() + unsure)
+            decided("backend_missing", backend=backend_id, kept_s=round(unsure, 3))
+            return False
+        self.backend_gone(backend_id)
+        return True
+
     def backend_gone(self, backend_id: str) -> None:
         """Forget a backend server."""
         self.backends.remove(backend_id)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
@@ -58,6 +58,10 @@
 return, and this is for the case that they are not. 26 entries that all asked at the probers' pace
 made 260 calls a second, each of them paid for."""
 
+AFTER_OUTAGE = 2.5
+"""Seconds after the store's return in which a removal may stem from the outage itself: entries that
+lapsed are back within about two, and half a second is for noticing the return."""
+
 RETURN_SPREAD = 1.5
 """Seconds within which all entries hear the store again once the first of them does."""
 
