Remove what the digests left behind in placement and unread prompts

Found in a last read of the change: _Choice kept a placement that it no longer asked, and UnreadPrompts counted several ranks at once and listed them only for digests. add and remove share one private step now; the doctest asks for the same seconds by rank through seconds(). WaitingRoom._look is _dispatch, the field's word.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/waiting_room.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/waiting_room.py
@@ -53,7 +53,7 @@
         self._callbacks_by_ticket[request.ticket] = on_decision
         self._line.enter(request, self._state.clock.monotonic())
         if self._line.is_first(request.ticket):
-            self._look(only=request.ticket)
+            self._dispatch(only=request.ticket)
         self.notify()
 
     def leave(self, ticket: str) -> None:
@@ -72,15 +72,15 @@
             await self._news.wait()
             self._news = trio.Event()
             await trio.sleep(LEAST_LOOK_INTERVAL)
-            self._look()
+            self._dispatch()
             while len(self._line):
                 with trio.move_on_after(LOOK_AGAIN):
                     await self._news.wait()
                 self._news = trio.Event()
                 await trio.sleep(LEAST_LOOK_INTERVAL)
-                self._look()
+                self._dispatch()
 
-    def _look(self, only: str | None = None) -> None:
+    def _dispatch(self, only: str | None = None) -> None:
         now = self._state.clock.monotonic()
         ready = self._state.backends.ready(self._service)
         trusted = self._state.trust.trusted(ready, now)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -227,7 +227,6 @@
         now: Instant,
     ) -> None:
         self.question = question
-        self._placement = placement
         self._traits = traits
         self._stretch = placement.stretch(question.service).factor(question.urgency)
         self._now = now
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/unread_prompts.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/unread_prompts.py
@@ -2,13 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from .routing_table import LEAST_URGENT_TIER
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable
-
 
 class UnreadPrompts:
     """Prompts that were sent to an engine and have had no first event, as seconds of reading.
@@ -20,8 +15,8 @@
         >>> unread.seconds(0), unread.seconds(2), unread.prompts
         (0.25, 0.75, 2)
         >>> unread.remove(0, 0.25)
-        >>> unread.seconds_by_urgency()
-        ((2, 0.5),)
+        >>> [unread.seconds(rank) for rank in range(4)], unread.prompts
+        ([0.0, 0.0, 0.5, 0.5], 1)
     """
 
     __slots__ = ("_seconds", "prompts")
@@ -32,18 +27,16 @@
 
     def add(self, urgency: int, seconds: float) -> None:
         """Count a prompt."""
-        self.count(1, ((urgency, seconds),))
+        self._change(1, urgency, seconds)
 
     def remove(self, urgency: int, seconds: float) -> None:
         """Take a prompt out that has been read, or will not be."""
-        self.count(-1, ((urgency, -seconds),))
+        self._change(-1, urgency, -seconds)
 
-    def count(self, prompts: int, seconds: Iterable[tuple[int, float]]) -> None:
-        """Count some prompts with their seconds by urgency; negative ones take out."""
+    def _change(self, prompts: int, urgency: int, seconds: float) -> None:
         self.prompts += prompts
-        for urgency, amount in seconds:
-            rank = min(LEAST_URGENT_TIER, max(0, urgency))
-            self._seconds[rank] = max(0.0, self._seconds[rank] + amount)
+        rank = min(LEAST_URGENT_TIER, max(0, urgency))
+        self._seconds[rank] = max(0.0, self._seconds[rank] + seconds)
         if not self.prompts:
             # Sums of fractions leave a rest behind, and an idle engine would look busy.
             self._seconds = [0.0] * (LEAST_URGENT_TIER + 1)
@@ -51,7 +44,3 @@
     def seconds(self, urgency: int = LEAST_URGENT_TIER) -> float:
         """Return the seconds of reading of prompts at least as urgent."""
         return sum(self._seconds[: urgency + 1])
-
-    def seconds_by_urgency(self) -> tuple[tuple[int, float], ...]:
-        """Return the seconds of each rank that has any."""
-        return tuple((n, round(each, 4)) for n, each in enumerate(self._seconds) if each > 0.0)
