Report usage by one entry at a time under a lease in the log

The platform's log gives a conditional append but no time, so three things are apart: who may act (the newest record of a keyed topic, appended only where the log was read to end; its offset is the fencing number), until when (a lease by the clock that counts suspensions, from before the append was asked for), and what is said (the counts of a window stand in the same record before they are first sent, so a successor repeats exactly these). A record is both renewal and decision: one append a window. Every entry counts runs by window of the fleet's median clock and reports cumulative counts to the first two candidates.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
@@ -16,6 +16,7 @@
     FeedMessage,
     PlaceMessage,
     ReportMessage,
+    UsageMessage,
     WithdrawMessage,
     report_of,
 )
@@ -25,6 +26,7 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from ragwortwing_entry.duties.fleet_duties import FleetDuties
     from ragwortwing_policy.clock import Instant
     from ragwortwing_policy.direct.backend_list import BackendServer
     from ragwortwing_policy.direct.routing_table import Route
@@ -42,8 +44,15 @@
 class DirectEntry:
     """Serves callers' requests by calls to backend servers."""
 
-    def __init__(self, state: EntryState, calls: BackendCalls, random: Random) -> None:
+    def __init__(
+        self,
+        state: EntryState,
+        calls: BackendCalls,
+        random: Random,
+        duties: FleetDuties | None = None,
+    ) -> None:
         self.state = state
+        self.duties = duties
         self.calls = calls
         self.in_flight = 0
         self.counters = EntryCounters()
@@ -78,6 +87,8 @@
             nursery.start_soon(self._drop_missing_backends)
             nursery.start_soon(self._reporting.run)
             nursery.start_soon(self._expire_runs)
+            if self.duties is not None:
+                nursery.start_soon(self.duties.run)
             task_status.started()
             await trio.sleep_forever()
 
@@ -145,6 +156,11 @@
         """Return when a caller should come back that found no backend server."""
         return RETRY_AFTER * (1 + self._random.random())
 
+    def run_began(self, account: str | None, began_at: Instant) -> None:
+        """Count a request that a backend server began to run; public routes have no account."""
+        if self.duties is not None and account is not None:
+            self.duties.count(account, began_at)
+
     def engine_first_event(self, backend_id: str, service: str, ticket: str) -> None:
         """Note that an engine has read a request's prompt."""
         now = self.state.clock.monotonic()
@@ -174,6 +190,10 @@
         if isinstance(message, FeedMessage):
             self.state.relay.take(message)
             return
+        if isinstance(message, UsageMessage):
+            if self.duties is not None:
+                self.duties.take(message)
+            return
         if isinstance(message, ReportMessage):
             if self.state.ledger.take(report_of(message), self.state.clock.monotonic()):
                 self._notify(message.pool)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -13,6 +13,8 @@
 from ragwortwing_policy.direct.repeat_budget import RepeatAllowance, RepeatBudget
 from ragwortwing_policy.direct.run_ledger import RunLedger
 from ragwortwing_policy.direct.scheduler_choice import SchedulerChoice
+from ragwortwing_policy.duties.candidates import DutyCandidates
+from ragwortwing_policy.duties.fleet_time import FleetTime
 
 from .decision_log import decided
 from .feed_relay import FeedRelay
@@ -49,7 +51,16 @@
         self.watch = FeedWatch(identity.name)
         self.choice = SchedulerChoice(identity.name)
         self.ledger = RunLedger(self.placement, self.trust, self._engine)
-        statuses = StatusBook(identity.name, identity.capacity, self.watch, self.choice)
+        self.candidates = DutyCandidates(identity.name)
+        self.fleet_time = FleetTime(clock)
+        statuses = StatusBook(
+            identity.name,
+            identity.capacity,
+            self.watch,
+            self.choice,
+            self.candidates,
+            self.fleet_time,
+        )
         self.peers = PeerLink(statuses, clock)
         self.relay = FeedRelay(identity.name, self.peers, self.watch, clock)
         self.in_flight_by_backend: dict[str, int] = {}
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
@@ -59,6 +59,11 @@
         self.unreadable = 0
         """Datagrams that were dropped because they could not be decoded."""
 
+    @property
+    def members(self) -> frozenset[str]:
+        """The peers on the list of members."""
+        return frozenset(self._member_addresses_by_name)
+
     def set_peers(self, addresses_by_name: Mapping[str, Address]) -> None:
         """Take over where the others are."""
         if dict(addresses_by_name) != self._member_addresses_by_name:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
@@ -18,6 +18,7 @@
 from ragwortwing_policy.direct.run_report import EndedRun, ReportedRun, RunReport
 from ragwortwing_policy.direct.waiting_line import Granted, TurnedAway, WaitingRequest
 from ragwortwing_policy.direct.waiting_order import Waiter
+from ragwortwing_policy.duties.usage_counts import UsageReport
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -48,6 +49,8 @@
     hears_store: bool
     unsure_for: float
     positions_by_feed: dict[str, int]
+    unix_time: float | None = None
+    can_hold_duties: bool = False
 
 
 class RunBody(msgspec.Struct, frozen=True, array_like=True):
@@ -113,6 +116,16 @@
     unsure_for: float
 
 
+class UsageMessage(msgspec.Struct, frozen=True, array_like=True, tag="u"):
+    """Requests that began at one entry, by window and client account; the counts only rise."""
+
+    sender: str
+    life: int
+    first_window: int
+    closed_through: int
+    counts_by_window: dict[int, dict[str, int]]
+
+
 class Decision(IntEnum):
     """What a scheduler says of a request."""
 
@@ -141,7 +154,13 @@
 
 
 PeerMessage = (
-    StatusMessage | ReportMessage | PlaceMessage | WithdrawMessage | DecisionMessage | FeedMessage
+    StatusMessage
+    | ReportMessage
+    | PlaceMessage
+    | WithdrawMessage
+    | DecisionMessage
+    | FeedMessage
+    | UsageMessage
 )
 
 encode: Callable[[PeerMessage], bytes] = msgspec.msgpack.Encoder().encode
@@ -157,6 +176,8 @@
         status.hears_store,
         status.unsure_for,
         dict(status.positions_by_feed),
+        status.unix_time,
+        status.can_hold_duties,
     )
 
 
@@ -169,6 +190,30 @@
         hears_store=message.hears_store,
         unsure_for=message.unsure_for,
         positions_by_feed=message.positions_by_feed,
+        unix_time=message.unix_time,
+        can_hold_duties=message.can_hold_duties,
+    )
+
+
+def usage_message(report: UsageReport) -> UsageMessage:
+    """Return a report of usage as it is sent."""
+    return UsageMessage(
+        report.sender,
+        report.life,
+        report.first_window,
+        report.closed_through,
+        {window: dict(counts) for window, counts in report.counts_by_window.items()},
+    )
+
+
+def usage_of(message: UsageMessage) -> UsageReport:
+    """Return a report of usage that was received."""
+    return UsageReport(
+        message.sender,
+        message.life,
+        message.first_window,
+        message.closed_through,
+        message.counts_by_window,
     )
 
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -92,6 +92,10 @@
         assert self._matched_route is not None, "the request has not been admitted"
         return self._matched_route
 
+    @property
+    def _account_name(self) -> str | None:
+        return self._account.name if self._account is not None else None
+
     def _now(self) -> Instant:
         return self._state.clock.monotonic()
 
@@ -131,7 +135,7 @@
             self._request.id,
             route=self._route.name,
             service=self._service,
-            account=self._account.name if self._account else None,
+            account=self._account_name,
             tier=table.tier_of(self._route, self._account),
             urgency=self._urgency,
             version=table.version,
@@ -202,6 +206,7 @@
         backend, order = destination.backend, self._order(destination)
         self._tried.add(backend.id)
         send = self._send = Send()
+        sent_at = self._now()
         decided(
             "request_sent",
             self._request.id,
@@ -219,6 +224,9 @@
             if send.state in (SendState.SENT, SendState.ANSWERING):
                 send.advance("lose")
             return self._note_failure(backend, send, error.cause)
+        finally:
+            if not self._route.streaming and not send.has_run_for_certain_not:
+                self._entry.run_began(self._account_name, sent_at)
 
     @contextmanager
     def _counted(self, backend: BackendServer) -> Iterator[None]:
@@ -243,7 +251,7 @@
         prompt: Prompt | None = self._request.prompt
         return SendOrder(
             backend=destination.backend,
-            account=self._account.name if self._account else None,
+            account=self._account_name,
             urgency=self._urgency if prompt is not None else None,
             deadline=self._deadline,
             resume_after=self._delivered_event,
@@ -321,6 +329,7 @@
         self._delivered_event = event
         if self._first_event_at is None:
             self._first_event_at = now
+            self._entry.run_began(self._account_name, now)
         elif self._last_event_at is not None:
             self._longest_pause = max(self._longest_pause, now - self._last_event_at)
         self._last_event_at = now
--- /dev/null
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/duties/fleet_duties.py
@@ -0,0 +1,103 @@
+"""The duties of one entry: its counts, its candidacy and its part in each duty."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from ragwortwing_entry.direct.decision_log import warned
+
+from .duty import duty_builder
+from .duty_runner import DutyRunner
+from .usage_collection import UsageCollection
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from datetime import timedelta
+
+    from ragwortwing_entry.direct.entry_state import EntryState
+    from ragwortwing_entry.direct.peer_messages import UsageMessage
+    from ragwortwing_policy.clock import Instant
+    from ragwortwing_policy.duties.usage_windows import UsageTerms
+
+    from .ports import DutyLog, UsageCalls
+
+OFFER_INTERVAL = 0.1
+"""Seconds between two looks at whether this entry could hold duties."""
+
+
+class FleetDuties:
+    """What one entry does for the duties that the fleet performs."""
+
+    def __init__(
+        self,
+        names: Iterable[str],
+        state: EntryState,
+        log: DutyLog,
+        calls: UsageCalls,
+        terms: UsageTerms,
+        exclusive: timedelta,
+    ) -> None:
+        """Create the duties.
+
+        Args:
+            names: Duties that the platform asks for; those that are not known are passed over.
+            state: What the entry knows.
+            log: The log of duties.
+            calls: The calls that are due.
+            terms: What the operator asks of usage reports.
+            exclusive: The span in which two entries must not act by turns.
+        """
+        self._state = state
+        self.usage = UsageCollection(state, terms)
+        self.runners_by_duty: dict[str, DutyRunner] = {}
+        for name in names:
+            builder = duty_builder(name)
+            if builder is None:
+                warned("duty_unknown", duty=name)
+                continue
+            duty = builder(state, self.usage, terms, calls)
+            self.runners_by_duty[name] = DutyRunner(duty, state, log, exclusive)
+
+    def count(self, account: str, began_at: Instant) -> None:
+        """Count a request of an account that began to run."""
+        self.usage.count(account, began_at)
+
+    def take(self, message: UsageMessage) -> None:
+        """Take in the counts of another entry."""
+        self.usage.take(message)
+
+    async def run(self) -> None:
+        """Count, report and perform until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._offer)
+            nursery.start_soon(self.usage.run)
+            for runner in self.runners_by_duty.values():
+                nursery.start_soon(runner.run)
+
+    async def leave(self) -> None:
+        """Give the duties up for good, and bring the last counts to where they are needed."""
+        async with trio.open_nursery() as nursery:
+            for runner in self.runners_by_duty.values():
+                nursery.start_soon(runner.leave)
+        self.usage.report(whole=True)
+
+    async def _offer(self) -> None:
+        while True:
+            self._state.candidates.offer(can_hold=self._can_hold())
+            await trio.sleep(OFFER_INTERVAL)
+
+    def _can_hold(self) -> bool:
+        """Return whether this entry reaches the log and most of its peers.
+
+        One that is cut off from the others would report its own counts for those of all.
+        """
+        now = self._state.clock.monotonic()
+        members = self._state.peers.members
+        heard = self._state.candidates.alive(now) & members
+        return (
+            self._state.watch.hears_store(now)
+            and 2 * len(heard) >= len(members)
+            and any(each.is_ready for each in self.runners_by_duty.values())
+        )
--- a/packages/ragwortwing-entry/tests/direct/test_peer_link.py
+++ b/packages/ragwortwing-entry/tests/direct/test_peer_link.py
@@ -10,6 +10,8 @@
 from ragwortwing_policy.direct.feed_watch import FeedWatch
 from ragwortwing_policy.direct.peer_status import StatusBook
 from ragwortwing_policy.direct.scheduler_choice import SchedulerChoice
+from ragwortwing_policy.duties.candidates import DutyCandidates
+from ragwortwing_policy.duties.fleet_time import FleetTime
 from ragwortwing_runtime.system_clock import SystemClock
 
 
@@ -23,8 +25,16 @@
     def __init__(self, name: str, capacity: float = 1.0) -> None:
         self.port = free_port()
         self.choice = SchedulerChoice(name)
-        book = StatusBook(name, capacity, FeedWatch(name), self.choice)
-        self.link = PeerLink(book, SystemClock())
+        clock = SystemClock()
+        book = StatusBook(
+            name,
+            capacity,
+            FeedWatch(name),
+            self.choice,
+            DutyCandidates(name),
+            FleetTime(clock),
+        )
+        self.link = PeerLink(book, clock)
         self.link.on_message(lambda *_: None, lambda: True)
 
 
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/in_memory.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/in_memory.py
@@ -38,6 +38,10 @@
         """Return trio's current time."""
         return trio.current_time()
 
+    def boot_time(self) -> Instant:
+        """Return trio's current time."""
+        return trio.current_time()
+
     def utc_now(self) -> datetime:
         """Return a wall time that moves with it."""
         return VIRTUAL_EPOCH + timedelta(seconds=trio.current_time())
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/clock.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/clock.py
@@ -19,6 +19,10 @@
         """Return the monotonic time; it never goes back."""
         ...
 
+    def boot_time(self) -> Instant:
+        """Return a monotonic time that also goes on while the machine is suspended."""
+        ...
+
     def utc_now(self) -> datetime:
         """Return the wall time with its zone; it may step, so no interval is taken from it."""
         ...
@@ -42,6 +46,10 @@
         """Return the instant last set."""
         return self._now
 
+    def boot_time(self) -> Instant:
+        """Return the instant last set."""
+        return self._now
+
     def utc_now(self) -> datetime:
         """Return the epoch moved on by the monotonic time."""
         return self._epoch + timedelta(seconds=self._now)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_status.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_status.py
@@ -10,6 +10,8 @@
 
 if TYPE_CHECKING:
     from ragwortwing_policy.clock import Instant
+    from ragwortwing_policy.duties.candidates import DutyCandidates
+    from ragwortwing_policy.duties.fleet_time import FleetTime
 
     from .feed_watch import FeedWatch
     from .scheduler_choice import SchedulerChoice
@@ -35,18 +37,30 @@
     """Seconds for which a removal from the store's lists may still stem from an outage."""
     positions_by_feed: Mapping[str, int] = field(default_factory=dict)
     """How far it has read in the store's feeds."""
+    unix_time: float | None = None
+    """Its wall clock, in seconds; None where it does not say."""
+    can_hold_duties: bool = False
+    """Whether it could perform the fleet's duties now."""
 
 
 class StatusBook:
     """Makes this entry's status and takes in those of others."""
 
     def __init__(
-        self, name: str, capacity: float, watch: FeedWatch, choice: SchedulerChoice
+        self,
+        name: str,
+        capacity: float,
+        watch: FeedWatch,
+        choice: SchedulerChoice,
+        candidates: DutyCandidates,
+        fleet_time: FleetTime,
     ) -> None:
         self._name = name
         self._capacity = capacity
         self._watch = watch
         self._choice = choice
+        self._candidates = candidates
+        self._fleet_time = fleet_time
         self._schedules_since: Instant | None = None
         self._sent: PeerStatus | None = None
         self._sent_at: Instant = 0.0
@@ -83,6 +97,8 @@
             hears_store=self._watch.hears_store(now),
             unsure_for=round(self._watch.unsure_for(now), 3),
             positions_by_feed=dict(self._watch.positions_by_feed),
+            unix_time=self._fleet_time.own_reading(),
+            can_hold_duties=self._candidates.can_hold,
         )
 
     def take(self, status: PeerStatus, now: Instant) -> None:
@@ -100,6 +116,9 @@
             hears_store=status.hears_store,
             unsure_for=status.unsure_for,
         )
+        self._candidates.hear(status.sender, can_hold=status.can_hold_duties, now=now)
+        if status.unix_time is not None:
+            self._fleet_time.hear(status.sender, status.unix_time)
 
     def _acted_on(self, status: PeerStatus | None, now: Instant) -> tuple[object, ...]:
         """Return what others act on at once; the rest may be a second old."""
@@ -110,5 +129,6 @@
             status.uptime is None,
             status.hears_store,
             status.unsure_for > 0.0,
+            status.can_hold_duties,
             status.positions_by_feed if watches else None,
         )
--- /dev/null
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/duties/candidates.py
@@ -0,0 +1,67 @@
+"""Which entry should hold a duty, ranked alike by every entry from peer statuses.
+
+The ranking is advice: the lease in the log decides who may act.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ragwortwing_policy.direct.lanes import rank
+
+if TYPE_CHECKING:
+    from ragwortwing_policy.clock import Instant
+
+PEER_SILENCE = 1.8
+"""Seconds without a status after which a peer is no candidate; one comes every second."""
+
+
+class DutyCandidates:
+    """The entries that could hold duties.
+
+    Example:
+        >>> candidates = DutyCandidates("entry-1")
+        >>> candidates.hear("entry-2", can_hold=True, now=0.0)
+        >>> candidates.ranked("usage", now=1.0)
+        ('entry-2',)
+        >>> candidates.offer(can_hold=True)
+        >>> sorted(candidates.ranked("usage", now=1.0))
+        ['entry-1', 'entry-2']
+        >>> candidates.ranked("usage", now=2.0)
+        ('entry-1',)
+    """
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._can_hold = False
+        self._heard_at_by_peer: dict[str, Instant] = {}
+        self._able: set[str] = set()
+
+    @property
+    def can_hold(self) -> bool:
+        """Whether this entry itself is a candidate."""
+        return self._can_hold
+
+    def offer(self, *, can_hold: bool) -> None:
+        """Say whether this entry can hold duties."""
+        self._can_hold = can_hold
+
+    def hear(self, peer: str, *, can_hold: bool, now: Instant) -> None:
+        """Take in a peer's status."""
+        self._heard_at_by_peer[peer] = now
+        if can_hold:
+            self._able.add(peer)
+        else:
+            self._able.discard(peer)
+
+    def alive(self, now: Instant) -> frozenset[str]:
+        """Return the peers that have been heard of late."""
+        heard = self._heard_at_by_peer.items()
+        return frozenset(name for name, at in heard if now - at < PEER_SILENCE)
+
+    def ranked(self, duty: str, now: Instant) -> tuple[str, ...]:
+        """Return the candidates for a duty, the one that should hold it first."""
+        names = self._able & self.alive(now)
+        if self._can_hold:
+            names = names | {self._name}
+        return tuple(sorted(names, key=lambda name: rank(duty, name)))
--- /dev/null
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/duties/lease.py
@@ -0,0 +1,202 @@
+"""The lease under which an entry performs a duty, decided from the log and the entry's own clock.
+
+Each record is appended on the condition that the log still ends where it was last read, so of
+several entries only one succeeds. The log gives no time: the holder counts its lease from before it
+asked for the record, any other entry from after it has read it, so the former always ends first.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from ragwortwing_policy.chart import load_chart
+from ragwortwing_policy.clock import Instant
+
+from .duty_record import DutyRecord
+
+if TYPE_CHECKING:
+    from datetime import timedelta
+
+
+class LeaseState(StrEnum):
+    """States of the chart `duty_lease`."""
+
+    UNKNOWN = "unknown"
+    FOLLOWING = "following"
+    APPENDING = "appending"
+    HELD = "held"
+
+
+@dataclass(frozen=True, slots=True)
+class Holder:
+    """A process that may hold a duty."""
+
+    name: str
+    life: int
+    """Its start, in Unix milliseconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class LogState:
+    """The duty as the log shows it."""
+
+    end: int
+    """Offset that the next record gets."""
+    record: DutyRecord | None = None
+    """The newest record; None where there is none, or none that can be read."""
+    offset: int = -1
+    """Where the newest record stands."""
+
+
+@dataclass(frozen=True, slots=True)
+class Proposal:
+    """A record, and the offset at which it is to stand."""
+
+    offset: int
+    record: DutyRecord
+    proposed_at: Instant
+
+
+class DutyLease:
+    """One entry's part in holding one duty.
+
+    All instants are of a clock that goes on while the machine is suspended.
+
+    Example:
+        >>> from datetime import timedelta
+        >>> lease = DutyLease(Holder("entry-1", 1), timedelta(seconds=3), started_at=0.0)
+        >>> lease.read(LogState(end=0), now=0.0)
+        >>> lease.may_append(now=1.0), lease.may_append(now=3.0)
+        (False, True)
+        >>> proposal = lease.propose(b"", now=3.0)
+        >>> lease.accepted(proposal)
+        >>> lease.fencing_token, lease.remaining(now=4.0)
+        (1, 2.0)
+    """
+
+    def __init__(self, holder: Holder, span: timedelta, started_at: Instant) -> None:
+        """Create the lease of an entry that holds nothing.
+
+        Args:
+            holder: The entry's process.
+            span: For how long a record lets its writer act.
+            started_at: When the process began.
+        """
+        self._holder = holder
+        self._span = span.total_seconds()
+        # A process that was killed may have acted until just before: until its last lease is over
+        # it must not act between the acts of a successor.
+        self._not_before = started_at + self._span
+        self.state = LeaseState.UNKNOWN
+        self._log = LogState(end=0)
+        self._read_at: Instant | None = None
+        self._valid_until: Instant = started_at
+        self._unanswered: list[Proposal] = []
+
+    @property
+    def record(self) -> DutyRecord | None:
+        """The newest record of the log, as far as known."""
+        return self._log.record
+
+    @property
+    def fencing_token(self) -> int:
+        """The token of the newest record."""
+        record = self._log.record
+        return record.fencing_token if record is not None else 0
+
+    def holds(self, now: Instant) -> bool:
+        """Return whether this entry may act at this moment."""
+        return self.remaining(now) > 0.0
+
+    def remaining(self, now: Instant) -> float:
+        """Return for how many seconds this entry may still act."""
+        if self.state is not LeaseState.HELD:
+            return 0.0
+        return max(0.0, self._valid_until - now)
+
+    def read(self, log: LogState, now: Instant) -> None:
+        """Take over what the log shows."""
+        if log.end < self._log.end:
+            return
+        if self._read_at is None or log.offset != self._log.offset:
+            self._read_at = now
+        self._log = log
+        if log.record is None or not log.record.is_of(self._holder.name, self._holder.life):
+            self._advance("read_other")
+        else:
+            self._find_own(log)
+        self._unanswered = [each for each in self._unanswered if each.offset >= log.end]
+
+    def _find_own(self, log: LogState) -> None:
+        """Resolve an append without an answer: its lease runs from when it was asked for."""
+        for proposal in self._unanswered:
+            if (proposal.offset, proposal.record) == (log.offset, log.record):
+                self._valid_until = proposal.proposed_at + self._span
+        self._advance("read_own")
+
+    def may_append(self, now: Instant) -> bool:
+        """Return whether a record of this entry may be appended now.
+
+        The holder may at any time; another entry once the holder's lease is over for certain.
+        """
+        if now < self._not_before:
+            return False
+        if self.state is LeaseState.HELD:
+            return True
+        if self.state is not LeaseState.FOLLOWING:
+            return False
+        record = self._log.record
+        if record is not None and record.released:
+            return True
+        if not self._log.end:
+            return True
+        return self._read_at is not None and now >= self._read_at + self._span
+
+    def propose(self, state: bytes, now: Instant, *, release: bool = False) -> Proposal:
+        """Return the record to append next.
+
+        Args:
+            state: The duty's own state.
+            now: The present instant, before anything is sent.
+            release: Whether the record gives the duty up.
+        """
+        holds = self.state is LeaseState.HELD
+        offset = self._log.end
+        token = self.fencing_token if holds else offset + 1
+        name, life = self._holder.name, self._holder.life
+        proposal = Proposal(offset, DutyRecord(name, life, token, state, release), now)
+        self._advance("append")
+        return proposal
+
+    def accepted(self, proposal: Proposal) -> None:
+        """Note that a proposed record stands in the log."""
+        self._log = LogState(proposal.offset + 1, proposal.record, proposal.offset)
+        self._read_at = proposal.proposed_at
+        self._unanswered.clear()
+        if proposal.record.released:
+            self._not_before = proposal.proposed_at + self._span
+            self._advance("release")
+            return
+        self._valid_until = proposal.proposed_at + self._span
+        self._advance("accept")
+
+    def rejected(self) -> None:
+        """Note that a proposed record does not stand in the log and never will."""
+        self._advance("lose_track")
+
+    def unanswered(self, proposal: Proposal) -> None:
+        """Note that a proposed record may stand in the log, or come to stand there."""
+        self._unanswered.append(proposal)
+        if proposal.record.released:
+            self._valid_until = proposal.proposed_at
+            self._not_before = proposal.proposed_at + self._span
+        self._advance("lose_track")
+
+    def lose_track(self) -> None:
+        """Forget what the log was read to show: it has to be read again."""
+        self._advance("lose_track")
+
+    def _advance(self, trigger: str) -> None:
+        self.state = LeaseState(load_chart("duty_lease").next(self.state, trigger))
--- a/packages/ragwortwing-policy/tests/direct/test_peer_status.py
+++ b/packages/ragwortwing-policy/tests/direct/test_peer_status.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+from ragwortwing_policy.clock import ManualClock
 from ragwortwing_policy.direct.feed_watch import FeedWatch
 from ragwortwing_policy.direct.peer_status import STATUS_INTERVAL, StatusBook
 from ragwortwing_policy.direct.scheduler_choice import SchedulerChoice
+from ragwortwing_policy.duties.candidates import DutyCandidates
+from ragwortwing_policy.duties.fleet_time import FleetTime
 
 
 class Entry:
     def __init__(self, name: str, capacity: float = 1.0) -> None:
         self.watch = FeedWatch(name)
         self.choice = SchedulerChoice(name)
-        self.book = StatusBook(name, capacity, self.watch, self.choice)
+        self.candidates = DutyCandidates(name)
+        clock = FleetTime(ManualClock())
+        self.book = StatusBook(name, capacity, self.watch, self.choice, self.candidates, clock)
 
 
 def test_a_status_is_sent_each_second() -> None:
--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/system_clock.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/system_clock.py
@@ -17,6 +17,10 @@
         """Return the monotonic time in seconds."""
         return time.monotonic()
 
+    def boot_time(self) -> Instant:
+        """Return the time since boot in seconds, suspensions included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def utc_now(self) -> datetime:
         """Return the wall time in UTC."""
         return datetime.now(UTC)
