Send a peer the feed records that its status shows it to lack

A datagram that is missed leaves a gap that only the store can fill. So the break itself is not traced; this closes the way that the logs show: an entry hears its peers and stays behind because the store turns it away or its read is held up. The relaying watcher keeps the latest 256 records of a feed and sends a peer what it lacks, at most every 0.4 s. Ruled out: taking records behind a gap (a removal between them would be skipped).

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -63,6 +63,7 @@
         )
         self.peers = PeerLink(statuses, clock)
         self.relay = FeedRelay(identity.name, self.peers, self.watch, clock)
+        self.peers.on_status(self.relay.repair)
         self.in_flight_by_backend: dict[str, int] = {}
         self._allowance = allowance
         self._budgets_by_service: dict[str, RepeatBudget] = {}
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/feed_relay.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/feed_relay.py
@@ -1,20 +1,23 @@
 """Passes records of the store's feeds from the entry that reads them to all others.
 
-Each message names the offset that it begins at and the one to go on from. A receiver that has a gap
-before it, or missed it, finds itself behind by the watchers' statuses and asks the store.
+Each message names the offset that it begins at and the one to go on from. A receiver that missed
+one is sent it again once its status shows that it is behind; it asks the store as well, but the
+store may turn it away.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from .decision_log import decided
 from .peer_messages import FeedMessage
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
-    from ragwortwing_policy.clock import Clock
+    from ragwortwing_policy.clock import Clock, Instant
     from ragwortwing_policy.direct.feed_watch import FeedWatch
 
     from .peer_link import PeerLink
@@ -23,6 +26,13 @@
 """Bytes of records in one message; more would hold up a narrow link for all that is sent on it."""
 
 
+RECORDS_KEPT = 256
+"""Latest records of a feed that are kept for peers that missed them."""
+
+REPAIR_INTERVAL = 0.4
+"""Seconds between two repairs of one peer: an earlier one may be on its way."""
+
+
 @dataclass(frozen=True, slots=True)
 class FeedRecord:
     """A record of a keyed feed; without a value the key is dropped."""
@@ -42,6 +52,36 @@
     records: tuple[FeedRecord, ...]
 
 
+@dataclass(slots=True)
+class _History:
+    """The latest records of a feed, without a gap."""
+
+    first: int
+    end: int
+    records: deque[FeedRecord] = field(default_factory=deque)
+
+    def add(self, found: FeedRecords) -> None:
+        if not self.first <= found.first <= self.end:
+            self.first, self.end = found.first, found.first
+            self.records.clear()
+        self.records.extend(each for each in found.records if each.offset >= self.end)
+        self.end = max(self.end, found.end)
+        while len(self.records) > RECORDS_KEPT:
+            self.first = self.records.popleft().offset + 1
+
+    def since(self, position: int) -> FeedRecords | None:
+        """Return what a peer at a position lacks, as much as one message holds."""
+        if not self.first <= position < self.end:
+            return None
+        lacking = [each for each in self.records if each.offset >= position]
+        size = 0
+        for index, record in enumerate(lacking):
+            size += len(record.value or b"")
+            if size > LARGEST_RELAYED:
+                return FeedRecords(position, record.offset, tuple(lacking[:index]))
+        return FeedRecords(position, self.end, tuple(lacking))
+
+
 class FeedRelay:
     """Sends and receives the records of any number of feeds."""
 
@@ -51,6 +91,8 @@
         self._watch = watch
         self._clock = clock
         self._receivers_by_feed: dict[str, Callable[[FeedRecords], None]] = {}
+        self._history_by_feed: dict[str, _History] = {}
+        self._repaired_at_by_peer: dict[str, Instant] = {}
 
     def on_records(self, feed: str, receiver: Callable[[FeedRecords], None]) -> None:
         """Register who takes in the records of a feed."""
@@ -58,11 +100,32 @@
 
     def send(self, feed: str, found: FeedRecords) -> None:
         """Pass on what the store has answered, if that is this entry's part."""
+        self._keep(feed, found)
         now = self._clock.monotonic()
         size = sum(len(each.value or b"") for each in found.records)
         if not found.records or size > LARGEST_RELAYED or not self._watch.relays(now):
             return
-        message = FeedMessage(
+        self._peers.broadcast(self._message(feed, found, now))
+
+    def repair(self, peer: str, positions_by_feed: Mapping[str, int]) -> None:
+        """Send a peer the records that its status shows it to lack."""
+        now = self._clock.monotonic()
+        repaired_at = self._repaired_at_by_peer.get(peer)
+        if repaired_at is not None and now - repaired_at < REPAIR_INTERVAL:
+            return
+        if not self._watch.relays(now):
+            return
+        for feed, position in positions_by_feed.items():
+            history = self._history_by_feed.get(feed)
+            lacking = history.since(position) if history is not None else None
+            if lacking is None or lacking.end == lacking.first:
+                continue
+            self._repaired_at_by_peer[peer] = now
+            self._peers.send(self._message(feed, lacking, now), peer)
+            decided("feed_repaired", peer=peer, feed=feed, first=position, end=lacking.end)
+
+    def _message(self, feed: str, found: FeedRecords, now: Instant) -> FeedMessage:
+        return FeedMessage(
             self._name,
             feed,
             found.first,
@@ -70,7 +133,12 @@
             tuple((each.key, each.value, each.offset) for each in found.records),
             round(self._watch.unsure_for(now), 3),
         )
-        self._peers.broadcast(message)
+
+    def _keep(self, feed: str, found: FeedRecords) -> None:
+        history = self._history_by_feed.get(feed)
+        if history is None:
+            history = self._history_by_feed[feed] = _History(found.first, found.first)
+        history.add(found)
 
     def take(self, message: FeedMessage) -> None:
         """Take in what another entry has read."""
@@ -80,4 +148,6 @@
         now = self._clock.monotonic()
         self._watch.told(message.sender, {}, now, hears_store=True, unsure_for=message.unsure_for)
         records = tuple(FeedRecord(*each) for each in message.records)
-        receiver(FeedRecords(message.first, message.end, records))
+        found = FeedRecords(message.first, message.end, records)
+        self._keep(message.feed, found)
+        receiver(found)
