Let statuses tell where the newest record of a duty stands

A status now names the offset of the newest record that its sender knows of: whoever reads that record later counts the lease from when it first heard of it, since the holder counts from before it asked. Counts are waited for of entries heard within 4 s, not of all that the group lists. Ruled out: reading the log in the second in line as well (a call each window, priced).

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
@@ -115,6 +115,7 @@
             calls.add_metric(labels, count)
         yield calls
         yield self._ages(now)
+        yield self._fencing_tokens()
         yield self._waiting_by_urgency()
 
     def _ages(self, now: Instant) -> Metric:
@@ -127,6 +128,17 @@
             family.add_metric((feed,), now - heard_at)
         return family
 
+    def _fencing_tokens(self) -> Metric:
+        family = GaugeMetricFamily(
+            "ragwortwing_duty_fencing_token",
+            "Token of each duty that this entry may perform now; 0 where it may not.",
+            labels=("duty",),
+        )
+        duties = self._entry.duties
+        for duty, runner in duties.runners_by_duty.items() if duties is not None else ():
+            family.add_metric((duty,), runner.fencing_token)
+        return family
+
     def _waiting_by_urgency(self) -> Metric:
         family = GaugeMetricFamily(
             "ragwortwing_waiting_by_urgency",
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -63,7 +63,9 @@
         )
         self.peers = PeerLink(statuses, clock)
         self.relay = FeedRelay(identity.name, self.peers, self.watch, clock)
-        self.peers.on_status(self.relay.repair)
+        self.peers.on_status(
+            lambda status: self.relay.repair(status.sender, status.positions_by_feed)
+        )
         self.in_flight_by_backend: dict[str, int] = {}
         self._allowance = allowance
         self._budgets_by_service: dict[str, RepeatBudget] = {}
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
@@ -30,7 +30,7 @@
     from ragwortwing_policy.direct.peer_status import StatusBook
 
     Handler = Callable[[PeerMessage, "Address"], None]
-    StatusHandler = Callable[[str, Mapping[str, int]], None]
+    StatusHandler = Callable[[StatusMessage], None]
 
 Address = tuple[str, int]
 """IP number and port."""
@@ -56,7 +56,7 @@
         self._socket: socket.socket | None = None
         self._status_due = trio.Event()
         self._handler: Handler | None = None
-        self._status_handler: StatusHandler | None = None
+        self._status_handlers: list[StatusHandler] = []
         self._can_schedule: Callable[[], bool] = lambda: False
         self.unreadable = 0
         """Datagrams that were dropped because they could not be decoded."""
@@ -80,8 +80,8 @@
         self._can_schedule = can_schedule
 
     def on_status(self, handler: StatusHandler) -> None:
-        """Register who is told a peer's positions in the feeds with each of its statuses."""
-        self._status_handler = handler
+        """Register one more that takes in each peer's statuses."""
+        self._status_handlers.append(handler)
 
     def wake(self) -> None:
         """Send a status at once."""
@@ -153,8 +153,8 @@
             self._addresses_by_name[message.sender] = address
             self._heard_at_by_name[message.sender] = now
             self._book.take(status_of(message), now)
-            if self._status_handler is not None:
-                self._status_handler(message.sender, message.positions_by_feed)
+            for handler in self._status_handlers:
+                handler(message)
         elif self._handler is not None:
             self._handler(message, address)
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
@@ -51,6 +51,7 @@
     positions_by_feed: dict[str, int]
     unix_time: float | None = None
     can_hold_duties: bool = False
+    offset_by_duty: dict[str, int] = {}
 
 
 class RunBody(msgspec.Struct, frozen=True, array_like=True):
@@ -178,6 +179,7 @@
         dict(status.positions_by_feed),
         status.unix_time,
         status.can_hold_duties,
+        dict(status.offset_by_duty),
     )
 
 
@@ -192,6 +194,7 @@
         positions_by_feed=message.positions_by_feed,
         unix_time=message.unix_time,
         can_hold_duties=message.can_hold_duties,
+        offset_by_duty=message.offset_by_duty,
     )
 
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/duties/duty_runner.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/duties/duty_runner.py
@@ -65,6 +65,11 @@
         """Whether this entry could hold the duty now."""
         return not self._leaving and self._now() >= self._ready_at
 
+    @property
+    def fencing_token(self) -> int:
+        """The token under which this entry may act now; 0 where it may not."""
+        return self.lease.fencing_token if self.lease.holds(self._now()) else 0
+
     async def run(self) -> None:
         """Hold and perform the duty until cancelled."""
         while True:
@@ -123,6 +128,7 @@
             decided("duty_log_not_read", duty=self._duty.name, cause=error.cause)
             return False
         self.lease.read(found, self._now())
+        self._state.candidates.knows_record(self._duty.name, self.lease.offset)
         decided(
             "duty_log_read",
             duty=self._duty.name,
@@ -161,6 +167,7 @@
     def _take_outcome(self, proposal: Proposal, outcome: AppendOutcome) -> None:
         if outcome is AppendOutcome.ACCEPTED:
             self.lease.accepted(proposal)
+            self._state.candidates.knows_record(self._duty.name, self.lease.offset)
         elif outcome is AppendOutcome.REJECTED:
             self.lease.rejected()
         else:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/duties/fleet_duties.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/duties/fleet_duties.py
@@ -17,7 +17,7 @@
     from datetime import timedelta
 
     from ragwortwing_entry.direct.entry_state import EntryState
-    from ragwortwing_entry.direct.peer_messages import UsageMessage
+    from ragwortwing_entry.direct.peer_messages import StatusMessage, UsageMessage
     from ragwortwing_policy.clock import Instant
     from ragwortwing_policy.duties.usage_windows import UsageTerms
 
@@ -59,6 +59,7 @@
                 continue
             duty = builder(state, self.usage, terms, calls)
             self.runners_by_duty[name] = DutyRunner(duty, state, log, exclusive)
+        state.peers.on_status(self._hear_of_records)
 
     def count(self, account: str, began_at: Instant) -> None:
         """Count a request of an account that began to run."""
@@ -68,6 +69,12 @@
         """Take in the counts of another entry."""
         self.usage.take(message)
 
+    def _hear_of_records(self, status: StatusMessage) -> None:
+        for duty, offset in status.offset_by_duty.items():
+            runner = self.runners_by_duty.get(duty)
+            if runner is not None:
+                runner.lease.heard_of(offset, self._state.clock.boot_time())
+
     async def run(self) -> None:
         """Count, report and perform until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/duties/usage_collection.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/duties/usage_collection.py
@@ -23,6 +23,10 @@
 LOSS_BOUND = 0.005
 """Part of a window's requests that the death of one entry may leave uncounted."""
 
+SILENCE = 4.0
+"""Seconds without a status after which an entry's counts are not waited for: it is gone, or its
+counts come too late."""
+
 SHORTEST_INTERVAL = 0.1
 LONGEST_INTERVAL = 0.5
 """Seconds between two reports of an entry's counts."""
@@ -51,9 +55,8 @@
 
     def senders(self) -> frozenset[str]:
         """Return the entries whose counts belong to a window."""
-        now = self._state.clock.monotonic()
-        own = {self._state.identity.name}
-        return self._state.candidates.alive(now) | self._state.peers.members | own
+        heard = self._state.candidates.alive(self._state.clock.monotonic(), SILENCE)
+        return heard | {self._state.identity.name}
 
     def take(self, message: UsageMessage) -> None:
         """Take in the counts of another entry."""
--- a/packages/ragwortwing-entry/tests/duties/fleet_model.py
+++ b/packages/ragwortwing-entry/tests/duties/fleet_model.py
@@ -153,6 +153,10 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.believes_first = False
+        self.known_offset = -1
+
+    def knows_record(self, duty: str, offset: int) -> None:
+        self.known_offset = offset
 
     def ranked(self, duty: str, now: float) -> tuple[str, ...]:
         return (self.name,) if self.believes_first else ("somebody",)
@@ -207,6 +211,11 @@
         with scope:
             await runner.run()
 
+    def hear_of(self, offset: int) -> None:
+        """Hear a peer's status."""
+        assert self.runner is not None
+        self.runner.lease.heard_of(offset, self.clock.boot_time())
+
     def kill(self) -> None:
         """Kill the process."""
         self._scope.cancel()
--- a/packages/ragwortwing-entry/tests/duties/test_duty_fleet.py
+++ b/packages/ragwortwing-entry/tests/duties/test_duty_fleet.py
@@ -46,6 +46,9 @@
         while trio.current_time() < ends:
             await trio.sleep(random.uniform(0.1, 3.0))
             entry = random.choice(entries)
+            teller, hearer = random.choice(entries), random.choice(entries)
+            if teller.candidates.known_offset >= 0:
+                hearer.hear_of(teller.candidates.known_offset)
             if random.random() < 0.25:
                 entry.kill()
                 entry.start(duty)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_status.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_status.py
@@ -41,6 +41,8 @@
     """Its wall clock, in seconds; None where it does not say."""
     can_hold_duties: bool = False
     """Whether it could perform the fleet's duties now."""
+    offset_by_duty: Mapping[str, int] = field(default_factory=dict)
+    """Where the newest record of each duty stands that it knows of."""
 
 
 class StatusBook:
@@ -99,6 +101,7 @@
             positions_by_feed=dict(self._watch.positions_by_feed),
             unix_time=self._fleet_time.own_reading(),
             can_hold_duties=self._candidates.can_hold,
+            offset_by_duty=dict(self._candidates.offset_by_duty),
         )
 
     def take(self, status: PeerStatus, now: Instant) -> None:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/duties/candidates.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/duties/candidates.py
@@ -10,6 +10,8 @@
 from ragwortwing_policy.direct.lanes import rank
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from ragwortwing_policy.clock import Instant
 
 PEER_SILENCE = 1.8
@@ -35,6 +37,7 @@
         self._name = name
         self._can_hold = False
         self._heard_at_by_peer: dict[str, Instant] = {}
+        self._offset_by_duty: dict[str, int] = {}
         self._able: set[str] = set()
 
     @property
@@ -42,6 +45,16 @@
         """Whether this entry itself is a candidate."""
         return self._can_hold
 
+    @property
+    def offset_by_duty(self) -> Mapping[str, int]:
+        """Where the newest record of each duty stands that this entry knows of."""
+        return self._offset_by_duty
+
+    def knows_record(self, duty: str, offset: int) -> None:
+        """Note where a duty's newest record stands."""
+        if offset >= 0:
+            self._offset_by_duty[duty] = offset
+
     def offer(self, *, can_hold: bool) -> None:
         """Say whether this entry can hold duties."""
         self._can_hold = can_hold
@@ -54,10 +67,15 @@
         else:
             self._able.discard(peer)
 
-    def alive(self, now: Instant) -> frozenset[str]:
-        """Return the peers that have been heard of late."""
+    def alive(self, now: Instant, silence: float = PEER_SILENCE) -> frozenset[str]:
+        """Return the peers that have been heard of late.
+
+        Args:
+            now: The present instant.
+            silence: Seconds without a status after which a peer is left out.
+        """
         heard = self._heard_at_by_peer.items()
-        return frozenset(name for name, at in heard if now - at < PEER_SILENCE)
+        return frozenset(name for name, at in heard if now - at < silence)
 
     def ranked(self, duty: str, now: Instant) -> tuple[str, ...]:
         """Return the candidates for a duty, the one that should hold it first."""
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/duties/lease.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/duties/lease.py
@@ -20,6 +20,10 @@
     from datetime import timedelta
 
 
+OFFSETS_KEPT = 8
+"""Latest records of which it is kept when a peer told of them."""
+
+
 class LeaseState(StrEnum):
     """States of the chart `duty_lease`."""
 
@@ -94,6 +98,7 @@
         self._read_at: Instant | None = None
         self._valid_until: Instant = started_at
         self._unanswered: list[Proposal] = []
+        self._heard_at_by_offset: dict[int, Instant] = {}
 
     @property
     def record(self) -> DutyRecord | None:
@@ -116,12 +121,23 @@
             return 0.0
         return max(0.0, self._valid_until - now)
 
+    @property
+    def offset(self) -> int:
+        """Where the newest known record stands; -1 where none is known."""
+        return self._log.offset
+
+    def heard_of(self, offset: int, now: Instant) -> None:
+        """Note that a peer knows of a record: its lease began before now, wherever it is read."""
+        self._heard_at_by_offset.setdefault(offset, now)
+        while len(self._heard_at_by_offset) > OFFSETS_KEPT:
+            del self._heard_at_by_offset[min(self._heard_at_by_offset)]
+
     def read(self, log: LogState, now: Instant) -> None:
         """Take over what the log shows."""
         if log.end < self._log.end:
             return
         if self._read_at is None or log.offset != self._log.offset:
-            self._read_at = now
+            self._read_at = self._heard_at_by_offset.get(log.offset, now)
         self._log = log
         if log.record is None or not log.record.is_of(self._holder.name, self._holder.life):
             self._advance("read_other")
