Bound the prefill beside streams by what their pauses show

A long prompt now waits, for half of its target, for an engine whose prefill within one pause stays below a budget, then is placed as before.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
@@ -168,6 +168,12 @@
             self._reporting.first_event(service, ticket)
             self._notify(service)
 
+    def stream_pause_exceeded(self, backend_id: str, service: str, ticket: str) -> None:
+        """Note that a stream had a pause beyond its target."""
+        now = self.state.clock.monotonic()
+        self.state.placement.pause_exceeded(backend_id, ticket, now)
+        self._reporting.pause_exceeded(service, ticket)
+
     def engine_call_ended(
         self, backend_id: str, service: str, ticket: str, *, failed: bool
     ) -> None:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
@@ -65,6 +65,7 @@
     urgency: int
     age: float
     is_read: bool
+    exceeded: bool = False
 
 
 class ReportMessage(msgspec.Struct, frozen=True, array_like=True, tag="r"):
@@ -96,6 +97,7 @@
     avoid: tuple[str, ...]
     shortest_pause: float | None
     zone: str
+    pause_target: float | None = None
 
 
 class WithdrawMessage(msgspec.Struct, frozen=True, array_like=True, tag="w"):
@@ -266,6 +268,7 @@
         avoid=tuple(request.avoid),
         shortest_pause=request.shortest_pause,
         zone=request.zone,
+        pause_target=request.pause_target,
     )
 
 
@@ -286,6 +289,7 @@
         avoid=frozenset(message.avoid),
         shortest_pause=message.shortest_pause,
         zone=message.zone,
+        pause_target=message.pause_target,
     )
 
 
@@ -371,6 +375,7 @@
         run.urgency,
         round(run.age, 3),
         run.is_read,
+        run.exceeded,
     )
 
 
@@ -378,5 +383,12 @@
     reading = PromptReading(body.unread_tokens, None, body.fetch_seconds)
     prompt = _prompt_of(body.prompt)
     return ReportedRun(
-        body.ticket, body.backend_id, prompt, reading, body.urgency, body.age, body.is_read
+        body.ticket,
+        body.backend_id,
+        prompt,
+        reading,
+        body.urgency,
+        body.age,
+        body.is_read,
+        body.exceeded,
     )
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -189,6 +189,7 @@
             avoid=frozenset(self._tried),
             shortest_pause=pauses.shortest.total_seconds() if pauses else None,
             zone=self._state.identity.zone,
+            pause_target=_seconds(self._route.pause_target),
         )
 
     def _waiter(self) -> Waiter:
@@ -331,10 +332,16 @@
             self._first_event_at = now
             self._entry.run_began(self._account_name, now)
         elif self._last_event_at is not None:
-            self._longest_pause = max(self._longest_pause, now - self._last_event_at)
+            self._note_pause(backend, now - self._last_event_at)
         self._last_event_at = now
         self._entry.engine_first_event(backend.id, self._service, self._ticket)
 
+    def _note_pause(self, backend: BackendServer, pause: float) -> None:
+        target = _seconds(self._route.pause_target)
+        if target is not None and pause > target >= self._longest_pause:
+            self._entry.stream_pause_exceeded(backend.id, self._service, self._ticket)
+        self._longest_pause = max(self._longest_pause, pause)
+
     def _note_declined(self, kind: AnswerKind, backend: BackendServer, send: Send) -> str:
         send.advance("decline")
         self._count_send(kind)
@@ -423,5 +430,9 @@
     return conclusion.value if isinstance(conclusion, Denial) else conclusion.reason.value
 
 
+def _seconds(span: timedelta | None) -> float | None:
+    return None if span is None else span.total_seconds()
+
+
 def _milliseconds(span: timedelta | None) -> int | None:
     return None if span is None else round(1000 * span.total_seconds())
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/run_reporting.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/run_reporting.py
@@ -49,6 +49,11 @@
         self.reporter(pool).first_event(ticket)
         self._news.set()
 
+    def pause_exceeded(self, pool: str, ticket: str) -> None:
+        """Report that a stream had a pause beyond its target."""
+        self.reporter(pool).pause_exceeded(ticket)
+        self._news.set()
+
     def end(self, pool: str, ticket: str, *, failed: bool) -> None:
         """Report that a request has left its engine."""
         self.reporter(pool).end(ticket, failed=failed)
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
@@ -157,6 +157,44 @@
     )
 
 
+SHIFTED_ENGINES = 26
+"""Engines that the kinds of `shifted_replay` are a full load of."""
+
+
+def shifted_replay(seed: int, engines: int = SHIFTED_ENGINES) -> Replay:
+    """Return a cold burst of drafts, then one of chats, with events of six tokens.
+
+    An engine that prefills without a pause makes a token a chunk, and an event of six takes longer
+    than a draft's pause target.
+    """
+    part = engines / SHIFTED_ENGINES
+    chat = replace(
+        CHAT,
+        per_second=102 * part,
+        target=0.415,
+        deadline=15.57,
+        sessions=ceil(970 * part),
+        output_tokens=294,
+    )
+    draft = replace(
+        DRAFT,
+        per_second=69.8 * part,
+        target=0.635,
+        deadline=5.294,
+        sessions=ceil(1500 * part),
+        output_tokens=54,
+    )
+    return Replay(
+        Placing.OURS,
+        seed,
+        engines=engines,
+        bursts=(Burst("draft", 0.5, 9.5, 2.8), Burst("chat", 9.5, 12.0, 2.5)),
+        pace=EnginePace(tokens_per_event=6),
+        kinds=(chat, draft),
+        returns=1,
+    )
+
+
 @dataclass(slots=True)
 class KindResult:
     """What became of the requests of one kind."""
@@ -350,6 +388,7 @@
         request.prompt,
         waiter,
         shortest_pause=pauses.shortest.total_seconds() if pauses else None,
+        pause_target=kind.pause,
     )
     scheduler.line.enter(waiting, now)
     _look(fleet, scheduler, now)
@@ -462,7 +501,11 @@
                 entry.placement.first_event(f"i-{number}", ticket, at)
                 entry.reporter.first_event(ticket)
         else:
-            request.longest_pause = max(request.longest_pause, at - request.last_event_at)
+            pause = at - request.last_event_at
+            if entry is not None and pause > request.kind.pause >= request.longest_pause:
+                entry.placement.pause_exceeded(f"i-{number}", ticket, at)
+                entry.reporter.pause_exceeded(ticket)
+            request.longest_pause = max(request.longest_pause, pause)
         request.last_event_at = at
 
     def on_end(at: float) -> None:
--- a/packages/ragwortwing-lab/tests/test_burst_replay.py
+++ b/packages/ragwortwing-lab/tests/test_burst_replay.py
@@ -16,7 +16,9 @@
     Replay,
     run_replay,
     scaled_replay,
+    shifted_replay,
 )
+from ragwortwing_policy.direct import prefill_budget
 from ragwortwing_policy.direct.prompt_parts import Prompt, PromptPart
 
 SEEDS = (1, 2, 3)
@@ -150,6 +152,16 @@
     assert review.share_of_largest_served > 0.5 * review.share_served
 
 
+def test_drafts_get_their_events_in_time_in_a_cold_burst(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against engines that prefill without a pause: every stream there is late or cut."""
+    bounded = [run_replay(shifted_replay(seed, engines=6)) for seed in SEEDS]
+    monkeypatch.setattr(prefill_budget, "PART_PER_EXCEEDED", 0.0)
+    unbounded = [run_replay(shifted_replay(seed, engines=6)) for seed in SEEDS]
+    on_time = sum(result["draft"].on_time for result in bounded)
+    assert on_time > 1.5 * sum(result["draft"].on_time for result in unbounded)
+    assert sum(map(total, bounded)) > 1.1 * sum(map(total, unbounded))
+
+
 def run_alone(engine: BatchingEngine, prompt: Prompt) -> list[float]:
     events: list[float] = []
     ends: list[float] = []
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
@@ -72,6 +72,8 @@
     fetched: bool = False
     """Whether some of its prompt is fetched from another engine."""
     read: bool = False
+    exceeded: bool = False
+    """Whether its stream had a pause beyond its target."""
 
 
 @dataclass(slots=True)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -16,6 +16,7 @@
 )
 from .first_event_stretch import FirstEventStretch
 from .lanes import Lanes, rank
+from .prefill_budget import PrefillBudget
 from .prompt_parts import Prompt
 
 if TYPE_CHECKING:
@@ -43,6 +44,9 @@
 """Fewest tokens for which an engine fetches KV cache from another: reading them takes 20 ms, as
 long as a fetch with its way there and back may take."""
 
+LARGE_PROMPT_PART = 0.5
+"""Part of the budget that one prompt is counted with at most."""
+
 BORROW_BEYOND = 0.5
 """Part of the latency target from which short prompts also go to engines of long ones."""
 
@@ -63,6 +67,8 @@
     """Whether it is early enough to wait for an engine that reads nothing else."""
     zone: str = ""
     """Availability zone of the entry that it came to; among equal engines one there goes first."""
+    pause_target: float | None = None
+    """Longest pause in seconds between its own events for which it is on time, where declared."""
 
     @property
     def reading_allowance(self) -> float:
@@ -82,6 +88,34 @@
     """Predicted seconds to the first event."""
 
 
+@dataclass(frozen=True, slots=True)
+class LeastPlanned:
+    """The least prefill that is planned on any engine: a bound that costs little to ask."""
+
+    beside_sensitive: float
+    """Seconds within the shortest pause target, on engines for short prompts."""
+    beside_tolerant: float
+    """Seconds within the request's own pause target, on engines for long prompts."""
+    tokens_per_second: float
+    """Reading rate of the fastest engine."""
+    budget: float | None
+    """Seconds of prefill within the request's own pause target; None where it is not bounded."""
+
+    def may_take(self, question: PlacementQuestion, unread: int) -> bool:
+        """Return whether some engine might take a long prompt within what its streams stand.
+
+        Args:
+            question: The request.
+            unread: Fewest prompt tokens that any engine has to read.
+        """
+        seconds = unread / self.tokens_per_second
+        if self.beside_sensitive + seconds <= question.reading_allowance:
+            return True
+        if self.budget is None or self.beside_tolerant <= 0.0:
+            return True
+        return self.beside_tolerant + _counted(seconds, self.budget) <= self.budget
+
+
 @dataclass(frozen=True, slots=True)
 class NoRoom:
     """No engine takes the request in time now."""
@@ -97,6 +131,7 @@
         self.loads_by_id: dict[str, EngineLoad] = {}
         self._lanes_by_service: dict[str, Lanes] = {}
         self._stretch_by_service: dict[str, FirstEventStretch] = {}
+        self._budgets: dict[tuple[str, int], PrefillBudget] = {}
 
     def load(self, backend: BackendServer, traits: EngineTraits) -> EngineLoad:
         """Return the load of an engine; a new one is idle."""
@@ -153,17 +188,73 @@
             self.stretch(load.service).learn(run.urgency, run.predicted, took)
         return run
 
-    def arrived(self, question: PlacementQuestion, now: Instant) -> None:
+    def pause_exceeded(self, backend_id: str, ticket: str, now: Instant) -> None:
+        """Note that a stream on an engine had a pause beyond its target."""
+        load = self.loads_by_id.get(backend_id)
+        run = load.runs_by_ticket.get(ticket) if load is not None else None
+        if load is None or run is None or run.exceeded:
+            return
+        run.exceeded = True
+        engines = sum(each.service == load.service for each in self.loads_by_id.values())
+        self._prefill_budget(load.service, run.urgency).exceeded(now, engines)
+
+    def budget_seconds(self, question: PlacementQuestion, now: Instant) -> float | None:
+        """Return the seconds of prefill within a pause that streams like a request's stand.
+
+        None where prefill is not bounded.
+        """
+        part = self._prefill_budget(question.service, question.urgency).part(now)
+        if part is None or question.pause_target is None:
+            return None
+        return part * question.pause_target
+
+    def _prefill_budget(self, service: str, urgency: int) -> PrefillBudget:
+        return self._budgets.setdefault((service, urgency), PrefillBudget())
+
+    def arrived(self, question: PlacementQuestion, now: Instant) -> int:
         """Count a request's work for the split of the engines: what it leaves an engine to read.
 
         Shared parts that an engine keeps are no work. Counted, they would keep engines for long
         prompts that have little to read, and short ones would be crowded on the others.
+
+        Returns:
+            Fewest prompt tokens that any engine has to read.
         """
         prompt = question.prompt
         loads = [each for each in self.loads_by_id.values() if each.service == question.service]
         kept = max((each.kept_tokens(prompt) for each in loads), default=0)
         unread = max(1, prompt.prompt_tokens - kept)
         self.lanes(question.service).count(unread, is_long=prompt.is_long, now=now)
+        return unread
+
+    def least_planned(
+        self,
+        question: PlacementQuestion,
+        engines: Sequence[BackendServer],
+        traits: EngineTraits,
+        now: Instant,
+    ) -> LeastPlanned:
+        """Return the least prefill that is planned on any engine of either lane."""
+        short, long = self._split(question.service, engines, traits, now)
+        spans = (question.shortest_pause or 0.0, question.pause_target or 0.0)
+        least = [
+            min((self.load(each, traits).reading_within(span, now) for each in lane), default=inf)
+            for lane, span in zip((short, long or short), spans, strict=True)
+        ]
+        rate = max((self.load(each, traits).tokens_per_second for each in engines), default=1.0)
+        return LeastPlanned(least[0], least[1], rate, self.budget_seconds(question, now))
+
+    def _split(
+        self,
+        service: str,
+        engines: Sequence[BackendServer],
+        traits: EngineTraits,
+        now: Instant,
+    ) -> tuple[Sequence[BackendServer], Sequence[BackendServer]]:
+        lanes = self.lanes(service)
+        lanes.short_running = self.short_running(service)
+        lanes.tokens_per_second = self._tokens_per_second(service)
+        return lanes.split(engines, service, traits.slots, now)
 
     def earliest_first_event(
         self, engines: Sequence[BackendServer], traits: EngineTraits, urgency: int, now: Instant
@@ -198,10 +289,7 @@
             traits: What the configuration tells of them.
             now: The present instant.
         """
-        lanes = self.lanes(question.service)
-        lanes.short_running = self.short_running(question.service)
-        lanes.tokens_per_second = self._tokens_per_second(question.service)
-        short, long = lanes.split(engines, question.service, traits.slots, now)
+        short, long = self._split(question.service, engines, traits, now)
         choice = _Choice(self, question, engines, traits, now)
         if question.prompt.is_long:
             return _place_long(choice, short, long)
@@ -229,6 +317,7 @@
         self.question = question
         self._traits = traits
         self._stretch = placement.stretch(question.service).factor(question.urgency)
+        self._budget = placement.budget_seconds(question, now)
         self._now = now
         self._load_by_id = {each.id: placement.load(each, traits) for each in engines}
         prompt = question.prompt
@@ -255,6 +344,24 @@
             return NoRoom(after)
         return Placed(best, self.reading(best), after)
 
+    def within_budget(self, engines: Sequence[BackendServer]) -> list[BackendServer]:
+        """Return the engines on which streams like this one get their events in time.
+
+        An engine that prefills without a pause makes one token a chunk: every event of every stream
+        there is late, and long answers end past their deadline.
+        """
+        budget, span = self._budget, self.question.pause_target
+        if budget is None or span is None:
+            return list(engines)
+        return [each for each in engines if self._is_within(each, budget, span)]
+
+    def _is_within(self, engine: BackendServer, budget: float, span: float) -> bool:
+        load = self._load(engine)
+        planned = load.reading_within(span, self._now)
+        if planned <= 0.0:
+            return True
+        return planned + _counted(load.reading_seconds(self.reading(engine)), budget) <= budget
+
     def quiet(self, engines: Sequence[BackendServer]) -> list[BackendServer]:
         """Return the engines whose streams the prompt pauses no longer than they stand.
 
@@ -323,11 +430,24 @@
 def _place_long(
     choice: _Choice, short: Sequence[BackendServer], long: Sequence[BackendServer]
 ) -> Placed | NoRoom:
-    found = choice.best(long or short, at_home=True)
+    lane = long or short
+    found = choice.best(choice.within_budget(lane), at_home=True)
     if isinstance(found, Placed) or not long:
         return found
     quiet = choice.quiet(short)
-    return choice.best(quiet, at_home=True) if quiet else found
+    if quiet:
+        found = choice.best(quiet, at_home=True)
+    if isinstance(found, Placed) or choice.question.may_wait:
+        return found
+    return choice.best(lane, at_home=True)
+
+
+def _counted(seconds: float, budget: float) -> float:
+    """Return what a prompt takes of a budget.
+
+    One that takes longer than the budget alone would only ever find an idle engine.
+    """
+    return min(seconds, LARGE_PROMPT_PART * budget)
 
 
 CROWDED_RUN = 0.002
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/run_ledger.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/run_ledger.py
@@ -132,6 +132,8 @@
         if not run.is_read:
             return False
         key = run_key(report.sender, run.ticket)
+        if run.exceeded:
+            self._placement.pause_exceeded(known.backend_id, key, now)
         return self._placement.first_event(known.backend_id, key, now) is not None
 
     def _adopt(self, report: RunReport, sender: _Sender, run: ReportedRun, now: Instant) -> bool:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/run_report.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/run_report.py
@@ -30,6 +30,8 @@
     """Seconds since it was sent."""
     is_read: bool = False
     """Whether its first event has come."""
+    exceeded: bool = False
+    """Whether its stream had a pause beyond its target."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +97,13 @@
             own.run = replace(own.run, is_read=True)
             self._note_change(ticket)
 
+    def pause_exceeded(self, ticket: str) -> None:
+        """Note that a stream had a pause beyond its target."""
+        own = self._runs_by_ticket.get(ticket)
+        if own is not None and not own.run.exceeded:
+            own.run = replace(own.run, exceeded=True)
+            self._note_change(ticket)
+
     def end(self, ticket: str, *, failed: bool) -> None:
         """Note that a request has left its engine."""
         own = self._runs_by_ticket.pop(ticket, None)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
@@ -10,7 +10,7 @@
 
 from .backend_list import BackendServer
 from .engine_load import PromptReading
-from .placement import NoRoom, Placed, PlacementQuestion
+from .placement import LeastPlanned, NoRoom, Placed, PlacementQuestion
 from .prompt_parts import Prompt
 from .waiting_order import (
     Waiter,
@@ -47,6 +47,8 @@
     """Shortest pause target in seconds of the streams on the service's engines, where declared."""
     zone: str = ""
     """Availability zone of the entry that it came to."""
+    pause_target: float | None = None
+    """Longest pause in seconds between its own events for which it is on time, where declared."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,7 +83,10 @@
         self._service = service
         self._placement = placement
         self._waiting: dict[str, WaitingRequest] = {}
+        self._unread_by_ticket: dict[str, int] = {}
+        """Fewest prompt tokens that any engine had to read when a request came."""
         self._earliest_by_urgency: dict[int, float] = {}
+        self._least_planned_by_urgency: dict[int, LeastPlanned] = {}
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -92,12 +97,14 @@
 
     def enter(self, request: WaitingRequest, now: Instant) -> None:
         """Put a request into the line."""
-        self._placement.arrived(self._question(request, now), now)
+        unread = self._placement.arrived(self._question(request, now), now)
+        self._unread_by_ticket[request.ticket] = unread
         self._waiting[request.ticket] = request
 
     def leave(self, ticket: str) -> None:
         """Take a request out of the line."""
         self._waiting.pop(ticket, None)
+        self._unread_by_ticket.pop(ticket, None)
 
     def is_first(self, ticket: str) -> bool:
         """Return whether a request waits for nobody: all that are as urgent have been placed."""
@@ -127,7 +134,7 @@
         looked_at = self._waiting.values() if only is None else (self._waiting[only],)
         ordered = sorted(looked_at, key=lambda each: waiting_order(each.waiter, now))
         decisions: list[Granted | TurnedAway] = []
-        self._earliest_by_urgency.clear()
+        self._forget_bounds()
         for request in ordered:
             decision = self._decide(request, traits, engines_for(request), now)
             if decision is not None:
@@ -146,17 +153,19 @@
         if traits is None or not engines or must_give_up(request.waiter, until, now):
             return self._turn_away(request, no_engine=traits is None or not engines, now=now)
         question = self._question(request, now)
-        if not request.avoid and self._is_hopeless(question, engines, traits, now):
+        unread = self._unread_by_ticket[request.ticket]
+        if not request.avoid and self._is_hopeless(question, unread, engines, traits, now):
             return None
         found = self._placement.place(question, engines, traits, now)
         if isinstance(found, NoRoom):
             return None
-        self._earliest_by_urgency.clear()
+        self._forget_bounds()
         return self._grant(request, found, traits, now)
 
     def _is_hopeless(
         self,
         question: PlacementQuestion,
+        unread: int,
         engines: Sequence[BackendServer],
         traits: EngineTraits,
         now: Instant,
@@ -169,7 +178,21 @@
         if earliest is None:
             earliest = self._placement.earliest_first_event(engines, traits, question.urgency, now)
             self._earliest_by_urgency[question.urgency] = earliest
-        return earliest == inf or (question.prompt.is_long and earliest > question.latency_target)
+        if earliest == inf or not question.prompt.is_long:
+            return earliest == inf
+        if earliest > question.latency_target:
+            return True
+        if not question.may_wait:
+            return False
+        planned = self._least_planned_by_urgency.get(question.urgency)
+        if planned is None:
+            planned = self._placement.least_planned(question, engines, traits, now)
+            self._least_planned_by_urgency[question.urgency] = planned
+        return not planned.may_take(question, unread)
+
+    def _forget_bounds(self) -> None:
+        self._earliest_by_urgency.clear()
+        self._least_planned_by_urgency.clear()
 
     def _grant(
         self, request: WaitingRequest, found: Placed, traits: EngineTraits, now: Instant
@@ -208,6 +231,7 @@
             target,
             waiter.urgency,
             request.shortest_pause,
-            may_wait=may_wait(waiter, now),
+            may_wait=may_wait(waiter, now, is_long=request.prompt.is_long),
             zone=request.zone,
+            pause_target=request.pause_target,
         )
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_order.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_order.py
@@ -23,7 +23,11 @@
 """Targets for which a short prompt waits past its own for an engine with room."""
 
 EARLY_PART = 0.4
-"""Part of the way to its target in which a request may wait for a better place."""
+"""Part of the way to its target in which a short prompt may wait for a better place."""
+
+EARLY_PART_LONG = 0.5
+"""The same of a long prompt; past it, an engine that is late with its tokens serves the caller
+better than none."""
 
 SHORTEST_RETURN = timedelta(milliseconds=200)
 """Shortest time after which a refused caller is asked to come back."""
@@ -84,9 +88,10 @@
     return min(due - reserve, waiter.deadline - LAST_CALL)
 
 
-def may_wait(waiter: Waiter, now: Instant) -> bool:
+def may_wait(waiter: Waiter, now: Instant, *, is_long: bool = False) -> bool:
     """Return whether a request is early enough to wait for a better place than there is."""
-    return now < waiter.arrived_at + EARLY_PART * (waiter.target_at - waiter.arrived_at)
+    part = EARLY_PART_LONG if is_long else EARLY_PART
+    return now < waiter.arrived_at + part * (waiter.target_at - waiter.arrived_at)
 
 
 def waits_until(waiter: Waiter, due: Instant, *, is_long: bool) -> Instant:
--- a/packages/ragwortwing-policy/tests/direct/test_placement.py
+++ b/packages/ragwortwing-policy/tests/direct/test_placement.py
@@ -7,9 +7,19 @@
 
 import pytest
 
-from ragwortwing_policy.direct.engine_load import EngineLoad, PromptReading
+from ragwortwing_policy.direct.engine_load import (
+    INITIAL_TOKENS_PER_SECOND,
+    EngineLoad,
+    PromptReading,
+)
 from ragwortwing_policy.direct.lanes import SHORT_READING, Lanes
-from ragwortwing_policy.direct.placement import NoRoom, Placed, Placement, PlacementQuestion
+from ragwortwing_policy.direct.placement import (
+    NoRoom,
+    Placed,
+    Placement,
+    PlacementQuestion,
+)
+from ragwortwing_policy.direct.prefill_budget import LEAST_PART
 from ragwortwing_policy.direct.prompt_parts import Prompt, PromptPart
 
 from .builders import TRAITS, engines, prompt
@@ -297,6 +307,72 @@
     assert isinstance(place(2_600), NoRoom)
 
 
+def draft_question(tokens: int, **more: object) -> PlacementQuestion:
+    asked = replace(prompt(tokens, f"s-{tokens}"), bears_reading=True)
+    question = PlacementQuestion(
+        SERVICE, asked, 0.8, urgency=1, shortest_pause=0.3, pause_target=0.5
+    )
+    return replace(question, **more)  # type: ignore[arg-type]
+
+
+def tighten(site: Site) -> None:
+    """Let streams of long prompts have been late until the budget is as small as it gets."""
+    load = site.placement.load(site.engines[0], TRAITS)
+    for number in range(9):
+        load.begin(f"late-{number}", prompt(10, f"l-{number}"), PromptReading(10), -9.0, 1)
+        site.placement.pause_exceeded(site.engines[0].id, f"late-{number}", 0.0)
+        load.end(f"late-{number}", 0.0)
+
+
+def place_beside(planned: float, question: PlacementQuestion) -> Placed | NoRoom:
+    """Place a long prompt on an engine that has some seconds of prefill planned."""
+    site = Site(count=1)
+    tighten(site)
+    make_busy(site.placement.load(site.engines[0], TRAITS), planned)
+    return site.placement.place(question, site.engines, TRAITS, 0.0)
+
+
+def test_a_long_prompt_waits_for_an_engine_whose_streams_stand_its_prefill() -> None:
+    """Guards against engines that prefill without a pause and make every event late."""
+    budget = LEAST_PART * 0.5
+    tokens = round(0.1 * INITIAL_TOKENS_PER_SECOND)
+    question = draft_question(tokens, may_wait=True)
+    assert isinstance(place_beside(budget - 0.12, question), Placed)
+    assert isinstance(place_beside(budget - 0.08, question), NoRoom)
+
+
+def test_prefill_is_not_bounded_before_a_stream_was_late() -> None:
+    """Guards against prompts that wait where no stream minds how much is read beside it."""
+    site = Site(count=1)
+    make_busy(site.placement.load(site.engines[0], TRAITS), 0.6)
+    question = draft_question(400, latency_target=5.0, may_wait=True)
+    assert isinstance(site.placement.place(question, site.engines, TRAITS, 0.0), Placed)
+
+
+def test_a_prompt_larger_than_the_budget_finds_an_engine() -> None:
+    """Guards against large prompts that only ever fit an idle engine."""
+    budget = LEAST_PART * 0.5
+    tokens = round(2 * budget * INITIAL_TOKENS_PER_SECOND)
+    large = draft_question(tokens, latency_target=5.0, may_wait=True)
+    assert isinstance(place_beside(0.3 * budget, large), Placed)
+    assert isinstance(place_beside(0.9 * budget, large), NoRoom)
+
+
+def test_the_bound_on_planned_prefill_rules_out_nothing_that_could_be_placed() -> None:
+    """Guards against requests that wait although an engine would take them."""
+    for planned in (0.0, 0.1, 0.2, 0.3, 0.4, 0.6):
+        for tokens in (400, 2_000, 8_000, 30_000):
+            question = draft_question(tokens, latency_target=9.0, may_wait=True)
+            site = Site(count=3)
+            tighten(site)
+            for engine in site.engines:
+                if planned:
+                    make_busy(site.placement.load(engine, TRAITS), planned)
+            bound = site.placement.least_planned(question, site.engines, TRAITS, 0.0)
+            if isinstance(site.placement.place(question, site.engines, TRAITS, 0.0), Placed):
+                assert bound.may_take(question, tokens)
+
+
 def test_among_equals_a_chat_goes_to_its_own_zone() -> None:
     """Bytes between availability zones are paid for; an idle engine nearby is as good."""
     placement = Placement()
--- a/packages/ragwortwing-policy/tests/direct/test_run_ledger.py
+++ b/packages/ragwortwing-policy/tests/direct/test_run_ledger.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ragwortwing_policy.direct.backend_trust import BackendTrust
-from ragwortwing_policy.direct.placement import Placement
+from ragwortwing_policy.direct.placement import Placement, PlacementQuestion
 from ragwortwing_policy.direct.run_ledger import GRANT_EXPIRY, SENDER_SILENCE, RunLedger, run_key
 from ragwortwing_policy.direct.run_report import WHOLE_INTERVAL, ReportedRun, RunReporter
 
@@ -243,3 +243,19 @@
     sender.send(3_000, 0.0)
     sender.report_to(receiver, 0.0)
     assert receiver.load.reading_of(prompt(3_000, own="another")).unread_tokens == 2_900
+
+
+def test_a_late_stream_of_another_entry_bounds_prefill() -> None:
+    """Guards against a scheduler that learns only from the streams of its own callers."""
+    sender, receiver = Entry("a"), Entry("b")
+    question = PlacementQuestion(POOL, prompt(500), 0.8, urgency=8, pause_target=0.5)
+    sender.send(500, 0.0)
+    sender.report_to(receiver, 0.0)
+    assert receiver.placement.budget_seconds(question, 0.0) is None
+    sender.reporter.pause_exceeded("r-1")
+    sender.report_to(receiver, 0.6)
+    budget = receiver.placement.budget_seconds(question, 0.6)
+    assert budget is not None
+    sender.reporter.pause_exceeded("r-1")
+    receiver.ledger.take(sender.reporter.whole_report(0.6), 0.6)
+    assert receiver.placement.budget_seconds(question, 0.6) == budget
