--- a/packages/ragwortwing-policy/tests/direct/test_run_ledger.py
+++ b/packages/ragwortwing-policy/tests/direct/test_run_ledger.py
@@ -252,6 +252,7 @@
     sender.send(500, 0.0)
     sender.report_to(receiver, 0.0)
     assert receiver.placement.budget_seconds(question, 0.0) is None
+    sender.first_event(1, 0.1)
     sender.reporter.pause_exceeded("r-1")
     sender.report_to(receiver, 0.6)
     budget = receiver.placement.budget_seconds(question, 0.6)
