Prove the duty's holder with processes that are killed, stopped and suspended

Stand-in of the platform's API for reports; the store's stand-in takes appends on a condition and keeps what is appended to keyed topics.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/platform_site.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/platform_site.py
@@ -21,6 +21,7 @@
 import trio
 
 from .published_backend import PublishedBackend
+from .published_cloud import PublishedCloud
 from .published_store import PublishedStore
 
 if TYPE_CHECKING:
@@ -36,6 +37,9 @@
 DRAFT_PROMPT = {"x-token-count": "6000,40", "x-prompt-prefix": "cc:4000,dd:2000"}
 """Headers that tell of a short and of a long prompt."""
 
+DUTY_BOUNDS = {"lease_ms": 800, "window_s": 1, "usage_late_s": 5}
+"""Bounds of duties that let a test see several windows in a few seconds."""
+
 WAIT_LIMIT = 20.0
 """Seconds for any condition; only a guard against hanging."""
 
@@ -242,6 +246,9 @@
     store_address: str
     grace: float = 3.0
     """Seconds between the word to stop and the end of an entry."""
+    cloud: PublishedCloud | None = None
+    """Takes the reports of duties, where entries have any."""
+    cloud_address: str = ""
     backends_by_id: dict[str, PublishedBackend] = field(default_factory=dict)
     entries: list[EntryProcess] = field(default_factory=list)
     peer_port: int = field(default_factory=lambda: _free_port(socket.SOCK_DGRAM))
@@ -268,6 +275,9 @@
         ip = self._ip_by_name.setdefault(name, f"127.0.0.{2 + len(self._ip_by_name)}")
         settings = _settings(name, ip, store or self.store_address, self.grace)
         settings["inner_ports"] = [self.peer_port, self.peer_port]
+        if self.cloud is not None:
+            settings["cloud_api"] = {"address": self.cloud_address, "duties": ["usage_report"]}
+            settings["bounds"] |= DUTY_BOUNDS
         settings_path = self.folder / f"{name}.json"
         settings_path.write_bytes(msgspec.json.encode(settings))
         log_path = self.folder / f"{name}.log"
@@ -328,13 +338,18 @@
 
 
 @asynccontextmanager
-async def platform_site(folder: Path, grace: float = 3.0) -> AsyncIterator[PlatformSite]:
+async def platform_site(
+    folder: Path, grace: float = 3.0, *, with_duties: bool = False
+) -> AsyncIterator[PlatformSite]:
     """Start a store with a configuration; everything ends with the context."""
     store = PublishedStore()
     store.put(OPERATOR_TOPIC, "config", configuration())
     async with trio.open_nursery() as nursery:
         address = await nursery.start(store.serve)
         site = PlatformSite(nursery, folder, store, address, grace)
+        if with_duties:
+            site.cloud = PublishedCloud()
+            site.cloud_address = await nursery.start(site.cloud.serve)
         try:
             yield site
         finally:
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_store.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_store.py
@@ -29,6 +29,8 @@
     from collections.abc import Awaitable, Callable, Iterator
 
 PARTITIONS = 24
+KEYED = "keyed."
+"""How the names of topics begin that keep the newest record of each key."""
 GROUP_CALLS = frozenset({"/log-join", "/log-leave", "/log-owners"})
 RAW_TYPE = (b"content-type", b"application/octet-stream")
 
@@ -114,6 +116,12 @@
         self._newest_by_topic.setdefault(topic, {})[key] = (data, offset)
         return offset
 
+    def _keep_newest(self, topic: str, record: bytes, offset: int) -> None:
+        """Keep a record of a keyed topic as the newest of its key."""
+        if topic.startswith(KEYED):
+            key, value = record[1 : 1 + record[0]].decode(), record[1 + record[0] :]
+            self._newest_by_topic.setdefault(topic, {})[key] = (value, offset)
+
     def drop(self, topic: str, key: str) -> None:
         """Drop a key."""
         self.log.append(topic, _keyed(key, b""))
@@ -178,8 +186,14 @@
             return
         stream = self._stream(exchange)
         offset = stream.next_offset
+        expected = exchange.request.query.get("at")
+        if expected is not None and int(expected[0]) != offset:
+            await exchange.respond_json(412, {"end": offset})
+            return
+        name = _stream_name(exchange)
         for record in _framed_records(exchange.request.body):
-            self.log.append(_stream_name(exchange), record)
+            at = self.log.append(name, record)
+            self._keep_newest(name, record, at)
             self.counts["appended"] += 1
         if self.faults.take(FaultKind.LOSE_REPLY):
             self.counts["lost_replies"] += 1
