--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
@@ -121,12 +121,12 @@
     def waiting(self, service: str) -> int:
         """Return how many requests wait here for an engine of a service."""
         found = self._pools_by_service.get(service)
-        return len(found.room) if found is not None else 0
+        return len(found.dispatcher) if found is not None else 0
 
     def waiting_by_urgency(self) -> Counter[int]:
         """Return how many requests of each rank wait here for an engine."""
         pools = self._pools_by_service.values()
-        return sum((each.room.waiting_by_urgency() for each in pools), Counter())
+        return sum((each.dispatcher.waiting_by_urgency() for each in pools), Counter())
 
     def pick_service(self, route: Route) -> str:
         """Return one of a route's services, by their weights."""
@@ -189,7 +189,7 @@
     def _notify(self, service: str) -> None:
         pool = self._pools_by_service.get(service)
         if pool is not None:
-            pool.room.notify()
+            pool.dispatcher.notify()
 
     def _take_message(self, message: PeerMessage, address: Address) -> None:
         """Take in a message of another entry."""
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_admission.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_admission.py
@@ -7,8 +7,8 @@
 
 import trio
 
+from ragwortwing_policy.direct.admission_queue import Granted, Rejected, WaitingRequest
 from ragwortwing_policy.direct.run_report import ReportedRun
-from ragwortwing_policy.direct.waiting_line import Granted, TurnedAway, WaitingRequest
 from ragwortwing_policy.outcomes import NotRunReason
 
 from .decision_log import decided
@@ -26,8 +26,8 @@
     from ragwortwing_policy.direct.backend_list import BackendServer
 
     from .entry_state import EntryState
+    from .queue_dispatcher import QueueDispatcher
     from .run_reporting import RunReporting
-    from .waiting_room import WaitingRoom
 
 RESEND = 0.05
 """Seconds without an answer after which a request is sent to its scheduler once more."""
@@ -55,11 +55,11 @@
     """Admits the requests of one entry to the engines of one pool."""
 
     def __init__(
-        self, pool: str, state: EntryState, room: WaitingRoom, reporting: RunReporting
+        self, pool: str, state: EntryState, dispatcher: QueueDispatcher, reporting: RunReporting
     ) -> None:
         self._pool = pool
         self._state = state
-        self._room = room
+        self._dispatcher = dispatcher
         self._reporting = reporting
         self._pending_by_ticket: dict[str, _Pending] = {}
 
@@ -99,24 +99,24 @@
             return None
         return found if self._state.peers.knows(found) else None
 
-    async def _decide_here(self, request: WaitingRequest) -> Granted | TurnedAway:
-        decisions: list[Granted | TurnedAway] = []
+    async def _decide_here(self, request: WaitingRequest) -> Granted | Rejected:
+        decisions: list[Granted | Rejected] = []
         decided_event = trio.Event()
 
-        def on_decision(decision: Granted | TurnedAway) -> None:
+        def on_decision(decision: Granted | Rejected) -> None:
             decisions.append(decision)
             decided_event.set()
 
-        self._room.enter(request, on_decision)
+        self._dispatcher.enter(request, on_decision)
         try:
             await decided_event.wait()
         except trio.Cancelled:
-            self._room.leave(request.ticket)
+            self._dispatcher.leave(request.ticket)
             self._take_back(request, decisions)
             raise
         return decisions[0]
 
-    def _take_back(self, request: WaitingRequest, decisions: list[Granted | TurnedAway]) -> None:
+    def _take_back(self, request: WaitingRequest, decisions: list[Granted | Rejected]) -> None:
         for decision in decisions:
             load = (
                 self._state.placement.loads_by_id.get(decision.backend.id)
@@ -174,7 +174,7 @@
 
     def _decision_of(
         self, message: DecisionMessage, request: WaitingRequest
-    ) -> Granted | TurnedAway | None:
+    ) -> Granted | Rejected | None:
         """Return a decision in terms of this entry's list; None where it does not list the engine.
 
         A grant of a backend server that is leaving, or that this entry does not know, is not used.
@@ -194,8 +194,8 @@
             return None
         return found
 
-    def _conclude(self, decision: Granted | TurnedAway, scheduler: str | None) -> Granted | Refused:
-        if isinstance(decision, TurnedAway):
+    def _conclude(self, decision: Granted | Rejected, scheduler: str | None) -> Granted | Refused:
+        if isinstance(decision, Rejected):
             reason = NotRunReason.NO_BACKEND if decision.no_engine else NotRunReason.OVERLOADED
             decided(
                 "request_refused",
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_pool.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_pool.py
@@ -8,7 +8,7 @@
 
 from .engine_admission import EngineAdmission
 from .pool_scheduler import PoolScheduler
-from .waiting_room import WaitingRoom
+from .queue_dispatcher import QueueDispatcher
 
 if TYPE_CHECKING:
     from .entry_state import EntryState
@@ -22,14 +22,14 @@
     """What an entry has for one pool of engines."""
 
     def __init__(self, name: str, state: EntryState, reporting: RunReporting) -> None:
-        self.room = WaitingRoom(name, state)
-        self.scheduler = PoolScheduler(name, state, self.room)
-        self.admission = EngineAdmission(name, state, self.room, reporting)
+        self.dispatcher = QueueDispatcher(name, state)
+        self.scheduler = PoolScheduler(name, state, self.dispatcher)
+        self.admission = EngineAdmission(name, state, self.dispatcher, reporting)
 
     async def run(self) -> None:
         """Run what the pool needs in the background."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.room.run)
+            nursery.start_soon(self.dispatcher.run)
             while True:
                 await trio.sleep(MAINTENANCE_INTERVAL)
                 self.scheduler.maintain()
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
@@ -12,12 +12,12 @@
 
 import msgspec
 
+from ragwortwing_policy.direct.admission_queue import Granted, Rejected, WaitingRequest
 from ragwortwing_policy.direct.engine_load import PromptReading
 from ragwortwing_policy.direct.peer_status import PeerStatus
 from ragwortwing_policy.direct.prompt_parts import Prompt, PromptPart
+from ragwortwing_policy.direct.queue_order import Waiter
 from ragwortwing_policy.direct.run_report import EndedRun, ReportedRun, RunReport
-from ragwortwing_policy.direct.waiting_line import Granted, TurnedAway, WaitingRequest
-from ragwortwing_policy.direct.waiting_order import Waiter
 from ragwortwing_policy.duties.usage_counts import UsageReport
 
 if TYPE_CHECKING:
@@ -294,10 +294,10 @@
 
 
 def decision_message(
-    decision: Granted | TurnedAway, sender: str, pool: str, ticket: str
+    decision: Granted | Rejected, sender: str, pool: str, ticket: str
 ) -> DecisionMessage:
     """Return a scheduler's decision as it is sent."""
-    if isinstance(decision, TurnedAway):
+    if isinstance(decision, Rejected):
         after = decision.retry_after
         return DecisionMessage(
             sender,
@@ -324,10 +324,10 @@
     )
 
 
-def rejection_of(message: DecisionMessage, request: WaitingRequest) -> TurnedAway:
+def rejection_of(message: DecisionMessage, request: WaitingRequest) -> Rejected:
     """Return a rejection that was received."""
     after = message.retry_after
-    return TurnedAway(
+    return Rejected(
         request=request,
         retry_after=None if after is None else timedelta(seconds=after),
         no_engine=message.no_engine,
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/pool_scheduler.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/pool_scheduler.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from ragwortwing_policy.clock import Instant
+from ragwortwing_policy.direct.admission_queue import Granted
 from ragwortwing_policy.direct.run_ledger import GRANT_EXPIRY, run_key
-from ragwortwing_policy.direct.waiting_line import Granted
 
 from .peer_link import Address
 from .peer_messages import (
@@ -19,11 +19,11 @@
 )
 
 if TYPE_CHECKING:
-    from ragwortwing_policy.direct.waiting_line import TurnedAway
+    from ragwortwing_policy.direct.admission_queue import Rejected
 
     from .entry_state import EntryState
     from .peer_messages import WithdrawMessage
-    from .waiting_room import WaitingRoom
+    from .queue_dispatcher import QueueDispatcher
 
 RESEND_GRANT = 0.06
 """Seconds after which a grant is sent again that its entry has not reported as used."""
@@ -44,10 +44,10 @@
 class PoolScheduler:
     """Answers what other entries ask for one pool; idempotent by ticket."""
 
-    def __init__(self, pool: str, state: EntryState, room: WaitingRoom) -> None:
+    def __init__(self, pool: str, state: EntryState, dispatcher: QueueDispatcher) -> None:
         self._pool = pool
         self._state = state
-        self._room = room
+        self._dispatcher = dispatcher
         self._asked_by_key: dict[str, _Asked] = {}
 
     def take(self, message: PlaceMessage, address: Address) -> None:
@@ -62,7 +62,7 @@
             return
         asked = self._asked_by_key[key] = _Asked(message, address, now)
         request = waiting_request_of(message, key, now)
-        self._room.enter(request, lambda decision: self._decided(asked, decision))
+        self._dispatcher.enter(request, lambda decision: self._decided(asked, decision))
         if asked.answer is None:
             self._answer(asked)
 
@@ -70,10 +70,10 @@
         """Drop a request, or take back the engine that it was given."""
         key = run_key(message.sender, message.ticket)
         self._asked_by_key.pop(key, None)
-        self._room.leave(key)
+        self._dispatcher.leave(key)
         now = self._state.clock.monotonic()
         self._state.ledger.withdraw(self._pool, message.sender, message.ticket, now)
-        self._room.notify()
+        self._dispatcher.notify()
 
     def maintain(self) -> None:
         """Repeat grants that may be lost, and drop what its entry has forgotten."""
@@ -81,14 +81,14 @@
         for key, asked in list(self._asked_by_key.items()):
             if asked.answer is None:
                 if now - asked.heard_at > QUEUE_EXPIRY:
-                    self._room.leave(key)
+                    self._dispatcher.leave(key)
                     del self._asked_by_key[key]
             elif now - asked.answered_at > GRANT_EXPIRY:
                 del self._asked_by_key[key]
             elif now - asked.answered_at > RESEND_GRANT and self._is_unused_grant(asked):
                 self._answer(asked)
 
-    def _decided(self, asked: _Asked, decision: Granted | TurnedAway) -> None:
+    def _decided(self, asked: _Asked, decision: Granted | Rejected) -> None:
         message, now = asked.message, self._state.clock.monotonic()
         if isinstance(decision, Granted):
             self._state.ledger.granted(
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/waiting_room.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/queue_dispatcher.py
@@ -1,4 +1,4 @@
-"""Runs the waiting line of one pool: looks while someone waits, and passes decisions on."""
+"""Runs the admission queue of one pool: dispatches while requests wait, and reports decisions."""
 
 from __future__ import annotations
 
@@ -6,7 +6,12 @@
 
 import trio
 
-from ragwortwing_policy.direct.waiting_line import Granted, TurnedAway, WaitingLine, WaitingRequest
+from ragwortwing_policy.direct.admission_queue import (
+    AdmissionQueue,
+    Granted,
+    Rejected,
+    WaitingRequest,
+)
 
 if TYPE_CHECKING:
     from collections import Counter
@@ -16,31 +21,31 @@
 
     from .entry_state import EntryState
 
-    OnDecision = Callable[[Granted | TurnedAway], None]
+    OnDecision = Callable[[Granted | Rejected], None]
 
-LOOK_AGAIN = 0.02
-"""Seconds between two looks at what waits: backlogs shrink without any event."""
+DISPATCH_INTERVAL = 0.02
+"""Seconds between two passes over the queue: backlogs shrink without any event."""
 
-LEAST_LOOK_INTERVAL = 0.008
-"""Seconds between two looks however much happens: each asks every engine for all that wait."""
+LEAST_DISPATCH_INTERVAL = 0.008
+"""Least seconds between two passes: each asks every engine for all that wait."""
 
 
-class WaitingRoom:
+class QueueDispatcher:
     """Places the requests of one pool on its engines."""
 
     def __init__(self, service: str, state: EntryState) -> None:
         self._service = service
         self._state = state
-        self._line = WaitingLine(service, state.placement)
+        self._queue = AdmissionQueue(service, state.placement)
         self._callbacks_by_ticket: dict[str, OnDecision] = {}
         self._news = trio.Event()
 
     def __len__(self) -> int:
-        return len(self._line)
+        return len(self._queue)
 
     def waiting_by_urgency(self) -> Counter[int]:
         """Return how many requests of each rank wait."""
-        return self._line.waiting_by_urgency()
+        return self._queue.waiting_by_urgency()
 
     def enter(self, request: WaitingRequest, on_decision: OnDecision) -> None:
         """Queue a request.
@@ -51,33 +56,33 @@
                 the request from then on.
         """
         self._callbacks_by_ticket[request.ticket] = on_decision
-        self._line.enter(request, self._state.clock.monotonic())
-        if self._line.is_first(request.ticket):
+        self._queue.enter(request, self._state.clock.monotonic())
+        if self._queue.is_first(request.ticket):
             self._dispatch(only=request.ticket)
         self.notify()
 
     def leave(self, ticket: str) -> None:
         """Take a request out of the queue, if it is there."""
-        self._line.leave(ticket)
+        self._queue.leave(ticket)
         self._callbacks_by_ticket.pop(ticket, None)
 
     def notify(self) -> None:
-        """Look soon: the load of an engine has changed."""
-        if len(self._line):
+        """Dispatch soon: the load of an engine has changed."""
+        if len(self._queue):
             self._news.set()
 
     async def run(self) -> None:
-        """Look again and again while something waits."""
+        """Dispatch again and again while something waits."""
         while True:
             await self._news.wait()
             self._news = trio.Event()
-            await trio.sleep(LEAST_LOOK_INTERVAL)
+            await trio.sleep(LEAST_DISPATCH_INTERVAL)
             self._dispatch()
-            while len(self._line):
-                with trio.move_on_after(LOOK_AGAIN):
+            while len(self._queue):
+                with trio.move_on_after(DISPATCH_INTERVAL):
                     await self._news.wait()
                 self._news = trio.Event()
-                await trio.sleep(LEAST_LOOK_INTERVAL)
+                await trio.sleep(LEAST_DISPATCH_INTERVAL)
                 self._dispatch()
 
     def _dispatch(self, only: str | None = None) -> None:
@@ -92,5 +97,5 @@
             fresh = [each for each in trusted if each.id not in request.avoid]
             return fresh or trusted
 
-        for decision in self._line.look(traits, engines_for, now, only):
+        for decision in self._queue.dispatch(traits, engines_for, now, only):
             self._callbacks_by_ticket.pop(decision.request.ticket)(decision)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -9,11 +9,11 @@
 
 import trio
 
+from ragwortwing_policy.direct.admission_queue import WaitingRequest
 from ragwortwing_policy.direct.backend_list import BackendServer
+from ragwortwing_policy.direct.queue_order import Waiter
 from ragwortwing_policy.direct.routing_table import Repetition
 from ragwortwing_policy.direct.send_state import Send, SendHistory, SendState
-from ragwortwing_policy.direct.waiting_line import WaitingRequest
-from ragwortwing_policy.direct.waiting_order import Waiter
 from ragwortwing_policy.outcomes import NotRunReason, UnknownReason
 
 from .decision_log import decided, warned
--- a/packages/ragwortwing-entry/tests/direct/test_engine_admission.py
+++ b/packages/ragwortwing-entry/tests/direct/test_engine_admission.py
@@ -19,14 +19,14 @@
     PlaceMessage,
     ReportMessage,
 )
+from ragwortwing_policy.direct.admission_queue import Granted, WaitingRequest
 from ragwortwing_policy.direct.backend_list import BackendServer
 from ragwortwing_policy.direct.prompt_parts import Prompt, PromptPart
+from ragwortwing_policy.direct.queue_order import Waiter
 from ragwortwing_policy.direct.repeat_budget import RepeatAllowance
 from ragwortwing_policy.direct.routing_table import EngineTraits, RoutingTable, Service
 from ragwortwing_policy.direct.run_ledger import GRANT_EXPIRY
 from ragwortwing_policy.direct.scheduler_choice import Candidate
-from ragwortwing_policy.direct.waiting_line import Granted, WaitingRequest
-from ragwortwing_policy.direct.waiting_order import Waiter
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -206,7 +206,7 @@
     with trio.move_on_after(0.05):
         await site.admit("leaves")
     await trio.sleep(0.05)
-    assert len(site.scheduler.pool(POOL).room) == 0
+    assert len(site.scheduler.pool(POOL).dispatcher) == 0
     assert site.running() == 2 * TRAITS.slots
 
 
@@ -218,7 +218,7 @@
     with trio.move_on_after(0.1):
         await site.admit("lost")
     await trio.sleep(4.0)
-    assert len(site.scheduler.pool(POOL).room) == 0
+    assert len(site.scheduler.pool(POOL).dispatcher) == 0
     assert site.running() == 0
 
 
@@ -229,10 +229,10 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(site.admit, "queued")
             await trio.sleep(0.1)
-            assert len(site.scheduler.pool(POOL).room) == 1
+            assert len(site.scheduler.pool(POOL).dispatcher) == 1
             site.network.drop = lambda sender, _: sender == "scheduler"
             await trio.sleep(0.5)
-            assert len(site.entry.pool(POOL).room) == 1
+            assert len(site.entry.pool(POOL).dispatcher) == 1
             nursery.cancel_scope.cancel()
     assert not scope.cancelled_caught
 
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/direct_entry.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/direct_entry.py
@@ -5,15 +5,16 @@
 from dataclasses import dataclass
 
 from ragwortwing_lab.model.burst_replay import Placing, Replay, run_replay, scaled_replay
+from ragwortwing_policy.direct.admission_queue import AdmissionQueue, Granted, WaitingRequest
 from ragwortwing_policy.direct.backend_list import BackendServer
 from ragwortwing_policy.direct.backend_trust import BackendTrust
-from ragwortwing_policy.direct.placement import Placed, Placement, PlacementQuestion
+from ragwortwing_policy.direct.placement import Placement
+from ragwortwing_policy.direct.placement_question import Placed, PlacementQuestion
 from ragwortwing_policy.direct.prompt_parts import Prompt, PromptPart
+from ragwortwing_policy.direct.queue_order import Waiter
 from ragwortwing_policy.direct.routing_table import EngineTraits
 from ragwortwing_policy.direct.run_ledger import RunLedger
 from ragwortwing_policy.direct.run_report import ReportedRun, RunReporter
-from ragwortwing_policy.direct.waiting_line import Granted, WaitingLine, WaitingRequest
-from ragwortwing_policy.direct.waiting_order import Waiter
 
 from .registry import experiment
 from .slopes import Slope, cpu_microseconds, fit
@@ -37,7 +38,7 @@
             for number in range(engines)
         ]
         self.placement = Placement()
-        self.line = WaitingLine(SERVICE, self.placement)
+        self.line = AdmissionQueue(SERVICE, self.placement)
         self.reporter = RunReporter("entry-1", 1, SERVICE)
         for server in self.servers:
             load = self.placement.load(server, TRAITS)
@@ -58,7 +59,7 @@
     def decide_and_end(self) -> None:
         waiter = Waiter(urgency=0, target_at=1e9, deadline=2e9, arrived_at=0.0)
         self.line.enter(WaitingRequest("ticket", "ticket", _prompt("session"), waiter), 0.0)
-        (decision,) = self.line.look(TRAITS, lambda _: self.servers, 0.0)
+        (decision,) = self.line.dispatch(TRAITS, lambda _: self.servers, 0.0)
         assert isinstance(decision, Granted)
         self.placement.loads_by_id[decision.backend.id].end("ticket", 0.0)
 
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
@@ -1,8 +1,8 @@
 """Replays bursts of chats and drafts on a fleet of entries and engines, in virtual time.
 
-The decisions are the product's own (`WaitingLine`, `Placement`, `RunReporter`, `RunLedger`); beside
-them stand baselines that place each request at once: at random, or on the engine with the least
-reported load.
+The decisions are the product's own (`AdmissionQueue`, `Placement`, `RunReporter`, `RunLedger`);
+beside them stand baselines that place each request at once: at random, or on the engine with the
+least reported load.
 """
 
 from __future__ import annotations
@@ -16,20 +16,20 @@
 from math import ceil
 from random import Random
 
+from ragwortwing_policy.direct.admission_queue import (
+    AdmissionQueue,
+    Granted,
+    Rejected,
+    WaitingRequest,
+)
 from ragwortwing_policy.direct.backend_list import BackendServer
 from ragwortwing_policy.direct.backend_trust import BackendTrust
 from ragwortwing_policy.direct.placement import Placement
 from ragwortwing_policy.direct.prompt_parts import Prompt, PromptPart
+from ragwortwing_policy.direct.queue_order import Waiter
 from ragwortwing_policy.direct.routing_table import EngineTraits, PauseTargets
 from ragwortwing_policy.direct.run_ledger import RunLedger, run_key
 from ragwortwing_policy.direct.run_report import ReportedRun, RunReport, RunReporter
-from ragwortwing_policy.direct.waiting_line import (
-    Granted,
-    TurnedAway,
-    WaitingLine,
-    WaitingRequest,
-)
-from ragwortwing_policy.direct.waiting_order import Waiter
 
 from .batching_engine import BatchingEngine, EnginePace, EngineRun
 
@@ -246,7 +246,7 @@
 class _Entry:
     name: str
     placement: Placement
-    line: WaitingLine
+    line: AdmissionQueue
     ledger: RunLedger
     reporter: RunReporter
 
@@ -309,7 +309,7 @@
     servers_by_id = {each.id: each for each in fleet.servers}
     traits = _traits(fleet.replay)
     ledger = RunLedger(placement, BackendTrust(), lambda key: (servers_by_id[key], traits))
-    line = WaitingLine(SERVICE, placement)
+    line = AdmissionQueue(SERVICE, placement)
     return _Entry(name, placement, line, ledger, RunReporter(name, 1, SERVICE))
 
 
@@ -395,7 +395,7 @@
 
 
 def _look(fleet: _Fleet, scheduler: _Entry, now: float) -> None:
-    for decision in scheduler.line.look(_traits(fleet.replay), lambda _: fleet.servers, now):
+    for decision in scheduler.line.dispatch(_traits(fleet.replay), lambda _: fleet.servers, now):
         entry, ticket = fleet.asked_by_key.pop(decision.request.ticket)
         if isinstance(decision, Granted):
             if entry is scheduler:
@@ -428,7 +428,7 @@
     _submit(fleet, entry, ticket, number, now, fetch_from)
 
 
-def _come_back(fleet: _Fleet, decision: TurnedAway, ticket: str, now: float) -> None:
+def _come_back(fleet: _Fleet, decision: Rejected, ticket: str, now: float) -> None:
     """Let a refused caller come back to any entry when it was told to."""
     request = fleet.requests_by_ticket[ticket]
     fleet.results_by_kind[request.kind.name].refused += 1
--- /dev/null
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/_engine_choice.py
@@ -0,0 +1,199 @@
+"""The choice of an engine for one request, among those that may be sent to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .engine_load import PromptReading
+from .lanes import rank
+from .placement_question import NoRoom, Placed, counted_seconds
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from ragwortwing_policy.clock import Instant
+
+    from .backend_list import BackendServer
+    from .engine_load import EngineLoad
+    from .placement_question import PlacementQuestion
+    from .routing_table import EngineTraits
+
+HOME_ADVANTAGE = 0.12
+"""Seconds of first event by which another engine must be earlier to take a session from its home:
+what is read once more elsewhere delays others there."""
+
+EQUAL_WITHIN = 0.03
+"""Seconds of first event within which engines count as equally good."""
+
+LEAST_FETCHED_TOKENS = 1_000
+"""Fewest tokens for which an engine fetches KV cache from another: reading them takes 20 ms, as
+long as a fetch with its way there and back may take."""
+
+CROWDED_RUN = 0.002
+"""Seconds by which each request that runs on an engine makes it less wanted."""
+
+
+class EngineChoice:
+    """The choice of an engine for one request."""
+
+    def __init__(
+        self,
+        question: PlacementQuestion,
+        load_by_engine: Mapping[BackendServer, EngineLoad],
+        traits: EngineTraits,
+        now: Instant,
+        *,
+        stretch: float,
+        budget: float | None,
+    ) -> None:
+        """Create the choice.
+
+        Args:
+            question: The request.
+            load_by_engine: The engines that may be sent to, and their loads.
+            traits: What the configuration tells of them.
+            now: The present instant.
+            stretch: How much longer reading takes than its tokens alone.
+            budget: Seconds of prefill within a pause that streams like the request's stand; None
+                where it is not bounded.
+        """
+        self.question = question
+        self._traits = traits
+        self._stretch = stretch
+        self._budget = budget
+        self._now = now
+        self._load_by_id = {each.id: load for each, load in load_by_engine.items()}
+        prompt = question.prompt
+        self._kept_by_id = {key: load.kept_tokens(prompt) for key, load in self._load_by_id.items()}
+        self._fetchable_by_id = {
+            key: load.read_tokens(prompt) for key, load in self._load_by_id.items()
+        }
+        self._source = self._fetch_source(list(load_by_engine))
+
+    def best(self, engines: Sequence[BackendServer], *, at_home: bool) -> Placed | NoRoom:
+        """Return the engine with the earliest first event, near enough the session's home."""
+        prompt = self.question.prompt
+        fitting = [each for each in engines if self._load(each).fits(prompt, self.question.urgency)]
+        if not fitting:
+            return NoRoom(None)
+        after_by_id = {each.id: self._first_event_after(each) for each in fitting}
+        earliest = min(after_by_id.values())
+        best = self._home(fitting) if at_home else None
+        if best is None or after_by_id[best.id] > earliest + HOME_ADVANTAGE:
+            equal = [each for each in fitting if after_by_id[each.id] <= earliest + EQUAL_WITHIN]
+            best = min(equal, key=lambda each: self._preference(each, at_home=at_home))
+        after = after_by_id[best.id]
+        if at_home and after > self.question.latency_target:
+            return NoRoom(after)
+        return Placed(best, self.reading(best), after)
+
+    def within_budget(self, engines: Sequence[BackendServer]) -> list[BackendServer]:
+        """Return the engines on which streams like this one get their events in time.
+
+        An engine that prefills without a pause makes one token a chunk: every event of every stream
+        there is late, and long answers end past their deadline.
+        """
+        budget, span = self._budget, self.question.pause_target
+        if budget is None or span is None:
+            return list(engines)
+        return [each for each in engines if self._is_within(each, budget, span)]
+
+    def _is_within(self, engine: BackendServer, budget: float, span: float) -> bool:
+        load = self._load(engine)
+        planned = load.reading_within(span, self._now)
+        if planned <= 0.0:
+            return True
+        return (
+            planned + counted_seconds(load.reading_seconds(self.reading(engine)), budget) <= budget
+        )
+
+    def quiet(self, engines: Sequence[BackendServer]) -> list[BackendServer]:
+        """Return the engines whose streams the prompt pauses no longer than they stand.
+
+        Prompts that arrive together are read in one go: they are sent to an engine one after
+        another, as it has read what it was sent, while the first event's target leaves time.
+        """
+        return [each for each in engines if self._is_quiet(each)]
+
+    def _is_quiet(self, engine: BackendServer) -> bool:
+        """Return whether an engine may read the prompt in one go with what it reads already.
+
+        A short prompt that is alone always may.
+        """
+        load = self._load(engine)
+        going_on = load.reading_within(self.question.shortest_pause or 0.0, self._now)
+        if going_on <= 0.0 and not self.question.prompt.is_long:
+            return True
+        return going_on + load.reading_seconds(self.reading(engine)) <= (
+            self.question.reading_allowance
+        )
+
+    def reading(self, engine: BackendServer) -> PromptReading:
+        """Return how an engine would come by the prompt."""
+        tokens, kept = self.question.prompt.prompt_tokens, self._kept_by_id[engine.id]
+        alone = PromptReading(max(1, tokens - kept))
+        if self._source is None:
+            return alone
+        kept_there = self._fetchable_by_id[self._source.id]
+        seconds = self._traits.fetch_seconds(kept_there - kept)
+        if kept_there - kept < LEAST_FETCHED_TOKENS or seconds is None:
+            return alone
+        return PromptReading(max(1, tokens - kept_there), self._source, seconds)
+
+    def _fetch_source(self, engines: Sequence[BackendServer]) -> BackendServer | None:
+        """Return the engine that has read most of the prompt; every entry's same one of several."""
+        most = max(self._fetchable_by_id.values(), default=0)
+        if most < LEAST_FETCHED_TOKENS:
+            return None
+        sources = [each for each in engines if self._fetchable_by_id[each.id] == most]
+        return min(sources, key=lambda each: rank(self.question.prompt.session, each.id))
+
+    def _home(self, engines: Sequence[BackendServer]) -> BackendServer:
+        """Return the engine that keeps the session; where none does, every entry's same one."""
+        most = max(self._kept_by_id[each.id] for each in engines)
+        keepers = [each for each in engines if self._kept_by_id[each.id] == most]
+        return min(keepers, key=lambda each: rank(self.question.prompt.session, each.id))
+
+    def _preference(self, engine: BackendServer, *, at_home: bool) -> tuple[bool, int]:
+        """Return what decides among equals: the zone, where no session is to be kept; the session.
+
+        Bytes between availability zones are paid for.
+        """
+        elsewhere = not at_home and engine.zone != self.question.zone
+        return elsewhere, rank(self.question.prompt.session, engine.id)
+
+    def _load(self, engine: BackendServer) -> EngineLoad:
+        return self._load_by_id[engine.id]
+
+    def _first_event_after(self, engine: BackendServer) -> float:
+        load = self._load(engine)
+        reading, urgency = self.reading(engine), self.question.urgency
+        after = load.first_event_after(reading, self._now, urgency, self._stretch)
+        return after + _crowding(load)
+
+
+def place_long(
+    choice: EngineChoice, short: Sequence[BackendServer], long: Sequence[BackendServer]
+) -> Placed | NoRoom:
+    lane = long or short
+    found = choice.best(choice.within_budget(lane), at_home=True)
+    if isinstance(found, Placed) or not long:
+        return found
+    quiet = choice.quiet(short)
+    if quiet:
+        found = choice.best(quiet, at_home=True)
+    if isinstance(found, Placed) or choice.question.may_wait:
+        return found
+    return choice.best(lane, at_home=True)
+
+
+def _crowding(load: EngineLoad) -> float:
+    return CROWDED_RUN * load.running
+
+
+def earlier(first: Placed | NoRoom, second: Placed | NoRoom) -> Placed | NoRoom:
+    if isinstance(first, NoRoom):
+        return second
+    if isinstance(second, NoRoom):
+        return first
+    return min(first, second, key=lambda each: each.first_event_after)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_line.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -10,16 +10,16 @@
 
 from .backend_list import BackendServer
 from .engine_load import PromptReading
-from .placement import LeastPlanned, NoRoom, Placed, PlacementQuestion
+from .placement_question import LeastPlanned, NoRoom, Placed, PlacementQuestion
 from .prompt_parts import Prompt
-from .waiting_order import (
+from .queue_order import (
     Waiter,
     due_at,
     may_wait,
     must_give_up,
     place_until,
-    return_after,
-    waiting_order,
+    queue_order,
+    retry_after_of,
     waits_until,
 )
 
@@ -66,7 +66,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TurnedAway:
+class Rejected:
     """A request that is told to come back, or that nobody can serve."""
 
     request: WaitingRequest
@@ -76,8 +76,8 @@
     waiting: int
 
 
-class WaitingLine:
-    """The line before the engines of one service."""
+class AdmissionQueue:
+    """The queue before the engines of one service."""
 
     def __init__(self, service: str, placement: Placement) -> None:
         self._service = service
@@ -96,13 +96,13 @@
         return Counter(each.waiter.urgency for each in self._waiting.values())
 
     def enter(self, request: WaitingRequest, now: Instant) -> None:
-        """Put a request into the line."""
+        """Put a request into the queue."""
         unread = self._placement.arrived(self._question(request, now), now)
         self._unread_by_ticket[request.ticket] = unread
         self._waiting[request.ticket] = request
 
     def leave(self, ticket: str) -> None:
-        """Take a request out of the line."""
+        """Take a request out of the queue."""
         self._waiting.pop(ticket, None)
         self._unread_by_ticket.pop(ticket, None)
 
@@ -113,14 +113,14 @@
             each.waiter.urgency <= urgency for key, each in self._waiting.items() if key != ticket
         )
 
-    def look(
+    def dispatch(
         self,
         traits: EngineTraits | None,
         engines_for: Callable[[WaitingRequest], Sequence[BackendServer]],
         now: Instant,
         only: str | None = None,
-    ) -> list[Granted | TurnedAway]:
-        """Decide on everyone in the line, in the order of waiting.
+    ) -> list[Granted | Rejected]:
+        """Decide on every queued request, in the order of the queue.
 
         Args:
             traits: What the configuration tells of the engines; None where it has none.
@@ -131,9 +131,9 @@
         Returns:
             What was decided; everyone else waits on.
         """
-        looked_at = self._waiting.values() if only is None else (self._waiting[only],)
-        ordered = sorted(looked_at, key=lambda each: waiting_order(each.waiter, now))
-        decisions: list[Granted | TurnedAway] = []
+        considered = self._waiting.values() if only is None else (self._waiting[only],)
+        ordered = sorted(considered, key=lambda each: queue_order(each.waiter, now))
+        decisions: list[Granted | Rejected] = []
         self._forget_bounds()
         for request in ordered:
             decision = self._decide(request, traits, engines_for(request), now)
@@ -148,10 +148,10 @@
         traits: EngineTraits | None,
         engines: Sequence[BackendServer],
         now: Instant,
-    ) -> Granted | TurnedAway | None:
+    ) -> Granted | Rejected | None:
         until = waits_until(request.waiter, self._due(request), is_long=request.prompt.is_long)
         if traits is None or not engines or must_give_up(request.waiter, until, now):
-            return self._turn_away(request, no_engine=traits is None or not engines, now=now)
+            return self._reject(request, no_engine=traits is None or not engines, now=now)
         question = self._question(request, now)
         unread = self._unread_by_ticket[request.ticket]
         if not request.avoid and self._is_hopeless(question, unread, engines, traits, now):
@@ -172,7 +172,7 @@
     ) -> bool:
         """Return whether no engine can take a request now, without asking each for its prompt.
 
-        In an overload hundreds wait, and nearly all of them can not be placed at a given look.
+        In an overload hundreds wait, and nearly none of them can be placed in a given pass.
         """
         earliest = self._earliest_by_urgency.get(question.urgency)
         if earliest is None:
@@ -209,10 +209,10 @@
         load.begin(request.ticket, request.prompt, found.reading, now, request.waiter.urgency)
         return granted
 
-    def _turn_away(self, request: WaitingRequest, *, no_engine: bool, now: Instant) -> TurnedAway:
-        return TurnedAway(
+    def _reject(self, request: WaitingRequest, *, no_engine: bool, now: Instant) -> Rejected:
+        return Rejected(
             request=request,
-            retry_after=return_after(request.waiter, now),
+            retry_after=retry_after_of(request.waiter, now),
             no_engine=no_engine,
             waiting=len(self._waiting),
         )
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
@@ -55,8 +55,7 @@
 
 IDLE_RETRY = 3.0
 """Longest seconds between attempts of the others while nobody hears the store: they are told of its
-return, and this is for the case that they are not. 26 entries that all asked at the probers' pace
-made 260 calls a second, each of them paid for."""
+return, and this is for the case that they are not."""
 
 AFTER_OUTAGE = 2.5
 """Seconds after the store's return in which a removal may stem from the outage itself: entries that
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/waiting_order.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/queue_order.py
@@ -47,7 +47,7 @@
     """Whether the caller already has some of the answer."""
 
 
-def waiting_order(waiter: Waiter, now: Instant) -> tuple[int, bool, bool, float]:
+def queue_order(waiter: Waiter, now: Instant) -> tuple[int, bool, bool, float]:
     """Return the key by which waiting requests are served: least first.
 
     Urgency is strict. Within a rank, a broken answer goes on first; then those that can still be
@@ -56,7 +56,7 @@
     Example:
         >>> fresh = Waiter(urgency=1, target_at=2.0, deadline=9.0, arrived_at=1.0)
         >>> late = Waiter(urgency=1, target_at=0.5, deadline=4.0, arrived_at=0.0)
-        >>> waiting_order(fresh, now=1.0) < waiting_order(late, now=1.0)
+        >>> queue_order(fresh, now=1.0) < queue_order(late, now=1.0)
         True
     """
     late = now > waiter.target_at
@@ -114,7 +114,7 @@
     return not waiter.resumed and now > until
 
 
-def return_after(waiter: Waiter, now: Instant) -> timedelta | None:
+def retry_after_of(waiter: Waiter, now: Instant) -> timedelta | None:
     """Return when a refused caller should come back; None where its time is over."""
     left = waiter.deadline - now
     if left <= 2 * LAST_CALL:
--- a/packages/ragwortwing-policy/tests/direct/test_placement.py
+++ b/packages/ragwortwing-policy/tests/direct/test_placement.py
@@ -13,12 +13,8 @@
     PromptReading,
 )
 from ragwortwing_policy.direct.lanes import SHORT_READING, Lanes
-from ragwortwing_policy.direct.placement import (
-    NoRoom,
-    Placed,
-    Placement,
-    PlacementQuestion,
-)
+from ragwortwing_policy.direct.placement import Placement
+from ragwortwing_policy.direct.placement_question import NoRoom, Placed, PlacementQuestion
 from ragwortwing_policy.direct.prefill_budget import LEAST_PART
 from ragwortwing_policy.direct.prompt_parts import Prompt, PromptPart
 
--- a/packages/ragwortwing-policy/tests/direct/test_run_ledger.py
+++ b/packages/ragwortwing-policy/tests/direct/test_run_ledger.py
@@ -5,7 +5,8 @@
 import pytest
 
 from ragwortwing_policy.direct.backend_trust import BackendTrust
-from ragwortwing_policy.direct.placement import Placement, PlacementQuestion
+from ragwortwing_policy.direct.placement import Placement
+from ragwortwing_policy.direct.placement_question import PlacementQuestion
 from ragwortwing_policy.direct.run_ledger import GRANT_EXPIRY, SENDER_SILENCE, RunLedger, run_key
 from ragwortwing_policy.direct.run_report import WHOLE_INTERVAL, ReportedRun, RunReporter
 
