--- a/packages/ragwortwing-entry/src/ragwortwing_entry/duties/usage_collection.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/duties/usage_collection.py
@@ -29,8 +29,8 @@
 
 SHORTEST_INTERVAL = 0.1
 LONGEST_INTERVAL = 2.0
-"""Seconds between two reports of an entry's counts; the larger the fleet, the less one entry's death
-leaves uncounted, and the more reports its holder takes in."""
+"""Seconds between two reports of an entry's counts; the larger the fleet, the less one entry's
+death leaves uncounted, and the more reports its holder takes in."""
 
 
 class UsageCollection:
