Move following of topics and group membership out of the adapter

Following a topic beside watchers and staying a member of a group are the product's decisions; they go to ragwortwing_entry.direct (topic_follower, presence) behind a port (store_port) that the adapter's client serves.

--- a/platform/src/ragwortwing_platform/presence.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/presence.py
@@ -6,14 +6,13 @@
 
 import trio
 
-from ragwortwing_entry.direct.decision_log import decided, warned
-
-from .store import StoreError
+from .decision_log import decided, warned
+from .store_port import StoreError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .store import StoreClient
+    from .store_port import GroupStore
 
 ENTRIES_GROUP = "entries"
 """Group of the entries that call backend servers themselves."""
@@ -47,7 +46,7 @@
 
     def __init__(
         self,
-        store: StoreClient,
+        store: GroupStore,
         group: str,
         on_members: Callable[[frozenset[str] | None], None],
         member: str | None = None,
--- /dev/null
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/store_port.py
@@ -0,0 +1,98 @@
+"""What an adapter gives of the platform's store: topics to follow, and groups to be a member of."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from .feed_relay import FeedRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from .feed_relay import FeedRecords
+
+
+class StoreError(Exception):
+    """A call to the store that brought no result."""
+
+    def __init__(self, call: str, cause: str, status: int | None = None) -> None:
+        super().__init__(f"{call}: {cause}")
+        self.call = call
+        self.cause = cause
+        self.status = status
+        """Status of the answer; None where no whole answer came."""
+
+
+class StoreUnreachableError(StoreError):
+    """No connection could be made, so the call took no effect."""
+
+
+class HistoryLostError(StoreError):
+    """The records asked for are no longer kept: start again from the newest of each key."""
+
+    def __init__(self, call: str, first: int) -> None:
+        super().__init__(call, "the records are no longer kept", 410)
+        self.first = first
+        """Offset of the oldest record that is kept."""
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """The newest record of each key, and the offset to follow from."""
+
+    records: tuple[FeedRecord, ...]
+    end: int
+
+
+class TopicStore(Protocol):
+    """Reads of keyed topics."""
+
+    async def newest(self, topic: str) -> Snapshot:
+        """Return the newest record of each key of a topic.
+
+        Raises:
+            StoreError: The store did not answer as it should.
+        """
+        ...
+
+    async def read(self, topic: str, offset: int, wait: float) -> FeedRecords:
+        """Return the records of a topic from an offset on, waiting for the first of them.
+
+        Raises:
+            HistoryLostError: The records are no longer kept.
+            StoreError: The store did not answer as it should.
+        """
+        ...
+
+
+class Joined(Protocol):
+    """What the store says of a membership."""
+
+    @property
+    def generation(self) -> int:
+        """Rises with each change of the group."""
+        ...
+
+    @property
+    def parts(self) -> Sequence[object]:
+        """The member's partitions."""
+        ...
+
+
+class GroupStore(Protocol):
+    """Groups of processes."""
+
+    async def join(
+        self, group: str, member: str, topics: list[str], ttl: float, known: int
+    ) -> Joined:
+        """Join a group or stay in it."""
+        ...
+
+    async def leave(self, group: str, member: str) -> None:
+        """Leave a group."""
+        ...
+
+    async def owners(self, group: str) -> frozenset[str]:
+        """Return the members of a group that own a partition."""
+        ...
