Skip the bound on planned prefill where prefill is not bounded; drop a field nobody reads

Each dispatch of a long prompt computed the least planned prefill over all engines also where the budget is unbounded, as on sites whose streams are never late by a pause; the bound then rules out nothing, so the answer is the same and the walk is saved. UsageDuty.last_delivered was written and never read. No behaviour changes.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/duties/usage_duty.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/duties/usage_duty.py
@@ -45,8 +45,6 @@
         self._decoded: tuple[bytes, UsageState | None] = (b"", None)
         """The state of the log that was decoded last."""
         self._delivered: set[int] = set()
-        self.last_delivered: int | None = None
-        """The last window that this entry delivered."""
 
     def next_state(self, state: bytes) -> bytes | None:
         """Return the state with the windows that can be fixed now."""
@@ -86,7 +84,6 @@
             warned("usage_not_delivered", window=window, cause=error.cause)
             return False
         self._delivered.add(window)
-        self.last_delivered = window
         decided(
             "usage_delivered",
             window=window,
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -182,7 +182,7 @@
             return earliest == inf
         if earliest > question.latency_target:
             return True
-        if not question.may_wait:
+        if not question.may_wait or self._placement.budget_seconds(question, now) is None:
             return False
         planned = self._least_planned_by_urgency.get(question.urgency)
         if planned is None:
