Tell what an abandoned read of the store had received

It now says whether the answer had begun, its bytes, how long it took and for how long nothing had come. Two metrics beside it: reads abandoned by feed, and records of a feed that others have read and this entry has not.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
-from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping
@@ -115,6 +115,8 @@
             calls.add_metric(labels, count)
         yield calls
         yield self._ages(now)
+        yield self._records_behind()
+        yield self._reads_abandoned()
         yield self._fencing_tokens()
         yield self._waiting_by_urgency()
 
@@ -128,6 +130,27 @@
             family.add_metric((feed,), now - heard_at)
         return family
 
+    def _records_behind(self) -> Metric:
+        family = GaugeMetricFamily(
+            "ragwortwing_feed_records_behind",
+            "Records of a feed that other entries have read and this one has not.",
+            labels=("feed",),
+        )
+        watch = self._entry.state.watch
+        for feed in watch.positions_by_feed:
+            family.add_metric((feed,), watch.records_behind(feed))
+        return family
+
+    def _reads_abandoned(self) -> Metric:
+        family = CounterMetricFamily(
+            "ragwortwing_feed_reads_abandoned",
+            "Reads of the store that were given up, by feed and whether the answer had begun.",
+            labels=("feed", "answer_begun"),
+        )
+        for (feed, has_begun), count in self._entry.state.reads_abandoned.items():
+            family.add_metric((feed, str(has_begun).lower()), count)
+        return family
+
     def _fencing_tokens(self) -> Metric:
         family = GaugeMetricFamily(
             "ragwortwing_duty_fencing_token",
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -66,6 +67,8 @@
         self.peers.on_status(
             lambda status: self.relay.repair(status.sender, status.positions_by_feed)
         )
+        self.reads_abandoned: Counter[tuple[str, bool]] = Counter()
+        """Reads of the store that were given up, by feed and whether the answer had begun."""
         self.in_flight_by_backend: dict[str, int] = {}
         self._allowance = allowance
         self._budgets_by_service: dict[str, RepeatBudget] = {}
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/store_port.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/store_port.py
@@ -11,6 +11,7 @@
     from collections.abc import Sequence
 
     from .feed_relay import FeedRecords
+    from .transfer import Transfer
 
 
 class StoreError(Exception):
@@ -56,9 +57,17 @@
         """
         ...
 
-    async def read(self, topic: str, offset: int, wait: float) -> FeedRecords:
+    async def read(
+        self, topic: str, offset: int, wait: float, transfer: Transfer | None = None
+    ) -> FeedRecords:
         """Return the records of a topic from an offset on, waiting for the first of them.
 
+        Args:
+            topic: The topic.
+            offset: Offset of the first record wanted.
+            wait: Seconds for which the store may hold the call until there is one.
+            transfer: Told what has arrived of the answer.
+
         Raises:
             HistoryLostError: The records are no longer kept.
             StoreError: The store did not answer as it should.
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
@@ -14,6 +14,7 @@
 from .feed_pace import FeedPace
 from .feed_relay import FeedRecords
 from .store_port import HistoryLostError, StoreError
+from .transfer import Transfer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -55,6 +56,7 @@
         self._store = store
         self._topic = topic
         self._watch = state.watch
+        self._reads_abandoned = state.reads_abandoned
         self._clock = state.clock
         self._pace = FeedPace(topic, state.watch, state.clock, ANSWER_TIMEOUT)
         self._peers = state.peers
@@ -124,24 +126,38 @@
             StoreError: The store did not answer as it should.
         """
         found: FeedRecords | StoreError | None = None
+        transfer = Transfer(self._clock)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._pace.cancel_when_overdue, nursery.cancel_scope)
             try:
                 # A store without news answers when the wait is over: the end of an outage would be
                 # noticed that much too late, and what hangs on its time as well.
                 wait = 0.0 if self._lost_at is not None else self._pace.read_wait()
-                found = await self._store.read(self._topic, offset, wait)
+                found = await self._store.read(self._topic, offset, wait, transfer)
             except StoreError as error:
                 found = error
             nursery.cancel_scope.cancel()
         if found is None:
-            decided("read_started_again", topic=self._topic, offset=offset)
+            self._abandoned(offset, transfer)
             return FeedRecords(offset, offset, ())
         if isinstance(found, StoreError):
             raise found
         self._heard()
         return found
 
+    def _abandoned(self, offset: int, transfer: Transfer) -> None:
+        self._reads_abandoned[self._topic, transfer.has_begun] += 1
+        decided(
+            "read_started_again",
+            topic=self._topic,
+            offset=offset,
+            records_behind=self._watch.records_behind(self._topic),
+            answer_begun=transfer.has_begun,
+            received_bytes=transfer.received_bytes,
+            took_s=round(transfer.elapsed(), 3),
+            stalled_s=round(transfer.stalled_for(), 3),
+        )
+
     def _heard(self) -> None:
         self.heard_at = self._clock.monotonic()
         self._backoff.reset()
--- /dev/null
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/transfer.py
@@ -0,0 +1,52 @@
+"""Progress of one answer of the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ragwortwing_policy.clock import Clock, Instant
+
+
+class Transfer:
+    """How much of an answer has been received, and when.
+
+    Example:
+        >>> from ragwortwing_policy.clock import ManualClock
+        >>> clock = ManualClock()
+        >>> transfer = Transfer(clock)
+        >>> clock.advance(0.4)
+        >>> transfer.received(1000)
+        >>> clock.advance(0.1)
+        >>> transfer.received_bytes, round(transfer.elapsed(), 3), round(transfer.stalled_for(), 3)
+        (1000, 0.5, 0.1)
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._started_at = clock.monotonic()
+        self._received_at: Instant | None = None
+        self.received_bytes = 0
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the head of the answer has arrived."""
+        return self._received_at is not None
+
+    def received(self, size: int) -> None:
+        """Note that the head or a part of the body has arrived.
+
+        Args:
+            size: Bytes of the body.
+        """
+        self.received_bytes += size
+        self._received_at = self._clock.monotonic()
+
+    def elapsed(self) -> float:
+        """Return the seconds since the call."""
+        return self._clock.monotonic() - self._started_at
+
+    def stalled_for(self) -> float:
+        """Return the seconds since anything arrived, or since the call."""
+        last = self._started_at if self._received_at is None else self._received_at
+        return self._clock.monotonic() - last
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
@@ -232,6 +232,11 @@
         position, told_at = self._told_by_feed.get(feed, (-1, 0.0))
         return position > self._position_by_feed.get(feed, -1) and now - told_at > BEHIND_FOR
 
+    def records_behind(self, feed: str) -> int:
+        """Return how many records others have read that this entry has not."""
+        position, _ = self._told_by_feed.get(feed, (-1, 0.0))
+        return max(0, position - self._position_by_feed.get(feed, position))
+
     def follows(self, now: Instant) -> bool:
         """Return whether this entry may leave the store to watchers that it hears."""
         recent = (
