--- a/packages/ragwortwing-lab/src/ragwortwing_lab/fault_proxy.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/fault_proxy.py
@@ -1,7 +1,8 @@
 """A TCP proxy that breaks connections in the ways that networks do.
 
 Kinds of faults: `cut` resets what is open; `silent` goes on taking bytes and forwards none, for
-good on the connections it befell; `slow` holds each piece for `seconds`; `refuse` resets new ones.
+good on the connections it befell; `slow` holds each piece for `seconds`; `narrow` passes on at most
+`per_second` bytes a second; `refuse` resets new ones.
 """
 
 from __future__ import annotations
@@ -23,6 +24,8 @@
     from starlette.requests import Request
 
 READ_SIZE = 65_536
+NARROW_PIECE = 8_192
+"""Bytes that a narrow link passes on in one go."""
 LINGER_NONE = struct.pack("ii", 1, 0)
 """Socket option by which closing resets the connection."""
 
@@ -53,6 +56,7 @@
         self.faults = Faults()
         self.links: set[Link] = set()
         self.accepted = 0
+        self._lock_by_way = {way: trio.Lock() for way in (Direction.TO_TARGET, Direction.TO_CLIENT)}
         self.target = target
         self.control = control_app(
             self.faults,
@@ -125,7 +129,7 @@
             while data := await source.receive_some(READ_SIZE):
                 await self._delay(way)
                 if way not in link.silent_ways:
-                    await sink.send_all(data)
+                    await self._pass_on(sink, data, way)
             if way not in link.silent_ways:
                 await sink.send_eof()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -134,6 +138,17 @@
             if not link.silent_ways:
                 link.reset()
 
+    async def _pass_on(self, sink: trio.SocketStream, data: bytes, way: Direction) -> None:
+        while data and (narrow := self.faults.get(FaultKind.NARROW)) is not None:
+            if not narrow.direction.covers(way):
+                break
+            piece, data = data[:NARROW_PIECE], data[NARROW_PIECE:]
+            async with self._lock_by_way[way]:
+                await trio.sleep(len(piece) / narrow.per_second)
+            await sink.send_all(piece)
+        if data:
+            await sink.send_all(data)
+
     async def _delay(self, way: Direction) -> None:
         slow = self.faults.get(FaultKind.SLOW)
         if slow is not None and slow.direction.covers(way):
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/faults.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/faults.py
@@ -48,6 +48,8 @@
     """A proxy resets its connections at once."""
     REFUSE = "refuse"
     """A proxy resets every new connection."""
+    NARROW = "narrow"
+    """A proxy passes on at most `per_second` bytes a second, over all its connections."""
     TRIM = "trim"
     """Records before `offset` of `stream` are dropped at once, as if their time had run out."""
 
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/platform_site.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/platform_site.py
@@ -90,6 +90,14 @@
     } | more
 
 
+def large_configuration(version: int, routes: int = 1400) -> dict[str, Any]:
+    """Return a configuration with many routes: about 230 bytes for each of them."""
+    document = configuration(version)
+    lookup = document["routes"][3]
+    more = [renamed_route(lookup, f"lookup-{version}-{number}") for number in range(routes)]
+    return document | {"routes": document["routes"] + more}
+
+
 def renamed_route(route: dict[str, Any], name: str) -> dict[str, Any]:
     """Return a route like another, under a name and a prefix of its own."""
     return route | {"name": name, "path_prefix": f"/{name}/"}
@@ -304,9 +312,14 @@
         await until(lambda: any(line.get("ready") for line in entry.lines()))
         return entry
 
-    async def ready_entry(self, name: str = "entry-1") -> EntryProcess:
-        """Start an entry and wait until it serves."""
-        entry = await self.add_entry(name)
+    async def ready_entry(self, name: str = "entry-1", store: str | None = None) -> EntryProcess:
+        """Start an entry and wait until it serves.
+
+        Args:
+            name: Its name.
+            store: Where it finds the store, if not at the store's own address.
+        """
+        entry = await self.add_entry(name, store)
         with trio.fail_after(WAIT_LIMIT):
             while not await entry.is_ready():
                 await trio.sleep(0.02)
