Leave an answer of the store that has begun to the limit on its stalls

Cause: a follower ended its read once others had read further and 0.8 s had passed since the read's start, though the answer was arriving. 570 kB take longer than that over the narrow links; the read was begun again at the same offset, all that had come was lost, and the next read met the same end.

Evidence: read_started_again at one offset every 0.9 to 1.5 s on the narrow entries only, with 240 to 600 kB a second coming in; in the test that reproduces it, answer_begun true, 155,567 to 169,903 bytes received, nothing missing for more than 0.036 s. Ruled out: a store that stops within answers (no stall, no store_lost, wide entries in force within 0.6 s); a lack of processor time (2 to 6%).

Why this holds: once the head of the answer is there, the connection is not forgotten and the store is not silent, which is all that the follower's limit is for. An answer that stops is still given up, by the store's client, 0.8 s after its last byte.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/feed_pace.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/feed_pace.py
@@ -13,6 +13,8 @@
     from ragwortwing_policy.direct.feed_watch import FeedWatch
     from ragwortwing_runtime.backoff import Backoff
 
+    from .transfer import Transfer
+
 LOOK = 0.1
 """Seconds between two looks at what the others have read."""
 
@@ -61,10 +63,11 @@
                 return
             await trio.sleep(min(LOOK, ends - now))
 
-    async def cancel_when_overdue(self, scope: trio.CancelScope) -> None:
+    async def cancel_when_overdue(self, scope: trio.CancelScope, transfer: Transfer) -> None:
         """Cancel a read that is behind what others have read, or too long for a watcher.
 
-        Neither says that the store was away: it may have had nothing to tell until now.
+        Neither says that the store was away: it may have had nothing to tell until now. An answer
+        that has begun is left to the store's client, which gives it up only where it stalls.
         """
         started_at = self._clock.monotonic()
         # A read that has just begun is the answer to being behind: ended before the store can have
@@ -72,6 +75,8 @@
         await trio.sleep(self._answer_timeout)
         while True:
             await trio.sleep(LOOK)
+            if transfer.has_begun:
+                return
             now = self._clock.monotonic()
             too_long = now - started_at > SHORT_WAIT + self._answer_timeout
             if self._watch.is_behind(self._feed, now) or (too_long and self._watch.is_watcher(now)):
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
@@ -128,7 +128,7 @@
         found: FeedRecords | StoreError | None = None
         transfer = Transfer(self._clock)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._pace.cancel_when_overdue, nursery.cancel_scope)
+            nursery.start_soon(self._pace.cancel_when_overdue, nursery.cancel_scope, transfer)
             try:
                 # A store without news answers when the wait is over: the end of an outage would be
                 # noticed that much too late, and what hangs on its time as well.
