Take in the store's records as they arrive, not with the end of their answer

What callers would see: an entry whose link stalls or breaks in the middle of an answer with several records (changes in a row, a list of servers after a cut) asks for all of them again, and where the answer never gets through whole, serves by old news for good.

The answer is parsed as it arrives and each whole record is handed over at once; the next read begins behind the last one. Records of one answer also come into force earlier, and large ones no longer keep small ones beside them from being passed on to peers.

What is left: a single record is still read again from its first byte when its transfer breaks, as the store's protocol has no way to read on within a record.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/store_port.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/store_port.py
@@ -10,7 +10,6 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from .feed_relay import FeedRecords
     from .transfer import Transfer
 
 
@@ -57,20 +56,18 @@
         """
         ...
 
-    async def read(
-        self, topic: str, offset: int, wait: float, transfer: Transfer | None = None
-    ) -> FeedRecords:
-        """Return the records of a topic from an offset on, waiting for the first of them.
+    async def read(self, topic: str, offset: int, wait: float, transfer: Transfer) -> None:
+        """Hand over the records of a topic from an offset on, each as it arrives.
 
         Args:
             topic: The topic.
             offset: Offset of the first record wanted.
             wait: Seconds for which the store may hold the call until there is one.
-            transfer: Told what has arrived of the answer.
+            transfer: Takes the records, at least once: without any where there are none.
 
         Raises:
             HistoryLostError: The records are no longer kept.
-            StoreError: The store did not answer as it should.
+            StoreError: The store did not answer as it should. What was handed over before holds.
         """
         ...
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
@@ -12,7 +12,6 @@
 
 from .decision_log import decided, warned
 from .feed_pace import FeedPace
-from .feed_relay import FeedRecords
 from .store_port import HistoryLostError, StoreError
 from .transfer import Transfer
 
@@ -21,7 +20,7 @@
     from random import Random
 
     from .entry_state import EntryState
-    from .feed_relay import FeedRecord
+    from .feed_relay import FeedRecord, FeedRecords
     from .store_port import Snapshot, TopicStore
 
 ANSWER_TIMEOUT = 0.8
@@ -99,13 +98,16 @@
         now = self._clock.monotonic()
         if self._lost_at is None and self._watch.follows(now):
             await self._pace.until_store_is_needed()
-        found = await self._read(self._offset)
+        has_news = await self._read(self._offset)
+        if has_news or not self._watch.is_watcher(self._clock.monotonic()):
+            await trio.sleep(GATHER)
+
+    def _take_read(self, found: FeedRecords) -> None:
+        """Take in what the store has answered so far, and pass it on."""
+        self._heard()
         self._take_records(found)
-        if self.heard_at:
-            self._watch.reached(self._topic, found.end, self.heard_at)
+        self._watch.reached(self._topic, found.end, self.heard_at)
         self._relay.send(self._topic, found)
-        if found.records or not self._watch.is_watcher(self._clock.monotonic()):
-            await trio.sleep(GATHER)
 
     def _take_relayed(self, found: FeedRecords) -> None:
         """Take in what a watcher has read; behind a gap nothing is taken."""
@@ -119,31 +121,34 @@
             self._on_record(record)
         self._offset = max(found.end, self._offset or 0)
 
-    async def _read(self, offset: int) -> FeedRecords:
+    async def _read(self, offset: int) -> bool:
         """Read on, unless the others show that this read has been forgotten.
 
+        Returns:
+            Whether there was any news.
+
         Raises:
             StoreError: The store did not answer as it should.
         """
-        found: FeedRecords | StoreError | None = None
-        transfer = Transfer(self._clock)
+        transfer = Transfer(self._clock, self._take_read)
+        is_done = False
+        failure: StoreError | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._pace.cancel_when_overdue, nursery.cancel_scope, transfer)
             try:
                 # A store without news answers when the wait is over: the end of an outage would be
                 # noticed that much too late, and what hangs on its time as well.
                 wait = 0.0 if self._lost_at is not None else self._pace.read_wait()
-                found = await self._store.read(self._topic, offset, wait, transfer)
+                await self._store.read(self._topic, offset, wait, transfer)
+                is_done = True
             except StoreError as error:
-                found = error
+                failure = error
             nursery.cancel_scope.cancel()
-        if found is None:
+        if failure is not None:
+            raise failure
+        if not is_done:
             self._abandoned(offset, transfer)
-            return FeedRecords(offset, offset, ())
-        if isinstance(found, StoreError):
-            raise found
-        self._heard()
-        return found
+        return transfer.records > 0
 
     def _abandoned(self, offset: int, transfer: Transfer) -> None:
         self._reads_abandoned[self._topic, transfer.has_begun] += 1
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/transfer.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/transfer.py
@@ -5,8 +5,12 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ragwortwing_policy.clock import Clock, Instant
 
+    from .feed_relay import FeedRecords
+
 
 class Transfer:
     """How much of an answer has been received, and when.
@@ -14,7 +18,7 @@
     Example:
         >>> from ragwortwing_policy.clock import ManualClock
         >>> clock = ManualClock()
-        >>> transfer = Transfer(clock)
+        >>> transfer = Transfer(clock, on_records=print)
         >>> clock.advance(0.4)
         >>> transfer.received(1000)
         >>> clock.advance(0.1)
@@ -22,11 +26,20 @@
         (1000, 0.5, 0.1)
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, on_records: Callable[[FeedRecords], None]) -> None:
+        """Create the progress of a call that is made now.
+
+        Args:
+            clock: The clock.
+            on_records: Takes the records that have become whole.
+        """
         self._clock = clock
+        self._on_records = on_records
         self._started_at = clock.monotonic()
         self._received_at: Instant | None = None
         self.received_bytes = 0
+        self.records = 0
+        """Records that have been handed over."""
 
     @property
     def has_begun(self) -> bool:
@@ -42,6 +55,11 @@
         self.received_bytes += size
         self._received_at = self._clock.monotonic()
 
+    def deliver(self, found: FeedRecords) -> None:
+        """Hand over records that have become whole."""
+        self.records += len(found.records)
+        self._on_records(found)
+
     def elapsed(self) -> float:
         """Return the seconds since the call."""
         return self._clock.monotonic() - self._started_at
