--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/store_port.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/store_port.py
@@ -45,11 +45,25 @@
     end: int
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotPage:
+    """Some of a snapshot's records, in the order of their keys."""
+
+    records: tuple[FeedRecord, ...]
+    end: int
+    next_after: str | None
+    """Key behind which the next page begins; None where this is the last."""
+
+
 class TopicStore(Protocol):
     """Reads of keyed topics."""
 
-    async def newest(self, topic: str) -> Snapshot:
-        """Return the newest record of each key of a topic.
+    async def newest_page(self, topic: str, after: str | None) -> SnapshotPage:
+        """Return the newest record of each key of a topic, as many as the store puts on a page.
+
+        Args:
+            topic: The topic.
+            after: Key behind which the page begins; None for the first.
 
         Raises:
             StoreError: The store did not answer as it should.
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
@@ -12,6 +12,7 @@
 
 from .decision_log import decided, warned
 from .feed_pace import FeedPace
+from .snapshot_reader import SnapshotReader
 from .store_port import HistoryLostError, StoreError
 from .transfer import Transfer
 
@@ -54,6 +55,7 @@
     ) -> None:
         self._store = store
         self._topic = topic
+        self._snapshot = SnapshotReader(store, topic)
         self._watch = state.watch
         self._reads_abandoned = state.reads_abandoned
         self._clock = state.clock
@@ -89,7 +91,7 @@
 
     async def _step(self) -> None:
         if self._offset is None:
-            snapshot = await self._store.newest(self._topic)
+            snapshot = await self._snapshot.read()
             self._heard()
             self._on_snapshot(snapshot)
             self._offset = snapshot.end
