Write down the limits that backend servers name

The adapter decodes the header; a line and a gauge tell of each limit. A limit holds for 2 s after an answer has named it, as not every answer need do so. A value that is no rate is written down and passed over.

No decision is changed.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
@@ -117,6 +117,7 @@
         yield self._ages(now)
         yield self._records_behind()
         yield self._reads_abandoned()
+        yield self._rate_limits()
         yield self._fencing_tokens()
         yield self._waiting_by_urgency()
 
@@ -151,6 +152,16 @@
             family.add_metric((feed, str(has_begun).lower()), count)
         return family
 
+    def _rate_limits(self) -> Metric:
+        family = GaugeMetricFamily(
+            "ragwortwing_backend_rate_limit",
+            "Requests a second that a limited backend server takes from all entries together.",
+            labels=("backend",),
+        )
+        for backend_id, rate in self._entry.state.limits.rate_by_id.items():
+            family.add_metric((backend_id,), rate)
+        return family
+
     def _fencing_tokens(self) -> Metric:
         family = GaugeMetricFamily(
             "ragwortwing_duty_fencing_token",
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -11,6 +11,7 @@
 from ragwortwing_policy.direct.feed_watch import FeedWatch
 from ragwortwing_policy.direct.peer_status import StatusBook
 from ragwortwing_policy.direct.placement import Placement
+from ragwortwing_policy.direct.rate_limits import RateLimits
 from ragwortwing_policy.direct.repeat_budget import RepeatAllowance, RepeatBudget
 from ragwortwing_policy.direct.run_ledger import RunLedger
 from ragwortwing_policy.direct.scheduler_choice import SchedulerChoice
@@ -22,7 +23,7 @@
 from .peer_link import PeerLink
 
 if TYPE_CHECKING:
-    from ragwortwing_policy.clock import Clock
+    from ragwortwing_policy.clock import Clock, Instant
     from ragwortwing_policy.direct.backend_list import BackendServer
     from ragwortwing_policy.direct.routing_table import EngineTraits, RoutingTable
 
@@ -47,6 +48,7 @@
         self.backends = BackendList()
         self.placement = Placement()
         self.trust = BackendTrust()
+        self.limits = RateLimits()
         self.started = round(1000 * clock.utc_now().timestamp())
         """Milliseconds of the Unix time; tells this life of the entry from earlier ones."""
         self.watch = FeedWatch(identity.name)
@@ -87,6 +89,7 @@
         if restarted:
             self.placement.forget(backend.id)
             self.trust.forget(backend.id)
+            self.limits.forget(backend.id)
         self.backends.put(backend)
         decided(
             "backend_listed",
@@ -118,8 +121,17 @@
         self.backends.remove(backend_id)
         self.placement.forget(backend_id)
         self.trust.forget(backend_id)
+        self.limits.forget(backend_id)
         decided("backend_gone", backend=backend_id)
 
+    def limit_observed(self, backend_id: str, rate: float | None, sent_at: Instant) -> None:
+        """Take in the limit that an answer of a backend server names, or that it names none."""
+        before = self.limits.rate_by_id.get(backend_id)
+        self.limits.observe(backend_id, rate, sent_at, self.clock.monotonic())
+        after = self.limits.rate_by_id.get(backend_id)
+        if after != before:
+            decided("backend_limit_changed", backend=backend_id, rate=after, before=before)
+
     def engine_traits(self, service: str) -> EngineTraits | None:
         """Return what the configuration tells of a service's engines; None where it has none."""
         found = self.table.services_by_name.get(service) if self.table else None
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
@@ -85,6 +85,8 @@
     """The adapter's own form of status and headers, for `CallerAnswer.begin`."""
     carries_events: bool
     """Whether it is a success whose body is a stream of events."""
+    rate_limit: float | None
+    """Requests a second that the backend server takes from all entries, where it names a limit."""
 
     def pieces(self) -> AsyncIterator[AnswerPiece]:
         """Yield the body.
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -220,6 +220,8 @@
         try:
             with self._counted(backend):
                 async with self._entry.calls.call(self._request, order, send) as got:
+                    if got.kind is not AnswerKind.ANOTHER_SERVER:
+                        self._state.limit_observed(backend.id, got.rate_limit, sent_at)
                     return await self._take(got, backend, send)
         except BackendLostError as error:
             if send.state in (SendState.SENT, SendState.ANSWERING):
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
@@ -99,7 +99,10 @@
     pace: Pace = field(default_factory=Pace)
     misbehaviour: Misbehaviour = Misbehaviour.NONE
     address: str = ""
+    rate_limit: str | None = None
+    """Requests a second that it says in its answers to take; None where it says nothing."""
     arrivals: list[str] = field(default_factory=list)
+    arrived_at: list[float] = field(default_factory=list)
     runs: list[SeenRun] = field(default_factory=list)
     broken_off: list[str] = field(default_factory=list)
     """Requests whose caller left while they ran."""
@@ -133,12 +136,13 @@
         request = exchange.request
         request_id = request.headers_by_name.get("x-request-id", "")
         self.arrivals.append(request_id)
+        self.arrived_at.append(trio.current_time())
         expected = request.headers_by_name.get("x-expect-instance", self.id)
         if expected != self.id:
             await exchange.respond(421, b"", ((b"x-instance-id", self.id.encode()),))
             return
         if self.misbehaviour is Misbehaviour.FULL or self.running >= self.pace.slots:
-            await exchange.respond(503, b"", ((b"x-not-executed", b"1"),))
+            await exchange.respond(503, b"", ((b"x-not-executed", b"1"), *self._limit_header()))
             return
         self.running += 1
         self.runs.append(_seen(request_id, request))
@@ -227,8 +231,14 @@
             (b"x-request-id", request_id.encode()),
             (b"x-server-stamp", f"{STAMP}.{self.id}".encode()),
             (b"keep-alive", b"timeout=5"),
+            *self._limit_header(),
         )
 
+    def _limit_header(self) -> tuple[tuple[bytes, bytes], ...]:
+        if self.rate_limit is None:
+            return ()
+        return ((b"server-limit", self.rate_limit.encode()),)
+
 
 def _seen(request_id: str, request: HttpRequest) -> SeenRun:
     return SeenRun(
