Keep the limits that backend servers name, by one entry for all

Cause: the limit was forwarded to callers and read by nobody.

The mend: the scheduler of a pool, which decides for all entries, keeps the limits of its engines in a token bucket: 0.9 of the rate, a quarter of a second of it at once, at least 0.25 a second, as only answers show that a limit ends. A limited engine without a token is passed over; where all are, requests wait in the queue in their order. For plain services, whose servers each entry picks, the entry that would schedule the service gives permits, one datagram there and one back, for limited servers only; a request beyond the limits of all servers is told at once, or after half of its target, when to return. Observations travel with the statuses, at once where a limit appears, falls by a fifth or ends. An entry that decides alone uses its part of the limit. Considered and not taken: an equal part for each entry. With as many entries as requests a second, parts of less than one request either add up to bursts of one request an entry or waste most of the limit.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from datetime import timedelta
 from typing import TYPE_CHECKING
 
 import trio
@@ -14,12 +13,15 @@
 from .peer_messages import (
     DecisionMessage,
     FeedMessage,
+    PermitMessage,
+    PermitRequestMessage,
     PlaceMessage,
     ReportMessage,
     UsageMessage,
     WithdrawMessage,
     report_of,
 )
+from .plain_admission import PlainAdmission
 from .request_task import RequestTask
 from .run_reporting import RunReporting
 
@@ -28,7 +30,6 @@
 
     from ragwortwing_entry.duties.fleet_duties import FleetDuties
     from ragwortwing_policy.clock import Instant
-    from ragwortwing_policy.direct.backend_list import BackendServer
     from ragwortwing_policy.direct.routing_table import Route
 
     from .entry_state import EntryState
@@ -36,10 +37,6 @@
     from .peer_messages import PeerMessage
     from .ports import BackendCalls, CallerAnswer, CallerRequest
 
-RETRY_AFTER = timedelta(milliseconds=300)
-"""When a caller that found no backend server should come back; a list of backend servers is read
-again within that time."""
-
 
 class DirectEntry:
     """Serves callers' requests by calls to backend servers."""
@@ -58,6 +55,7 @@
         self.counters = EntryCounters()
         self._tickets = 0
         self._random = random
+        self.plain = PlainAdmission(state, random)
         self._pools_by_service: dict[str, EnginePool] = {}
         self._reporting = RunReporting(state)
         self._nursery: trio.Nursery | None = None
@@ -135,27 +133,6 @@
         weights = [each.weight for each in route.shares]
         return self._random.choices(route.shares, weights)[0].service
 
-    def pick_plain(self, service: str, tried: set[str]) -> BackendServer | None:
-        """Return the backend server of a plain service with the fewest calls of this entry.
-
-        One in this entry's availability zone goes first among equals: bytes between zones are
-        paid for.
-        """
-        now = self.state.clock.monotonic()
-        trusted = self.state.trust.trusted(self.state.backends.ready(service), now)
-        choices = [each for each in trusted if each.id not in tried] or trusted
-        counts = self.state.in_flight_by_backend
-        zone = self.state.identity.zone
-        return min(
-            choices,
-            key=lambda each: (counts.get(each.id, 0), each.zone != zone, self._random.random()),
-            default=None,
-        )
-
-    def retry_after(self) -> timedelta:
-        """Return when a caller should come back that found no backend server."""
-        return RETRY_AFTER * (1 + self._random.random())
-
     def run_began(self, account: str | None, began_at: Instant) -> None:
         """Count a request that a backend server began to run; public routes have no account."""
         if self.duties is not None and account is not None:
@@ -200,6 +177,12 @@
             if self.duties is not None:
                 self.duties.take(message)
             return
+        if isinstance(message, PermitRequestMessage):
+            self.plain.give_permit(message, address)
+            return
+        if isinstance(message, PermitMessage):
+            self.plain.take_permit(message)
+            return
         if isinstance(message, ReportMessage):
             if self.state.ledger.take(report_of(message), self.state.clock.monotonic()):
                 self._notify(message.pool)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_admission.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_admission.py
@@ -67,7 +67,7 @@
         """Wait for an engine; its load counts the request from then on."""
         asked = 0
         while True:
-            scheduler = self._scheduler()
+            scheduler = self._state.scheduler(self._pool)
             if scheduler is None:
                 return self._conclude(await self._decide_here(request), None)
             found = await self._ask(scheduler, request)
@@ -92,13 +92,6 @@
         ).knows(message.ticket):
             self._withdraw(message.sender, message.ticket)
 
-    def _scheduler(self) -> str | None:
-        """Return the other entry to ask; None where this one decides."""
-        found = self._state.choice.scheduler(self._pool, self._state.clock.monotonic())
-        if found is None or found == self._state.identity.name:
-            return None
-        return found if self._state.peers.knows(found) else None
-
     async def _decide_here(self, request: WaitingRequest) -> Granted | Rejected:
         decisions: list[Granted | Rejected] = []
         decided_event = trio.Event()
@@ -154,7 +147,7 @@
                     return answer
                 unanswered, wait = -1, POLL
             unanswered += 1
-            if self._scheduler() != scheduler:
+            if self._state.scheduler(self._pool) != scheduler:
                 self._withdraw(scheduler, pending.request.ticket)
                 return _Unanswered()
             if unanswered >= UNANSWERED_LIMIT:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -21,12 +21,15 @@
 from .decision_log import decided
 from .feed_relay import FeedRelay
 from .peer_link import PeerLink
+from .peer_messages import status_of
 
 if TYPE_CHECKING:
     from ragwortwing_policy.clock import Clock, Instant
     from ragwortwing_policy.direct.backend_list import BackendServer
     from ragwortwing_policy.direct.routing_table import EngineTraits, RoutingTable
 
+    from .peer_messages import StatusMessage
+
 
 @dataclass(frozen=True, slots=True)
 class EntryIdentity:
@@ -63,12 +66,14 @@
             self.choice,
             self.candidates,
             self.fleet_time,
+            self.limits,
         )
         self.peers = PeerLink(statuses, clock)
         self.relay = FeedRelay(identity.name, self.peers, self.watch, clock)
         self.peers.on_status(
             lambda status: self.relay.repair(status.sender, status.positions_by_feed)
         )
+        self.peers.on_status(self._hear_limits)
         self.reads_abandoned: Counter[tuple[str, bool]] = Counter()
         """Reads of the store that were given up, by feed and whether the answer had begun."""
         self.in_flight_by_backend: dict[str, int] = {}
@@ -126,11 +131,44 @@
 
     def limit_observed(self, backend_id: str, rate: float | None, sent_at: Instant) -> None:
         """Take in the limit that an answer of a backend server names, or that it names none."""
-        before = self.limits.rate_by_id.get(backend_id)
+        before = self.limits.rate(backend_id)
         self.limits.observe(backend_id, rate, sent_at, self.clock.monotonic())
-        after = self.limits.rate_by_id.get(backend_id)
-        if after != before:
-            decided("backend_limit_changed", backend=backend_id, rate=after, before=before)
+        self._log_limit(backend_id, before, observed_by=self.identity.name)
+
+    def _hear_limits(self, status: StatusMessage) -> None:
+        now = self.clock.monotonic()
+        for backend_id, notice in status_of(status).limits_by_backend.items():
+            before = self.limits.rate(backend_id)
+            self.limits.hear(backend_id, notice, now)
+            self._log_limit(backend_id, before, observed_by=status.sender)
+
+    def _log_limit(self, backend_id: str, before: float | None, observed_by: str) -> None:
+        rate = self.limits.rate(backend_id)
+        if rate != before:
+            decided(
+                "backend_limit_changed",
+                backend=backend_id,
+                rate=rate,
+                before=before,
+                observed_by=observed_by,
+            )
+
+    def scheduler(self, pool: str) -> str | None:
+        """Return the other entry that decides for a pool; None where this one does."""
+        found = self.choice.scheduler(pool, self.clock.monotonic())
+        if found is None or found == self.identity.name:
+            return None
+        return found if self.peers.knows(found) else None
+
+    def rate_share(self, pool: str) -> float:
+        """Return the part of a pool's rate limits that this entry may use.
+
+        The pool's scheduler keeps them for all. One that decides without it does so beside others
+        that may do the same.
+        """
+        if self.choice.scheduler(pool, self.clock.monotonic()) == self.identity.name:
+            return 1.0
+        return 1.0 / (self._entries or 1 + len(self.peers.members))
 
     def engine_traits(self, service: str) -> EngineTraits | None:
         """Return what the configuration tells of a service's engines; None where it has none."""
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
@@ -17,6 +17,7 @@
 from ragwortwing_policy.direct.peer_status import PeerStatus
 from ragwortwing_policy.direct.prompt_parts import Prompt, PromptPart
 from ragwortwing_policy.direct.queue_order import Waiter
+from ragwortwing_policy.direct.rate_limits import LimitNotice
 from ragwortwing_policy.direct.run_report import EndedRun, ReportedRun, RunReport
 from ragwortwing_policy.duties.usage_counts import UsageReport
 
@@ -52,6 +53,7 @@
     unix_time: float | None = None
     can_hold_duties: bool = False
     offset_by_duty: dict[str, int] = {}
+    limits_by_backend: dict[str, tuple[float | None, float]] = {}
 
 
 class RunBody(msgspec.Struct, frozen=True, array_like=True):
@@ -129,6 +131,24 @@
     counts_by_window: dict[int, dict[str, int]]
 
 
+class PermitRequestMessage(msgspec.Struct, frozen=True, array_like=True, tag="q"):
+    """A request for a permit to send to a backend server that names a limit."""
+
+    sender: str
+    ticket: int
+    service: str
+    backend_id: str
+
+
+class PermitMessage(msgspec.Struct, frozen=True, array_like=True, tag="g"):
+    """The answer to a request for a permit."""
+
+    sender: str
+    ticket: int
+    wait: float
+    """Seconds until there may be one; 0 where it is given."""
+
+
 class Decision(IntEnum):
     """What a scheduler says of a request."""
 
@@ -164,6 +184,8 @@
     | DecisionMessage
     | FeedMessage
     | UsageMessage
+    | PermitRequestMessage
+    | PermitMessage
 )
 
 encode: Callable[[PeerMessage], bytes] = msgspec.msgpack.Encoder().encode
@@ -182,6 +204,7 @@
         status.unix_time,
         status.can_hold_duties,
         dict(status.offset_by_duty),
+        {key: (each.rate, round(each.age, 3)) for key, each in status.limits_by_backend.items()},
     )
 
 
@@ -197,6 +220,9 @@
         unix_time=message.unix_time,
         can_hold_duties=message.can_hold_duties,
         offset_by_duty=message.offset_by_duty,
+        limits_by_backend={
+            key: LimitNotice(*each) for key, each in message.limits_by_backend.items()
+        },
     )
 
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/queue_dispatcher.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/queue_dispatcher.py
@@ -36,7 +36,7 @@
     def __init__(self, service: str, state: EntryState) -> None:
         self._service = service
         self._state = state
-        self._queue = AdmissionQueue(service, state.placement)
+        self._queue = AdmissionQueue(service, state.placement, state.limits)
         self._callbacks_by_ticket: dict[str, OnDecision] = {}
         self._news = trio.Event()
 
@@ -97,5 +97,6 @@
             fresh = [each for each in trusted if each.id not in request.avoid]
             return fresh or trusted
 
-        for decision in self._queue.dispatch(traits, engines_for, now, only):
+        share = self._state.rate_share(self._service)
+        for decision in self._queue.dispatch(traits, engines_for, now, only, share):
             self._callbacks_by_ticket.pop(decision.request.ticket)(decision)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -37,6 +37,9 @@
 TIMEOUT_MARGIN = 0.05
 """Seconds before the caller's deadline at which it is answered: the way back takes a few ms."""
 
+WAIT_PART = 0.5
+"""Part of its latency target that a request for a plain service waits for a limited server."""
+
 RETURN_ELSEWHERE = timedelta(milliseconds=20)
 """When a caller of an entry that ends should come back: another entry is free at once."""
 
@@ -122,6 +125,12 @@
         self._log_accepted(table)
         return None
 
+    @property
+    def _waits_until(self) -> Instant:
+        """Until when a request may wait for a limited server and still be answered on time."""
+        target = self._route.latency_target.total_seconds()
+        return self._request.arrived_at + WAIT_PART * target
+
     def _deadline_of(self, route: Route) -> Instant:
         arrived_at = self._request.arrived_at
         by_route = arrived_at + route.timeout.total_seconds()
@@ -166,10 +175,8 @@
         service = table.services_by_name.get(self._service) if table else None
         if table is None or service is None or service.engine is None or prompt is None:
             self._ticket = ""
-            backend = self._entry.pick_plain(self._service, self._tried)
-            if backend is None:
-                return Refused(NotRunReason.NO_BACKEND, self._entry.retry_after())
-            return _Destination(backend)
+            found = await self._entry.plain.admit(self._service, self._tried, self._waits_until)
+            return found if isinstance(found, Refused) else _Destination(found)
         self._ticket = self._entry.new_ticket(self._request.id)
         granted = await self._entry.pool(self._service).admission.admit(
             self._waiting_request(prompt, table.pause_targets(self._service))
@@ -374,7 +381,7 @@
     # Ends without a backend server's answer
 
     async def _give_up(self, failure: str) -> None:
-        refusal = Refused(NotRunReason.NO_BACKEND, self._entry.retry_after())
+        refusal = Refused(NotRunReason.NO_BACKEND, self._entry.plain.retry_after())
         await self._conclude(self._true_of(refusal), failure=failure)
 
     def _true_of(self, refusal: Refused) -> Refused | Unresolved:
--- a/packages/ragwortwing-entry/tests/direct/test_engine_admission.py
+++ b/packages/ragwortwing-entry/tests/direct/test_engine_admission.py
@@ -60,6 +60,10 @@
     def on_message(self, handler: Callable[[Any, Any], None], _: Callable[[], bool]) -> None:
         self._handler = handler
 
+    @property
+    def members(self) -> frozenset[str]:
+        return frozenset(self._links_by_name) - {self.name}
+
     def wake(self) -> None:
         pass
 
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -22,6 +22,7 @@
     retry_after_of,
     waits_until,
 )
+from .rate_limits import RateLimits
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -79,9 +80,13 @@
 class AdmissionQueue:
     """The queue before the engines of one service."""
 
-    def __init__(self, service: str, placement: Placement) -> None:
+    def __init__(
+        self, service: str, placement: Placement, limits: RateLimits | None = None
+    ) -> None:
         self._service = service
         self._placement = placement
+        self._limits = limits if limits is not None else RateLimits()
+        self._share = 1.0
         self._waiting: dict[str, WaitingRequest] = {}
         self._unread_by_ticket: dict[str, int] = {}
         """Fewest prompt tokens that any engine had to read when a request came."""
@@ -119,6 +124,7 @@
         engines_for: Callable[[WaitingRequest], Sequence[BackendServer]],
         now: Instant,
         only: str | None = None,
+        share: float = 1.0,
     ) -> list[Granted | Rejected]:
         """Decide on every queued request, in the order of the queue.
 
@@ -127,6 +133,7 @@
             engines_for: Returns the engines that a request may go to.
             now: The present instant.
             only: Ticket of the only request to decide on, where there is one.
+            share: Part of the engines' rate limits that this entry may use.
 
         Returns:
             What was decided; everyone else waits on.
@@ -134,6 +141,7 @@
         considered = self._waiting.values() if only is None else (self._waiting[only],)
         ordered = sorted(considered, key=lambda each: queue_order(each.waiter, now))
         decisions: list[Granted | Rejected] = []
+        self._share = share
         self._forget_bounds()
         for request in ordered:
             decision = self._decide(request, traits, engines_for(request), now)
@@ -152,6 +160,9 @@
         until = waits_until(request.waiter, self._due(request), is_long=request.prompt.is_long)
         if traits is None or not engines or must_give_up(request.waiter, until, now):
             return self._reject(request, no_engine=traits is None or not engines, now=now)
+        engines = self._limits.open(engines, now, self._share)
+        if not engines:
+            return None
         question = self._question(request, now)
         unread = self._unread_by_ticket[request.ticket]
         if not request.avoid and self._is_hopeless(question, unread, engines, traits, now):
@@ -207,6 +218,7 @@
             first_event_after=found.first_event_after,
         )
         load.begin(request.ticket, request.prompt, found.reading, now, request.waiter.urgency)
+        self._limits.spend(found.backend.id, now)
         return granted
 
     def _reject(self, request: WaitingRequest, *, no_engine: bool, now: Instant) -> Rejected:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_status.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_status.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from .rate_limits import LimitNotice, RateLimits
 from .scheduler_choice import Candidate
 
 if TYPE_CHECKING:
@@ -43,6 +44,8 @@
     """Whether it could perform the fleet's duties now."""
     offset_by_duty: Mapping[str, int] = field(default_factory=dict)
     """Where the newest record of each duty stands that it knows of."""
+    limits_by_backend: Mapping[str, LimitNotice] = field(default_factory=dict)
+    """What it has observed of late of backend servers' rate limits."""
 
 
 class StatusBook:
@@ -56,6 +59,7 @@
         choice: SchedulerChoice,
         candidates: DutyCandidates,
         fleet_time: FleetTime,
+        limits: RateLimits | None = None,
     ) -> None:
         self._name = name
         self._capacity = capacity
@@ -63,6 +67,8 @@
         self._choice = choice
         self._candidates = candidates
         self._fleet_time = fleet_time
+        self._limits = limits if limits is not None else RateLimits()
+        self._limits_told = 0
         self._schedules_since: Instant | None = None
         self._sent: PeerStatus | None = None
         self._sent_at: Instant = 0.0
@@ -84,9 +90,11 @@
         watches = status.hears_store and self._watch.is_watcher(now)
         interval = WATCHER_INTERVAL if watches else STATUS_INTERVAL
         is_recent = sent is not None and now - self._sent_at < interval
+        is_recent = is_recent and self._limits_told == self._limits.news
         if is_recent and self._acted_on(status, now) == self._acted_on(sent, now):
             return None
         self._sent, self._sent_at = status, now
+        self._limits_told = self._limits.news
         return status
 
     def status(self, now: Instant) -> PeerStatus:
@@ -102,6 +110,7 @@
             unix_time=self._fleet_time.own_reading(),
             can_hold_duties=self._candidates.can_hold,
             offset_by_duty=dict(self._candidates.offset_by_duty),
+            limits_by_backend=self._limits.notices(now),
         )
 
     def take(self, status: PeerStatus, now: Instant) -> None:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/rate_limits.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/rate_limits.py
@@ -1,4 +1,8 @@
-"""Limits on the rate of requests that backend servers name in their answers."""
+"""Limits on the rate of requests that backend servers name in their answers.
+
+A limit is for all entries together. One entry, the scheduler of the server's pool, keeps it for
+all; what entries observe, they tell each other.
+"""
 
 from __future__ import annotations
 
@@ -8,40 +12,86 @@
 from ragwortwing_policy.clock import Instant
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Mapping, Sequence
+
+    from .backend_list import BackendServer
 
 HOLD = 2.0
 """Least seconds for which a limit holds after an answer has named it: not every answer need do so,
 and answers overtake each other."""
 
+USED_PART = 0.9
+"""Part of a limit that is used: requests do not arrive as evenly as they are sent."""
+
+LEAST_RATE = 0.25
+"""Requests a second that a server is sent at any limit: only its answers show that a limit ends."""
+
+BURST_SPAN = 0.25
+"""Seconds of its limit that a server may be sent at once, one request at least."""
+
+NOTICE_LIFETIME = 5.0
+"""Seconds for which an entry tells others what it has observed."""
+
+FALL = 0.8
+"""Part of the rate last told below which a new one is told at once."""
+
+MOMENT = 1e-6
+"""Seconds within which a wait counts as over."""
+
+
+@dataclass(frozen=True, slots=True)
+class LimitNotice:
+    """What an answer of a backend server said, as entries tell each other."""
+
+    rate: float | None
+    """Requests a second from all entries together; None where there is no limit any more."""
+    age: float
+    """Seconds since the answer."""
+
 
 @dataclass(slots=True)
 class _Limit:
-    rate: float
+    rate: float | None
     named_at: Instant
+    tokens: float
+    filled_at: Instant
+    own: bool
+    """Whether this entry has observed it, rather than another."""
+    told_rate: float = 0.0
 
 
 class RateLimits:
-    """The limits that are in force, by backend server.
+    """The limits that are in force, by backend server, and what may be sent under them.
 
     Example:
         >>> limits = RateLimits()
-        >>> limits.observe("i-1", 3.5, sent_at=0.0, now=0.1)
-        >>> dict(limits.rate_by_id)
-        {'i-1': 3.5}
-        >>> limits.observe("i-1", None, sent_at=0.2, now=0.3)
-        >>> limits.observe("i-1", None, sent_at=2.0, now=2.2)
-        >>> dict(limits.rate_by_id)
-        {}
+        >>> limits.observe("i-1", 2.0, sent_at=0.0, now=0.0)
+        >>> limits.wait_for("i-1", now=0.1)
+        0.45...
+        >>> limits.spend("i-1", now=0.6)
+        >>> limits.wait_for("i-1", now=0.6) > 0.4
+        True
+        >>> limits.wait_for("i-2", now=0.6)
+        0.0
+        >>> limits.observe("i-1", None, sent_at=2.0, now=2.1)
+        >>> limits.rate("i-1") is None
+        True
     """
 
     def __init__(self) -> None:
         self._by_id: dict[str, _Limit] = {}
+        self.news = 0
+        """Rises with each change that other entries should be told of at once."""
 
     @property
     def rate_by_id(self) -> Mapping[str, float]:
         """Requests a second that limited backend servers take from all entries together."""
-        return {backend_id: each.rate for backend_id, each in self._by_id.items()}
+        return {key: each.rate for key, each in self._by_id.items() if each.rate is not None}
+
+    def rate(self, backend_id: str) -> float | None:
+        """Return the limit of a backend server; None where it has none."""
+        known = self._by_id.get(backend_id)
+        return None if known is None else known.rate
 
     def observe(self, backend_id: str, rate: float | None, sent_at: Instant, now: Instant) -> None:
         """Take in what an answer says.
@@ -52,13 +102,82 @@
             sent_at: When the request was sent.
             now: The present instant.
         """
-        if rate is not None:
-            self._by_id[backend_id] = _Limit(rate, now)
+        known = self._by_id.get(backend_id)
+        if rate is None:
+            if known is None or known.rate is None:
+                return
+            if sent_at <= known.named_at or now - known.named_at < HOLD:
+                return
+        known = self._note(backend_id, rate, now, own=True)
+        told = known.told_rate
+        if rate is None or told == 0.0 or rate < FALL * told:
+            known.told_rate = rate or 0.0
+            self.news += 1
+
+    def hear(self, backend_id: str, notice: LimitNotice, now: Instant) -> None:
+        """Take in what another entry has observed, unless this one knows of something later."""
+        known = self._by_id.get(backend_id)
+        named_at = now - notice.age
+        if known is not None and named_at <= known.named_at:
             return
+        if known is not None or notice.rate is not None:
+            self._note(backend_id, notice.rate, named_at, own=False)
+
+    def notices(self, now: Instant) -> Mapping[str, LimitNotice]:
+        """Return what this entry has observed of late."""
+        return {
+            key: LimitNotice(each.rate, now - each.named_at)
+            for key, each in self._by_id.items()
+            if each.own and now - each.named_at < NOTICE_LIFETIME
+        }
+
+    def open(
+        self, servers: Sequence[BackendServer], now: Instant, share: float = 1.0
+    ) -> Sequence[BackendServer]:
+        """Return the backend servers that may be sent a request now.
+
+        Args:
+            servers: The backend servers.
+            now: The present instant.
+            share: Part of the limits that this entry may use.
+        """
+        if not self._by_id:
+            return servers
+        return [each for each in servers if self.wait_for(each.id, now, share) <= 0.0]
+
+    def wait_for(self, backend_id: str, now: Instant, share: float = 1.0) -> float:
+        """Return the seconds until a backend server may be sent a request."""
         known = self._by_id.get(backend_id)
-        if known is not None and sent_at > known.named_at and now - known.named_at >= HOLD:
-            del self._by_id[backend_id]
+        if known is None or known.rate is None:
+            return 0.0
+        pace = _pace(known.rate) * share
+        self._fill(known, pace, now)
+        wait = (1.0 - known.tokens) / pace
+        return wait if wait > MOMENT else 0.0
+
+    def spend(self, backend_id: str, now: Instant) -> None:
+        """Count a request that is sent to a backend server."""
+        known = self._by_id.get(backend_id)
+        if known is not None and known.rate is not None:
+            known.tokens -= 1.0
 
     def forget(self, backend_id: str) -> None:
         """Forget a backend server that is gone or has restarted."""
         self._by_id.pop(backend_id, None)
+
+    def _note(self, backend_id: str, rate: float | None, named_at: Instant, *, own: bool) -> _Limit:
+        known = self._by_id.get(backend_id)
+        if known is None or known.rate is None:
+            known = self._by_id[backend_id] = _Limit(rate, named_at, 0.0, named_at, own)
+        else:
+            known.rate, known.named_at, known.own = rate, named_at, own
+        return known
+
+    def _fill(self, known: _Limit, pace: float, now: Instant) -> None:
+        most = max(1.0, BURST_SPAN * pace)
+        known.tokens = min(most, known.tokens + pace * (now - known.filled_at))
+        known.filled_at = now
+
+
+def _pace(rate: float) -> float:
+    return max(LEAST_RATE, USED_PART * rate)
