Skip documents that have been replaced while an entry was behind

What callers would see: changes in quick succession to a large configuration, each of which an entry on a narrow link reads whole and in turn, so that it falls further behind with each and serves by configurations that are many seconds old.

The half second for which an entry gathers news before its next call begins with the answer, not behind it.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
@@ -37,6 +37,9 @@
 """Seconds after news before the store is asked for more: changes come in rows, and each record of a
 row would be a call of its own."""
 
+SNAPSHOT_OVERHEAD = 4 / 3
+"""Bytes of a record in a snapshot, as text, for each of its bytes in the log."""
+
 
 class TopicFollower:
     """Follows one keyed topic: a snapshot, then each record after it.
@@ -66,6 +69,7 @@
         self._on_snapshot = on_snapshot
         self._on_record = on_record
         self._backoff = Backoff(random, FIRST_WAIT, timedelta(seconds=IDLE_RETRY))
+        self._keys: set[str] = set()
         self._offset: int | None = None
         self._lost_at: float | None = None
         self.heard_at = 0.0
@@ -90,19 +94,32 @@
                 await self._pace.wait_to_retry(self._backoff)
 
     async def _step(self) -> None:
-        if self._offset is None:
-            snapshot = await self._snapshot.read()
-            self._heard()
-            self._on_snapshot(snapshot)
-            self._offset = snapshot.end
-            self._watch.reached(self._topic, snapshot.end, self.heard_at)
+        if self._offset is None or self._is_snapshot_smaller():
+            await self._read_snapshot()
             return
         now = self._clock.monotonic()
         if self._lost_at is None and self._watch.follows(now):
             await self._pace.until_store_is_needed()
-        has_news = await self._read(self._offset)
-        if has_news or not self._watch.is_watcher(self._clock.monotonic()):
-            await trio.sleep(GATHER)
+        transfer = await self._read(self._offset)
+        if transfer.records or not self._watch.is_watcher(self._clock.monotonic()):
+            await trio.sleep(max(0.0, GATHER - transfer.duration()))
+
+    async def _read_snapshot(self) -> None:
+        snapshot = await self._snapshot.read()
+        self._heard()
+        self._keys.update(record.key for record in snapshot.records)
+        self._on_snapshot(snapshot)
+        self._offset = max(snapshot.end, self._offset or 0)
+        self._watch.reached(self._topic, self._offset, self.heard_at)
+
+    def _is_snapshot_smaller(self) -> bool:
+        """Return whether most records that this entry lacks have been replaced by later ones.
+
+        Read one after another over a narrow link, large documents that follow each other quickly
+        would leave the entry further behind with each of them.
+        """
+        behind = self._watch.records_behind(self._topic)
+        return bool(self._keys) and behind > SNAPSHOT_OVERHEAD * len(self._keys)
 
     def _take_read(self, found: FeedRecords) -> None:
         """Take in what the store has answered so far, and pass it on."""
@@ -120,15 +137,13 @@
 
     def _take_records(self, found: FeedRecords) -> None:
         for record in found.records:
+            self._keys.add(record.key)
             self._on_record(record)
         self._offset = max(found.end, self._offset or 0)
 
-    async def _read(self, offset: int) -> bool:
+    async def _read(self, offset: int) -> Transfer:
         """Read on, unless the others show that this read has been forgotten.
 
-        Returns:
-            Whether there was any news.
-
         Raises:
             StoreError: The store did not answer as it should.
         """
@@ -150,7 +165,7 @@
             raise failure
         if not is_done:
             self._abandoned(offset, transfer)
-        return transfer.records > 0
+        return transfer
 
     def _abandoned(self, offset: int, transfer: Transfer) -> None:
         self._reads_abandoned[self._topic, transfer.has_begun] += 1
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/transfer.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/transfer.py
@@ -36,6 +36,7 @@
         self._clock = clock
         self._on_records = on_records
         self._started_at = clock.monotonic()
+        self._begun_at: Instant | None = None
         self._received_at: Instant | None = None
         self.received_bytes = 0
         self.records = 0
@@ -54,6 +55,8 @@
         """
         self.received_bytes += size
         self._received_at = self._clock.monotonic()
+        if self._begun_at is None:
+            self._begun_at = self._received_at
 
     def deliver(self, found: FeedRecords) -> None:
         """Hand over records that have become whole."""
@@ -64,6 +67,10 @@
         """Return the seconds since the call."""
         return self._clock.monotonic() - self._started_at
 
+    def duration(self) -> float:
+        """Return the seconds since the answer has begun; 0 where it has not."""
+        return 0.0 if self._begun_at is None else self._clock.monotonic() - self._begun_at
+
     def stalled_for(self) -> float:
         """Return the seconds since anything arrived, or since the call."""
         last = self._started_at if self._received_at is None else self._received_at
