Let the soak strain links and limits, and check what then holds

Three strains, drawn from a source of their own so that the failures of a seed stay what they were: a narrow link to the store, a configuration with 800 routes more (at most each 3 s: an operator waits for the acknowledgement), a server that names a limit for 6 to 9 s. Two checks: each configuration is in force within 3 s at every entry that no fault has disturbed from 3 s before it, by the entries' own lines; no limited server gets more than one and a half times its limit and five requests in 4 s, where no entry was struck.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/checks.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/checks.py
@@ -2,19 +2,20 @@
 
 from __future__ import annotations
 
+from bisect import bisect
 from collections import Counter
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
-from .observations import Kind
+from .observations import Kind, Span
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator, Mapping
+    from collections.abc import Iterable, Iterator, Mapping, Sequence
 
-    from ..standins.platform_site import Got
+    from ..standins.platform_site import EntryProcess, Got
     from ..standins.published_backend import PublishedBackend
-    from .observations import Attempt, Span
+    from .observations import Attempt, Disturbance, LimitedSpan, Published
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 TAKES_FOR = 2.5
@@ -24,6 +25,18 @@
 AFTERMATH = 4.0
 """Seconds after a fault in which it may still cut an answer: silence shows after time limits."""
 
+IN_FORCE_WITHIN = 3.0
+"""Seconds after its acknowledgement in which a configuration is in force."""
+
+SETTLING = 3.0
+"""Seconds after a fault in which its effects may last."""
+
+LIMIT_KEPT_AFTER = 3.0
+"""Seconds after a server first named a limit from which it is kept."""
+
+LIMIT_SPAN = 4.0
+"""Seconds in which a server gets at most one and a half times its limit, and five requests."""
+
 EVENTS = 10
 """Events of a whole stream."""
 
@@ -47,6 +60,10 @@
     """Without faults, every entry serves every kind again."""
     IN_FORCE = "in_force"
     """The newest configuration is in force at every entry."""
+    IN_FORCE_IN_TIME = "in_force_in_time"
+    """A configuration is in force within seconds at every entry that reaches the store."""
+    LIMIT_KEPT = "limit_kept"
+    """A backend server gets no more than the limit that it names."""
     LETS_GO = "lets_go"
     """No backend server works on for callers that are gone."""
 
@@ -110,6 +127,53 @@
         yield SoakViolation(SoakPromise.STOP_CUTS_NOTHING, detail)
 
 
+def check_in_force(
+    published: Sequence[Published],
+    entries: Sequence[EntryProcess],
+    disturbances: Sequence[Disturbance],
+) -> Iterator[SoakViolation]:
+    """Check when each configuration was in force, where nothing but a narrow link delayed it."""
+    for number, entry in enumerate(entries):
+        applied = [
+            (line["time"], line["version"]) for line in entry.lines("configuration_in_force")
+        ]
+        for each in published:
+            window = Span(each.at - SETTLING, each.at + IN_FORCE_WITHIN)
+            if any(_delays(one, number, window) for one in disturbances):
+                continue
+            due = each.unix_time + IN_FORCE_WITHIN
+            if not any(at <= due and version >= each.version for at, version in applied):
+                detail = f"version {each.version} at {entry.name}"
+                yield SoakViolation(SoakPromise.IN_FORCE_IN_TIME, detail)
+
+
+def check_limits(
+    limited: Iterable[LimitedSpan], disturbances: Sequence[Disturbance]
+) -> Iterator[SoakViolation]:
+    """Check what limited servers got, where no entry was struck meanwhile."""
+    for each in limited:
+        span = Span(each.span.began - SETTLING, each.span.ended)
+        if any(one.strikes_entry and _overlap(one.span, span) for one in disturbances):
+            continue
+        since, until = each.span.began + LIMIT_KEPT_AFTER, each.span.ended
+        counted = [at for at in each.backend.arrived_at if since <= at <= until]
+        most = max(
+            (bisect(counted, at + LIMIT_SPAN) - i for i, at in enumerate(counted)), default=0
+        )
+        allowed = 1.5 * LIMIT_SPAN * each.rate + 5
+        if most > allowed:
+            detail = f"{each.backend.id} got {most} in {LIMIT_SPAN} s, allowed {allowed}"
+            yield SoakViolation(SoakPromise.LIMIT_KEPT, detail)
+
+
+def _delays(disturbance: Disturbance, number: int, window: Span) -> bool:
+    return disturbance.entry in (None, number) and _overlap(disturbance.span, window)
+
+
+def _overlap(one: Span, other: Span) -> bool:
+    return one.began <= other.ended and other.began <= one.ended
+
+
 def _may_be_cut(attempt: Attempt, spans: tuple[Span, ...]) -> bool:
     return any(
         span.began <= attempt.ended_at and attempt.sent_at <= span.ended + AFTERMATH
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/command.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/command.py
@@ -18,6 +18,7 @@
 @click.option("--seconds", default=15.0, show_default=True, help="Length of each run's load.")
 @click.option("--callers", default=12, show_default=True, help="Callers at a time.")
 @click.option("--faults", default=0.8, show_default=True, help="Faults a second.")
+@click.option("--strains", default=0.3, show_default=True, help="Strains a second.")
 def soak_command(
     seed: int | None,
     minutes: float,
@@ -25,9 +26,10 @@
     seconds: float,
     callers: int,
     faults: float,
+    strains: float,
 ) -> None:
     """Strike entries of the platform with random faults and check what they promise."""
-    shape = SoakShape(seconds, processes, callers, faults)
+    shape = SoakShape(seconds, processes, callers, faults, strains)
     ends = time.monotonic() + 60 * minutes
     failed: list[int] = []
     runs = 0
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/fleet.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,7 @@
     renamed_route,
 )
 from ..standins.published_backend import Pace, PublishedBackend
+from .observations import LimitedSpan, Published
 
 if TYPE_CHECKING:
     from random import Random
@@ -51,6 +53,8 @@
         self.backends: list[PublishedBackend] = []
         """Every backend server that ever was."""
         self.version = 1
+        self.published: list[Published] = []
+        self.limited: list[LimitedSpan] = []
         self.entries: list[EntryProcess] = []
         self.ended_by_us: set[int] = set()
         """Process ids of entries that the soak has killed or stopped."""
@@ -113,14 +117,17 @@
         if entry.handle.poll() is None:
             entry.handle.send_signal(number)
 
-    def publish(self) -> None:
-        """Publish a configuration with one more route."""
+    def publish(self, more_routes: int = 0) -> None:
+        """Publish a configuration with one more route, and some that only this one has."""
         self.version += 1
         document = configuration(self.version)
         lookups = next(each for each in document["routes"] if each["name"] == "lookups")
         for number in range(2, self.version + 1):
             document["routes"].append(renamed_route(lookups, f"added-{number}"))
+        for number in range(more_routes):
+            document["routes"].append(renamed_route(lookups, f"bulk-{self.version}-{number}"))
         self.site.configure(document)
+        self.published.append(Published(self.version, trio.current_time(), time.time()))
 
     def note_ended(self, entry: EntryProcess) -> None:
         """Note that the soak ends this process."""
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/injector.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/injector.py
@@ -12,8 +12,8 @@
 from ..standins.published_backend import SERVERS_TOPIC, Misbehaviour
 from ..standins.published_store import StoreMood
 from .fleet import DRAIN, end_backend
-from .observations import Span, incarnation
-from .schedule import CUTS_ANSWERS, SoakFault
+from .observations import Disturbance, LimitedSpan, Span, incarnation
+from .schedule import CUTS_ANSWERS, DISTURBS_ALL, DISTURBS_ENTRY, STRIKES_ENTRY, SoakFault
 
 if TYPE_CHECKING:
     from ..fault_proxy import FaultProxy
@@ -32,6 +32,27 @@
 """Seconds that each call to a slow store takes longer."""
 
 
+NARROW_LINK = 150_000
+"""Bytes a second of a narrow link to the store."""
+
+NARROW_FOR = 6.0
+"""Seconds that a link is narrow, besides the fault's own."""
+
+BULK_ROUTES = 800
+"""Routes of a large configuration: over a narrow link it takes a second and more."""
+
+LARGE_INTERVAL = 3.0
+"""Least seconds from a configuration to a large one: the store takes some to accept one, and an
+operator waits for that."""
+
+LIMITS = (0.5, 1.0, 3.0)
+"""Requests a second that a backend server in need names."""
+
+LIMITED_FOR = 6.0
+"""Seconds that a backend server is in need, besides the fault's own: its limit binds only after
+some of them, and in a span of others."""
+
+
 def strikes(kind: SoakFault) -> Callable[[Handler], Handler]:
     """Register the handler of a kind of fault."""
 
@@ -50,6 +71,7 @@
         self.struck: list[PlannedFault] = []
         self.cutting: list[Span] = []
         """When faults that may cut an answer were in force."""
+        self.disturbances: list[Disturbance] = []
         self._busy_entries: set[int] = set()
         self._busy_seats: set[tuple[str, int]] = set()
 
@@ -65,8 +87,13 @@
         self.struck.append(fault)
         began = trio.current_time()
         await _handlers_by_kind[fault.kind](self, fault)
+        span = Span(began, trio.current_time())
         if fault.kind in CUTS_ANSWERS:
-            self.cutting.append(Span(began, trio.current_time()))
+            self.cutting.append(span)
+        if fault.kind in DISTURBS_ALL or fault.kind in DISTURBS_ENTRY:
+            number = fault.place % len(self.fleet.entries)
+            entry = None if fault.kind in DISTURBS_ALL else number
+            self.disturbances.append(Disturbance(span, entry, fault.kind in STRIKES_ENTRY))
 
     async def on_entry(
         self, fault: PlannedFault, strike: Callable[[EntryProcess, int], Awaitable[None]]
@@ -254,3 +281,30 @@
 @strikes(SoakFault.CONFIGURE)
 async def _configure(injector: Injector, _: PlannedFault) -> None:
     injector.fleet.publish()
+
+
+@strikes(SoakFault.CONFIGURE_LARGE)
+async def _configure_large(injector: Injector, _: PlannedFault) -> None:
+    published = injector.fleet.published
+    if not published or trio.current_time() - published[-1].at >= LARGE_INTERVAL:
+        injector.fleet.publish(BULK_ROUTES)
+
+
+@strikes(SoakFault.STORE_LINK_NARROW)
+async def _store_link_narrow(injector: Injector, fault: PlannedFault) -> None:
+    narrow = Fault(FaultKind.NARROW, per_second=NARROW_LINK)
+    await _fault_for(_store_link(injector, fault), NARROW_FOR + fault.seconds, narrow)
+
+
+@strikes(SoakFault.BACKEND_LIMITS)
+async def _backend_limits(injector: Injector, fault: PlannedFault) -> None:
+    backend = injector.seat(fault).backend
+    if backend is None or backend.rate_limit is not None:
+        return
+    rate = LIMITS[fault.place % len(LIMITS)]
+    backend.rate_limit = str(rate)
+    began = trio.current_time()
+    await trio.sleep(LIMITED_FOR + fault.seconds)
+    backend.rate_limit = None
+    span = Span(began, trio.current_time())
+    injector.fleet.limited.append(LimitedSpan(backend, rate, span))
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/observations.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/observations.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 
 from ..standins.platform_site import EntryProcess, Got
+from ..standins.published_backend import PublishedBackend
 
 
 class Kind(StrEnum):
@@ -50,3 +51,32 @@
     ended_at: float
     got: Got | None
     """None where the caller left before an answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class Disturbance:
+    """A fault by which the store's news may come late, or an entry is not there."""
+
+    span: Span
+    entry: int | None
+    """Number of the entry; None for all of them."""
+    strikes_entry: bool
+    """Whether the entry itself was struck, rather than its way to the store."""
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """A configuration, and when it was published."""
+
+    version: int
+    at: float
+    unix_time: float
+
+
+@dataclass(frozen=True, slots=True)
+class LimitedSpan:
+    """A stretch in which a backend server named a limit."""
+
+    backend: PublishedBackend
+    rate: float
+    span: Span
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/runner.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/runner.py
@@ -18,13 +18,15 @@
     SoakPromise,
     SoakViolation,
     check_answers,
+    check_in_force,
+    check_limits,
     check_planned_stops,
     check_runs,
 )
 from .fleet import Fleet
 from .injector import Injector
 from .observations import Kind
-from .schedule import PlannedFault, draw_schedule
+from .schedule import STRAINS, PlannedFault, draw_schedule
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
@@ -50,6 +52,7 @@
     entries: int = 3
     callers: int = CALLERS
     faults_per_second: float = 0.8
+    strains_per_second: float = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +78,7 @@
 async def run_soak(seed: int, shape: SoakShape, folder: Path) -> SoakRun:
     """Run one soak whose files go into a folder."""
     random = Random(seed)
-    schedule = draw_schedule(random, shape.seconds, shape.faults_per_second)
+    schedule = _schedule(random, seed, shape)
     violations: list[SoakViolation] = []
     async with platform_site(folder, GRACE) as site:
         fleet = Fleet(site, random, shape.entries)
@@ -94,9 +97,20 @@
             violations += check_planned_stops(
                 callers.attempts, fleet.stopped_at_by_incarnation, injector.cutting
             )
+            violations += check_in_force(fleet.published, fleet.entries, injector.disturbances)
+            violations += check_limits(fleet.limited, injector.disturbances)
     return SoakRun(seed, tuple(injector.struck), _count(callers), tuple(violations))
 
 
+def _schedule(random: Random, seed: int, shape: SoakShape) -> tuple[PlannedFault, ...]:
+    faults = draw_schedule(random, shape.seconds, shape.faults_per_second)
+    # Of a source of their own: the other faults of a seed stay what they are.
+    strains = draw_schedule(
+        Random(f"strains of {seed}"), shape.seconds, shape.strains_per_second, STRAINS
+    )
+    return tuple(sorted((*faults, *strains), key=lambda each: each.at))
+
+
 def run_in_temporary_folder(seed: int, shape: SoakShape) -> SoakRun:
     """Run one soak; its files are kept where it found a violation."""
     folder = Path(tempfile.mkdtemp(prefix=f"ragwortwing-soak-{seed}-"))
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/schedule.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/schedule.py
@@ -55,8 +55,36 @@
     """One backend server says that it leaves, serves on, and is replaced."""
     CONFIGURE = "configure"
     """A configuration with one more route is published."""
+    CONFIGURE_LARGE = "configure_large"
+    """A configuration with hundreds of routes more is published."""
+    STORE_LINK_NARROW = "store_link_narrow"
+    """One entry's link to the store carries little."""
+    BACKEND_LIMITS = "backend_limits"
+    """One backend server names a limit on the requests that it takes."""
 
 
+STRAINS = (SoakFault.CONFIGURE_LARGE, SoakFault.STORE_LINK_NARROW, SoakFault.BACKEND_LIMITS)
+"""Faults that break nothing: all promises hold for every entry while they last."""
+
+FAILURES = tuple(each for each in SoakFault if each not in STRAINS)
+
+DISTURBS_ALL = frozenset(
+    {
+        SoakFault.STORE_SILENT,
+        SoakFault.STORE_BUSY,
+        SoakFault.STORE_RESETS,
+        SoakFault.STORE_SLOW,
+        SoakFault.STORE_FORGETS,
+    }
+)
+"""Faults by which news of the store come late at every entry."""
+
+STRIKES_ENTRY = frozenset({SoakFault.KILL_ENTRY, SoakFault.FREEZE_ENTRY, SoakFault.STOP_ENTRY})
+"""Faults that strike one entry itself."""
+
+DISTURBS_ENTRY = STRIKES_ENTRY | {SoakFault.STORE_REFUSES_ONE, SoakFault.STORE_LINK_SILENT}
+"""Faults by which news of the store come late at one entry."""
+
 CUTS_ANSWERS = frozenset(
     {
         SoakFault.KILL_ENTRY,
@@ -85,12 +113,19 @@
     seconds: float
 
 
-def draw_schedule(random: Random, length: float, per_second: float) -> tuple[PlannedFault, ...]:
-    """Draw faults over a length of time; they overlap as they fall."""
+def draw_schedule(
+    random: Random,
+    length: float,
+    per_second: float,
+    kinds: tuple[SoakFault, ...] = FAILURES,
+) -> tuple[PlannedFault, ...]:
+    """Draw faults of some kinds over a length of time; they overlap as they fall."""
     faults: list[PlannedFault] = []
+    if per_second <= 0.0:
+        return ()
     at = random.expovariate(per_second)
     while at < length:
-        kind, place = random.choice(list(SoakFault)), random.randrange(1_000)
+        kind, place = random.choice(kinds), random.randrange(1_000)
         strike_at = at
         for _ in range(random.choice(SERIES)):
             faults.append(PlannedFault(strike_at, kind, place, random.uniform(SHORTEST, LONGEST)))
--- a/packages/ragwortwing-lab/tests/test_soak.py
+++ b/packages/ragwortwing-lab/tests/test_soak.py
@@ -12,7 +12,7 @@
 from ragwortwing_lab.soak.fleet import Fleet, end_backend
 from ragwortwing_lab.soak.observations import Attempt, Kind, Span
 from ragwortwing_lab.soak.runner import SoakShape, run_soak
-from ragwortwing_lab.soak.schedule import SoakFault, draw_schedule
+from ragwortwing_lab.soak.schedule import STRAINS, SoakFault, draw_schedule
 from ragwortwing_lab.standins.platform_site import Got, platform_site
 from ragwortwing_lab.standins.published_backend import PublishedBackend, SeenRun
 
@@ -94,7 +94,8 @@
 def test_a_schedule_is_its_seeds_and_strikes_in_series() -> None:
     faults = draw_schedule(Random(5), 300.0, 0.8)
     assert faults == draw_schedule(Random(5), 300.0, 0.8)
-    assert {fault.kind for fault in faults} == set(SoakFault)
+    strains = draw_schedule(Random(5), 300.0, 0.8, STRAINS)
+    assert {fault.kind for fault in (*faults, *strains)} == set(SoakFault)
     assert len(faults) > 1.3 * 0.8 * 300
 
 
@@ -118,3 +119,10 @@
 async def test_a_short_soak_keeps_every_promise(tmp_path: Path, seed: int) -> None:
     result = await run_soak(seed, SHORT, tmp_path)
     assert result.violations == (), result.render()
+
+
+async def test_a_soak_of_strains_keeps_every_promise(tmp_path: Path) -> None:
+    shape = SoakShape(8.0, entries=3, callers=8, faults_per_second=0.0, strains_per_second=1.5)
+    result = await run_soak(3, shape, tmp_path)
+    assert result.violations == (), result.render()
+    assert {each.kind for each in result.struck} == set(STRAINS)
