Tell of answers that broke off; pass over limits of servers that are gone

A peer tells of a limit for 5 s: one of a server that had left meanwhile came back and stayed in the gauge.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
@@ -145,11 +145,11 @@
     def _reads_abandoned(self) -> Metric:
         family = CounterMetricFamily(
             "ragwortwing_feed_reads_abandoned",
-            "Reads of the store that were given up, by feed and whether the answer had begun.",
-            labels=("feed", "answer_begun"),
+            "Reads of the store that were given up before an answer, by feed.",
+            labels=("feed",),
         )
-        for (feed, has_begun), count in self._entry.state.reads_abandoned.items():
-            family.add_metric((feed, str(has_begun).lower()), count)
+        for feed, count in self._entry.state.reads_abandoned.items():
+            family.add_metric((feed,), count)
         return family
 
     def _rate_limits(self) -> Metric:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -11,7 +11,7 @@
 from ragwortwing_policy.direct.feed_watch import FeedWatch
 from ragwortwing_policy.direct.peer_status import StatusBook
 from ragwortwing_policy.direct.placement import Placement
-from ragwortwing_policy.direct.rate_limits import RateLimits
+from ragwortwing_policy.direct.rate_limits import LimitNotice, RateLimits
 from ragwortwing_policy.direct.repeat_budget import RepeatAllowance, RepeatBudget
 from ragwortwing_policy.direct.run_ledger import RunLedger
 from ragwortwing_policy.direct.scheduler_choice import SchedulerChoice
@@ -21,7 +21,6 @@
 from .decision_log import decided
 from .feed_relay import FeedRelay
 from .peer_link import PeerLink
-from .peer_messages import status_of
 
 if TYPE_CHECKING:
     from ragwortwing_policy.clock import Clock, Instant
@@ -74,8 +73,8 @@
             lambda status: self.relay.repair(status.sender, status.positions_by_feed)
         )
         self.peers.on_status(self._hear_limits)
-        self.reads_abandoned: Counter[tuple[str, bool]] = Counter()
-        """Reads of the store that were given up, by feed and whether the answer had begun."""
+        self.reads_abandoned: Counter[str] = Counter()
+        """Reads of the store that were given up before an answer, by feed."""
         self.in_flight_by_backend: dict[str, int] = {}
         self._allowance = allowance
         self._budgets_by_service: dict[str, RepeatBudget] = {}
@@ -131,15 +130,20 @@
 
     def limit_observed(self, backend_id: str, rate: float | None, sent_at: Instant) -> None:
         """Take in the limit that an answer of a backend server names, or that it names none."""
+        if backend_id not in self.backends.by_id:
+            return
         before = self.limits.rate(backend_id)
         self.limits.observe(backend_id, rate, sent_at, self.clock.monotonic())
         self._log_limit(backend_id, before, observed_by=self.identity.name)
 
     def _hear_limits(self, status: StatusMessage) -> None:
         now = self.clock.monotonic()
-        for backend_id, notice in status_of(status).limits_by_backend.items():
+        for backend_id, (rate, age) in status.limits_by_backend.items():
+            # A peer may still tell of a server that is gone.
+            if backend_id not in self.backends.by_id:
+                continue
             before = self.limits.rate(backend_id)
-            self.limits.hear(backend_id, notice, now)
+            self.limits.hear(backend_id, LimitNotice(rate, age), now)
             self._log_limit(backend_id, before, observed_by=status.sender)
 
     def _log_limit(self, backend_id: str, before: float | None, observed_by: str) -> None:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
@@ -94,10 +94,14 @@
                 await self._pace.wait_to_retry(self._backoff)
 
     async def _step(self) -> None:
-        if self._offset is None or self._is_snapshot_smaller():
+        now = self._clock.monotonic()
+        if self._offset is None:
             await self._read_snapshot()
             return
-        now = self._clock.monotonic()
+        if self._is_snapshot_smaller():
+            await self._read_snapshot()
+            await trio.sleep(max(0.0, now + GATHER - self._clock.monotonic()))
+            return
         if self._lost_at is None and self._watch.follows(now):
             await self._pace.until_store_is_needed()
         transfer = await self._read(self._offset)
@@ -162,22 +166,33 @@
                 failure = error
             nursery.cancel_scope.cancel()
         if failure is not None:
+            if transfer.has_begun:
+                self._broken_off(offset, transfer, failure)
             raise failure
         if not is_done:
             self._abandoned(offset, transfer)
         return transfer
 
     def _abandoned(self, offset: int, transfer: Transfer) -> None:
-        self._reads_abandoned[self._topic, transfer.has_begun] += 1
+        self._reads_abandoned[self._topic] += 1
         decided(
             "read_started_again",
             topic=self._topic,
             offset=offset,
             records_behind=self._watch.records_behind(self._topic),
-            answer_begun=transfer.has_begun,
+            took_s=round(transfer.elapsed(), 3),
+        )
+
+    def _broken_off(self, offset: int, transfer: Transfer, failure: StoreError) -> None:
+        decided(
+            "read_broken_off",
+            topic=self._topic,
+            offset=offset,
+            records=transfer.records,
             received_bytes=transfer.received_bytes,
             took_s=round(transfer.elapsed(), 3),
             stalled_s=round(transfer.stalled_for(), 3),
+            cause=failure.cause,
         )
 
     def _heard(self) -> None:
