Let some callers of the soak keep their connections until these are closed

Two fifths of the soak's connections are used until the entry closes them or its process is gone, as the users' clients do; before, each was left after eight requests at most, so that few outlived a planned stop.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/callers.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/callers.py
@@ -16,7 +16,10 @@
     from .fleet import Fleet
 
 REQUESTS_A_CONNECTION = 8
-"""Most requests on one connection."""
+"""Most requests on one connection of a caller that closes it by itself."""
+
+STAYING_SHARE = 0.4
+"""Share of the connections that are used until the entry closes them or is gone."""
 
 LEAVE_SHARE = 0.06
 """Share of the requests whose caller leaves before the answer."""
@@ -52,10 +55,14 @@
         while trio.current_time() < ends:
             entry = self._random.choice(self._fleet.entries)
             caller = Caller(entry.callers)
+            stays = self._random.random() < STAYING_SHARE
+            left = self._random.randint(1, REQUESTS_A_CONNECTION)
             try:
-                for _ in range(self._random.randint(1, REQUESTS_A_CONNECTION)):
+                while stays or left > 0:
+                    left -= 1
                     await trio.sleep(self._random.expovariate(1 / THINKING))
-                    if trio.current_time() >= ends or not await self._call(caller, entry):
+                    over = trio.current_time() >= ends
+                    if over or not await self._call(caller, entry, may_leave=not stays):
                         break
             except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
                 await trio.sleep(THINKING)
@@ -66,14 +73,21 @@
         """Make one request on a connection of its own."""
         caller = Caller(entry.callers)
         try:
-            await self._call(caller, entry, kind)
+            await self._call(caller, entry, kind, may_leave=False)
         finally:
             await caller.leave()
         return self.attempts[-1]
 
-    async def _call(self, caller: Caller, entry: EntryProcess, kind: Kind | None = None) -> bool:
+    async def _call(
+        self,
+        caller: Caller,
+        entry: EntryProcess,
+        kind: Kind | None = None,
+        *,
+        may_leave: bool = True,
+    ) -> bool:
         """Make one request; return whether the connection carries another."""
-        leaves = kind is None and self._random.random() < LEAVE_SHARE
+        leaves = may_leave and self._random.random() < LEAVE_SHARE
         kind = kind or self._random.choice(list(Kind))
         self._count += 1
         request_id = f"r-{self._count}"
