Name what the limits admit by its usual term; keep no answer of a permit that nobody waits for

A request whose caller left between a permit's answer and its own next turn left the answer behind in a table for good; the answer now lives with the request that waits. A limit of 0 counted as one of which nobody had been told, so that each answer that named it sent a status; the test of news failed before.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/plain_admission.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/plain_admission.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
 from datetime import timedelta
 from math import inf
 from typing import TYPE_CHECKING
@@ -38,6 +39,12 @@
 """Seconds without further requests for permits after one without an answer."""
 
 
+@dataclass(eq=False, slots=True)
+class _PendingPermit:
+    wait: float = UNANSWERED_WAIT
+    answered: trio.Event = field(default_factory=trio.Event)
+
+
 class PlainAdmission:
     """Admits the requests of one entry to the servers of plain services."""
 
@@ -45,8 +52,7 @@
         self._state = state
         self._random = random
         self._closed_until_by_id: dict[str, Instant] = {}
-        self._answers_by_ticket: dict[int, trio.Event] = {}
-        self._wait_by_ticket: dict[int, float] = {}
+        self._pending_by_ticket: dict[int, _PendingPermit] = {}
         self._tickets = 0
 
     async def admit(
@@ -91,10 +97,10 @@
 
     def take_permit(self, message: PermitMessage) -> None:
         """Take in the answer to a request for a permit."""
-        answered = self._answers_by_ticket.get(message.ticket)
-        if answered is not None:
-            self._wait_by_ticket[message.ticket] = message.wait
-            answered.set()
+        pending = self._pending_by_ticket.get(message.ticket)
+        if pending is not None:
+            pending.wait = message.wait
+            pending.answered.set()
 
     def _choices(self, service: str, tried: AbstractSet[str]) -> list[BackendServer]:
         now = self._state.clock.monotonic()
@@ -142,19 +148,20 @@
         now = self._state.clock.monotonic()
         wait = self._state.limits.wait_for(backend_id, now, self._state.rate_share(service))
         if wait <= 0.0:
-            self._state.limits.spend(backend_id, now)
+            self._state.limits.spend(backend_id)
         return wait
 
     async def _ask(self, scheduler: str, backend: BackendServer) -> float:
+        """Ask for a permit; return for how many seconds there is none."""
         self._tickets += 1
         ticket = self._tickets
-        answered = self._answers_by_ticket[ticket] = trio.Event()
+        pending = self._pending_by_ticket[ticket] = _PendingPermit()
         name = self._state.identity.name
         message = PermitRequestMessage(name, ticket, backend.service, backend.id)
         self._state.peers.send(message, scheduler)
         try:
             with trio.move_on_after(PERMIT_TIMEOUT):
-                await answered.wait()
+                await pending.answered.wait()
         finally:
-            del self._answers_by_ticket[ticket]
-        return self._wait_by_ticket.pop(ticket, UNANSWERED_WAIT)
+            del self._pending_by_ticket[ticket]
+        return pending.wait
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -160,7 +160,7 @@
         until = waits_until(request.waiter, self._due(request), is_long=request.prompt.is_long)
         if traits is None or not engines or must_give_up(request.waiter, until, now):
             return self._reject(request, no_engine=traits is None or not engines, now=now)
-        engines = self._limits.open(engines, now, self._share)
+        engines = self._limits.admitting(engines, now, self._share)
         if not engines:
             return None
         question = self._question(request, now)
@@ -218,7 +218,7 @@
             first_event_after=found.first_event_after,
         )
         load.begin(request.ticket, request.prompt, found.reading, now, request.waiter.urgency)
-        self._limits.spend(found.backend.id, now)
+        self._limits.spend(found.backend.id)
         return granted
 
     def _reject(self, request: WaitingRequest, *, no_engine: bool, now: Instant) -> Rejected:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/rate_limits.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/rate_limits.py
@@ -57,7 +57,8 @@
     filled_at: Instant
     own: bool
     """Whether this entry has observed it, rather than another."""
-    told_rate: float = 0.0
+    told_rate: float | None = None
+    """Rate of which others have been told at once; None where they have not."""
 
 
 class RateLimits:
@@ -68,7 +69,7 @@
         >>> limits.observe("i-1", 2.0, sent_at=0.0, now=0.0)
         >>> limits.wait_for("i-1", now=0.1)
         0.45...
-        >>> limits.spend("i-1", now=0.6)
+        >>> limits.spend("i-1")
         >>> limits.wait_for("i-1", now=0.6) > 0.4
         True
         >>> limits.wait_for("i-2", now=0.6)
@@ -110,8 +111,8 @@
                 return
         known = self._note(backend_id, rate, now, own=True)
         told = known.told_rate
-        if rate is None or told == 0.0 or rate < FALL * told:
-            known.told_rate = rate or 0.0
+        if rate is None or told is None or rate < FALL * told:
+            known.told_rate = rate
             self.news += 1
 
     def hear(self, backend_id: str, notice: LimitNotice, now: Instant) -> None:
@@ -131,7 +132,7 @@
             if each.own and now - each.named_at < NOTICE_LIFETIME
         }
 
-    def open(
+    def admitting(
         self, servers: Sequence[BackendServer], now: Instant, share: float = 1.0
     ) -> Sequence[BackendServer]:
         """Return the backend servers that may be sent a request now.
@@ -150,12 +151,12 @@
         known = self._by_id.get(backend_id)
         if known is None or known.rate is None:
             return 0.0
-        pace = _pace(known.rate) * share
-        self._fill(known, pace, now)
+        pace = share * max(LEAST_RATE, USED_PART * known.rate)
+        _fill(known, pace, now)
         wait = (1.0 - known.tokens) / pace
         return wait if wait > MOMENT else 0.0
 
-    def spend(self, backend_id: str, now: Instant) -> None:
+    def spend(self, backend_id: str) -> None:
         """Count a request that is sent to a backend server."""
         known = self._by_id.get(backend_id)
         if known is not None and known.rate is not None:
@@ -173,11 +174,8 @@
             known.rate, known.named_at, known.own = rate, named_at, own
         return known
 
-    def _fill(self, known: _Limit, pace: float, now: Instant) -> None:
-        most = max(1.0, BURST_SPAN * pace)
-        known.tokens = min(most, known.tokens + pace * (now - known.filled_at))
-        known.filled_at = now
 
-
-def _pace(rate: float) -> float:
-    return max(LEAST_RATE, USED_PART * rate)
+def _fill(limit: _Limit, pace: float, now: Instant) -> None:
+    most = max(1.0, BURST_SPAN * pace)
+    limit.tokens = min(most, limit.tokens + pace * (now - limit.filled_at))
+    limit.filled_at = now
--- a/packages/ragwortwing-policy/tests/direct/test_rate_limits.py
+++ b/packages/ragwortwing-policy/tests/direct/test_rate_limits.py
@@ -24,7 +24,7 @@
     for step in range(int(seconds / STEP)):
         now = step * STEP
         if limits.wait_for("i-1", now, share) <= 0.0:
-            limits.spend("i-1", now)
+            limits.spend("i-1")
             sent.append(now)
     return sent
 
@@ -100,6 +100,9 @@
     assert limits.news == 1
     limits.observe("i-1", 2.0, sent_at=1.0, now=1.2)
     assert limits.news == 2
+    limits.observe("i-1", 0.0, sent_at=1.0, now=1.3)
+    limits.observe("i-1", 0.0, sent_at=1.0, now=1.4)
+    assert limits.news == 3
 
 
 def waiting(ticket: str) -> WaitingRequest:
