Detect restarts of backend servers in the list instead of in the adapter

A preparation without a change of behaviour: the start of a backend server's process is a field of its registration, and the list compares it with the latest one it knows, also after a removal.

platform/tests/test_feeds.py and the tests of the policy's direct package: 155 passed.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -88,13 +88,17 @@
         decided("configuration_in_force", version=table.version, routes=len(table.routes))
         return True
 
-    def backend_changed(self, backend: BackendServer, *, restarted: bool) -> None:
+    def backend_listed(self, backend: BackendServer) -> None:
         """Update a backend server in the list; after a restart its load and history are reset."""
+        previous = self.backends.by_id.get(backend.id)
+        restarted = self.backends.is_restart(backend)
         if restarted:
             self.placement.forget(backend.id)
             self.failure_tracker.forget(backend.id)
             self.limits.forget(backend.id)
         self.backends.put(backend)
+        if backend == previous:
+            return
         decided(
             "backend_listed",
             backend=backend.id,
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/backend_list.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/backend_list.py
@@ -22,6 +22,8 @@
     zone: str
     slots: int
     leaving: bool = False
+    started_at: int | None = None
+    """Start of its process in Unix ms; None if unknown."""
 
 
 class BackendList:
@@ -41,6 +43,8 @@
         self._by_id: dict[str, BackendServer] = {}
         self._ready_by_service: dict[str, tuple[BackendServer, ...]] = {}
         self._missing_until_by_id: dict[str, Instant] = {}
+        self._last_by_id: dict[str, BackendServer] = {}
+        """The latest registration of each server, also after its removal."""
 
     @property
     def by_id(self) -> Mapping[str, BackendServer]:
@@ -57,10 +61,17 @@
             self._ready_by_service[service] = found
         return found
 
+    def is_restart(self, backend: BackendServer) -> bool:
+        """Return whether a registration is by a later process than the one known under its id."""
+        last = self._last_by_id.get(backend.id)
+        if last is None or last.started_at is None or backend.started_at is None:
+            return False
+        return last.started_at != backend.started_at
+
     def put(self, backend: BackendServer) -> None:
         """Add a backend server or replace its registration."""
         self._missing_until_by_id.pop(backend.id, None)
-        self._by_id[backend.id] = backend
+        self._last_by_id[backend.id] = self._by_id[backend.id] = backend
         self._ready_by_service.clear()
 
     def remove(self, backend_id: str) -> None:
