Log what backend servers say about themselves in their answers

The adapter now reads both into one notice with the announced rate, and each answer that bears either writes backend_notice, with what the list says of the server at that moment. Nothing is decided by it yet.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -133,6 +133,11 @@
         self.limits.forget(backend_id)
         decided("backend_gone", backend=backend_id)
 
+    def is_listed_leaving(self, backend_id: str) -> bool | None:
+        """Return whether a backend server is listed as leaving; None if it is not listed."""
+        listed = self.backends.by_id.get(backend_id)
+        return None if listed is None else listed.leaving
+
     def limit_observed(self, backend_id: str, rate: float | None, sent_at: Instant) -> None:
         """Record the rate limit that a backend server's answer states; None if it states none."""
         if backend_id not in self.backends.by_id:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
@@ -68,6 +68,19 @@
     """The server ran the request and the run failed."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServerNotice:
+    """What an answer says about its backend server rather than about the request."""
+
+    rate_limit: float | None = None
+    """Requests per second that the server accepts from all entries together; None if unlimited."""
+    is_leaving: bool = False
+    """Whether the server is shutting down and accepts no new requests."""
+    retry_after: float | None = None
+    """Seconds for which the server, which declined the request, asks this entry to send nothing;
+    None if it does not ask."""
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerPiece:
     """A part of an answer's body; in a stream, exactly one complete event."""
@@ -85,8 +98,7 @@
     """Status and headers in the adapter's own representation, for `CallerAnswer.begin`."""
     carries_events: bool
     """Whether the answer is a success with a stream of events as its body."""
-    rate_limit: float | None
-    """Requests per second that the server accepts from all entries together; None if unlimited."""
+    notice: ServerNotice
 
     def pieces(self) -> AsyncIterator[AnswerPiece]:
         """Yield the parts of the body.
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_explanation.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_explanation.py
@@ -178,6 +178,13 @@
     return f"{line.get('backend')} reported that it did not run the request"
 
 
+@describes("backend_notice")
+def _notice(line: Fields) -> str:
+    if line.get("leaving"):
+        return f"{line.get('backend')} stated that it is shutting down"
+    return f"{line.get('backend')} asked for no requests for {line.get('retry_after')} s"
+
+
 @describes("request_ended")
 def _ended(line: Fields) -> str:
     return f"ended: {line.get('outcome')} after {line.get('took_ms')} ms"
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -229,8 +229,7 @@
         try:
             with self._counted(backend):
                 async with self._entry.calls.call(self._request, order, send) as backend_answer:
-                    if backend_answer.kind is not AnswerKind.ANOTHER_SERVER:
-                        self._state.limit_observed(backend.id, backend_answer.rate_limit, sent_at)
+                    self._process_notice(backend_answer, backend, sent_at)
                     return await self._handle_answer(backend_answer, backend, send)
         except BackendLostError as error:
             if send.state in (SendState.SENT, SendState.ANSWERING):
@@ -240,6 +239,23 @@
             if not self._route.streaming and not send.certainly_not_run:
                 self._entry.run_began(self._account_name, sent_at)
 
+    def _process_notice(
+        self, backend_answer: BackendAnswer, backend: BackendServer, sent_at: Instant
+    ) -> None:
+        if backend_answer.kind is AnswerKind.ANOTHER_SERVER:
+            return
+        notice = backend_answer.notice
+        self._state.limit_observed(backend.id, notice.rate_limit, sent_at)
+        if notice.is_leaving or notice.retry_after is not None:
+            decided(
+                "backend_notice",
+                self._request.id,
+                backend=backend.id,
+                leaving=notice.is_leaving,
+                retry_after=notice.retry_after,
+                listed_leaving=self._state.is_listed_leaving(backend.id),
+            )
+
     @contextmanager
     def _counted(self, backend: BackendServer) -> Iterator[None]:
         """Count the call as in flight from its start, so that placement takes it into account."""
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
@@ -104,6 +104,13 @@
     address: str = ""
     rate_limit: str | None = None
     """Value of the `server-limit` header, in requests per second; None sends no header."""
+    leaving: str | None = None
+    """Value of the `server-leaving` header; None sends no header."""
+    retry_after: str | None = None
+    """Value of the `retry-after` header, in seconds, with which requests are declined; None
+    accepts requests."""
+    declines_ids: str = ""
+    """Prefix of the ids of the requests that are declined while `retry_after` is set."""
     arrivals: list[str] = field(default_factory=list)
     arrived_at: list[float] = field(default_factory=list)
     runs: list[RecordedRun] = field(default_factory=list)
@@ -144,8 +151,8 @@
         if expected != self.id:
             await exchange.respond(421, b"", ((b"x-instance-id", self.id.encode()),))
             return
-        if self.misbehaviour is Misbehaviour.FULL or self.running >= self.pace.slots:
-            await exchange.respond(503, b"", ((b"x-not-executed", b"1"), *self._limit_headers()))
+        if self._declines(request_id):
+            await exchange.respond(503, b"", self._declined_headers())
             return
         self.running += 1
         self.runs.append(_recorded_run(request_id, request))
@@ -158,6 +165,11 @@
         finally:
             self.running -= 1
 
+    def _declines(self, request_id: str) -> bool:
+        if self.retry_after is not None and request_id.startswith(self.declines_ids):
+            return True
+        return self.misbehaviour is Misbehaviour.FULL or self.running >= self.pace.slots
+
     async def _run(self, exchange: Exchange, request_id: str) -> None:
         if self.misbehaviour is Misbehaviour.MUTE:
             await trio.sleep_forever()
@@ -236,13 +248,18 @@
             (b"x-request-id", request_id.encode()),
             (b"x-server-stamp", f"{STAMP}.{self.id}".encode()),
             (b"keep-alive", b"timeout=5"),
-            *self._limit_headers(),
+            *self._notice_headers(),
         )
 
-    def _limit_headers(self) -> tuple[tuple[bytes, bytes], ...]:
-        if self.rate_limit is None:
-            return ()
-        return ((b"server-limit", self.rate_limit.encode()),)
+    def _declined_headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        head = ((b"x-not-executed", b"1"), *self._notice_headers())
+        if self.retry_after is None:
+            return head
+        return (*head, (b"retry-after", self.retry_after.encode()))
+
+    def _notice_headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        values = ((b"server-limit", self.rate_limit), (b"server-leaving", self.leaving))
+        return tuple((name, value.encode()) for name, value in values if value is not None)
 
 
 def _recorded_run(request_id: str, request: HttpRequest) -> RecordedRun:
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -10,7 +10,7 @@
 HEADERS = (
     "x-server-stamp|x-expect-instance|x-not-executed|x-token-count|x-prompt-prefix|x-deadline-ms"
     "|x-request-priority|x-instance-id|x-weight-versions|x-kv-backup|kv-from|kv-fetch|x-pin-ms"
-    "|x-length-hint|x-tenant|server-limit"
+    "|x-length-hint|x-tenant|server-limit|server-leaving"
 )
 CALLS = (
     "/log-(?:append|read|newest|join|leave|owners|commit|trim)|/kv-(?:events|list|move|handle|pin)"
