Send nothing more to a server that states that it is leaving

Cause: that a server is leaving was known from the platform's list alone. Ruled out: a scheduler that was not told, and a list that overwrote what was known.

The mend: the list of backend servers holds what a server has stated beside what is registered. Both are tied to a process (its start, or its address where the start is unknown), so that the statement outlasts a registration that still says ready, a lapsed or unreadable entry, a new configuration and a reload, and ends when another process runs under the id. All that chooses servers reads that list: first sends, repeats, resumed streams, the scheduler's grants and the check of a grant. Entries tell each other in their statuses, at once and for five seconds, so that one answer is enough for the fleet; a statement about another process is ignored. Streams that run there go on. With no other server the caller is told 503 and when to return.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -66,6 +66,7 @@
             self.candidates,
             self.fleet_time,
             self.limits,
+            self.backends,
         )
         self.peers = PeerLink(statuses, clock)
         self.relay = FeedRelay(identity.name, self.peers, self.watch, clock)
@@ -73,6 +74,7 @@
             lambda status: self.relay.repair(status.sender, status.positions_by_feed)
         )
         self.peers.on_status(self._take_peer_limits)
+        self.peers.on_status(self._take_peer_leaving)
         self.reads_abandoned: Counter[str] = Counter()
         """Reads of the store that were cancelled before an answer, by feed."""
         self.in_flight_by_backend: dict[str, int] = {}
@@ -96,7 +98,7 @@
             self.placement.forget(backend.id)
             self.failure_tracker.forget(backend.id)
             self.limits.forget(backend.id)
-        self.backends.put(backend)
+        backend = self.backends.put(backend)
         if backend == previous:
             return
         decided(
@@ -133,6 +135,20 @@
         self.limits.forget(backend_id)
         decided("backend_gone", backend=backend_id)
 
+    def leaving_stated(self, backend: BackendServer) -> None:
+        """Stop new requests to a backend server whose answer states that it is leaving."""
+        if self.backends.stated_leaving(backend, self.clock.monotonic()):
+            self._log_leaving(backend.id, stated_to=self.identity.name)
+            self.peers.wake()
+
+    def _take_peer_leaving(self, status: StatusMessage) -> None:
+        for backend_id, started_at in status.started_at_by_leaving_backend.items():
+            if self.backends.stated_leaving_to_peer(backend_id, started_at):
+                self._log_leaving(backend_id, stated_to=status.sender)
+
+    def _log_leaving(self, backend_id: str, stated_to: str) -> None:
+        decided("backend_leaving", backend=backend_id, stated_to=stated_to)
+
     def is_listed_leaving(self, backend_id: str) -> bool | None:
         """Return whether a backend server is listed as leaving; None if it is not listed."""
         listed = self.backends.by_id.get(backend_id)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
@@ -54,6 +54,7 @@
     can_hold_duties: bool = False
     offset_by_duty: dict[str, int] = {}
     limits_by_backend: dict[str, tuple[float | None, float]] = {}
+    started_at_by_leaving_backend: dict[str, int | None] = {}
 
 
 class RunBody(msgspec.Struct, frozen=True, array_like=True):
@@ -205,6 +206,7 @@
         status.can_hold_duties,
         dict(status.offset_by_duty),
         {key: (each.rate, round(each.age, 3)) for key, each in status.limits_by_backend.items()},
+        dict(status.started_at_by_leaving_backend),
     )
 
 
@@ -223,6 +225,7 @@
         limits_by_backend={
             key: LimitNotice(*each) for key, each in message.limits_by_backend.items()
         },
+        started_at_by_leaving_backend=message.started_at_by_leaving_backend,
     )
 
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -255,6 +255,8 @@
                 retry_after=notice.retry_after,
                 listed_leaving=self._state.is_listed_leaving(backend.id),
             )
+        if notice.is_leaving:
+            self._state.leaving_stated(backend)
 
     @contextmanager
     def _counted(self, backend: BackendServer) -> Iterator[None]:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/backend_list.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/backend_list.py
@@ -1,8 +1,12 @@
-"""The backend servers that requests may be sent to, from the platform's latest list."""
+"""The backend servers that requests may be sent to.
+
+The platform's list tells which ones exist. Whether one is leaving is also stated by its answers,
+which arrive before the list changes, or while the list cannot be read.
+"""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -10,6 +14,9 @@
 
     from ragwortwing_policy.clock import Instant
 
+LEAVING_NOTICE_LIFETIME = 5.0
+"""Seconds for which a statement to this entry is included in its statuses."""
+
 
 @dataclass(frozen=True, slots=True)
 class BackendServer:
@@ -25,13 +32,19 @@
     started_at: int | None = None
     """Start of its process in Unix ms; None if unknown."""
 
+    def may_be_same_process(self, other: BackendServer) -> bool:
+        """Return whether two registrations under one id may be by the same process."""
+        if self.started_at is None or other.started_at is None:
+            return self.address == other.address
+        return self.started_at == other.started_at
+
 
 class BackendList:
     """Backend servers by id, and the available ones by service.
 
     Example:
         >>> backends = BackendList()
-        >>> backends.put(BackendServer("i-1", "desk", "127.0.0.1:1", "suva", 6))
+        >>> server = backends.put(BackendServer("i-1", "desk", "127.0.0.1:1", "suva", 6))
         >>> [each.id for each in backends.ready("desk")]
         ['i-1']
         >>> backends.remove("i-1")
@@ -45,6 +58,11 @@
         self._missing_until_by_id: dict[str, Instant] = {}
         self._last_by_id: dict[str, BackendServer] = {}
         """The latest registration of each server, also after its removal."""
+        self._stated_leaving: set[str] = set()
+        """Servers that have stated that they are leaving. This outlasts new registrations and
+        removals: the list may be older than the statement, and entries lapse and return."""
+        self._told_at_by_id: dict[str, Instant] = {}
+        """When this entry, as opposed to a peer, was first told that a server is leaving."""
 
     @property
     def by_id(self) -> Mapping[str, BackendServer]:
@@ -64,15 +82,68 @@
     def is_restart(self, backend: BackendServer) -> bool:
         """Return whether a registration is by a later process than the one known under its id."""
         last = self._last_by_id.get(backend.id)
-        if last is None or last.started_at is None or backend.started_at is None:
-            return False
-        return last.started_at != backend.started_at
-
-    def put(self, backend: BackendServer) -> None:
-        """Add a backend server or replace its registration."""
+        return last is not None and not last.may_be_same_process(backend)
+
+    def put(self, backend: BackendServer) -> BackendServer:
+        """Add a server or replace its registration; return it with what it has stated itself."""
+        if self.is_restart(backend):
+            self._stated_leaving.discard(backend.id)
+            self._told_at_by_id.pop(backend.id, None)
+        if backend.id in self._stated_leaving:
+            backend = replace(backend, leaving=True)
         self._missing_until_by_id.pop(backend.id, None)
         self._last_by_id[backend.id] = self._by_id[backend.id] = backend
         self._ready_by_service.clear()
+        return backend
+
+    def stated_leaving(self, backend: BackendServer, now: Instant) -> bool:
+        """Record that a server has stated to this entry that it is leaving.
+
+        Args:
+            backend: The server as it was registered when it was sent the request.
+            now: The current instant.
+
+        Returns:
+            Whether this was unknown.
+        """
+        last = self._last_by_id.get(backend.id)
+        if last is None or not last.may_be_same_process(backend):
+            return False
+        self._told_at_by_id.setdefault(backend.id, now)
+        return self._mark_leaving(backend.id)
+
+    def stated_leaving_to_peer(self, backend_id: str, started_at: int | None) -> bool:
+        """Record that a server has stated to another entry that it is leaving.
+
+        Args:
+            backend_id: The server.
+            started_at: Start of its process in Unix ms as the other entry knows it.
+
+        Returns:
+            Whether this was unknown.
+        """
+        last = self._last_by_id.get(backend_id)
+        if last is None or not last.may_be_same_process(replace(last, started_at=started_at)):
+            return False
+        return self._mark_leaving(backend_id)
+
+    def leaving_notices(self, now: Instant) -> Mapping[str, int | None]:
+        """Return the start of each server that has recently stated to this entry that it leaves."""
+        return {
+            key: self._last_by_id[key].started_at
+            for key, told_at in self._told_at_by_id.items()
+            if now - told_at < LEAVING_NOTICE_LIFETIME
+        }
+
+    def _mark_leaving(self, backend_id: str) -> bool:
+        if backend_id in self._stated_leaving:
+            return False
+        self._stated_leaving.add(backend_id)
+        listed = self._by_id.get(backend_id)
+        if listed is not None:
+            self._by_id[backend_id] = replace(listed, leaving=True)
+            self._ready_by_service.clear()
+        return True
 
     def remove(self, backend_id: str) -> None:
         """Remove a backend server."""
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_status.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_status.py
@@ -1,4 +1,7 @@
-"""Status messages between entries: liveness, scheduling, duties, feed positions and rate limits."""
+"""Status messages between entries.
+
+They tell liveness, scheduling, duties, feed positions, and what backend servers state in answers.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from .backend_list import BackendList
 from .rate_limits import LimitNotice, RateLimits
 from .scheduler_choice import Candidate
 
@@ -47,6 +51,8 @@
     """Log offset of the newest record that it knows for each duty."""
     limits_by_backend: Mapping[str, LimitNotice] = field(default_factory=dict)
     """Rate limits of backend servers that it has observed recently."""
+    started_at_by_leaving_backend: Mapping[str, int | None] = field(default_factory=dict)
+    """Start in Unix ms of backend servers that have recently stated to it that they are leaving."""
 
 
 class StatusExchange:
@@ -61,6 +67,7 @@
         candidates: DutyCandidates,
         fleet_time: FleetTime,
         limits: RateLimits | None = None,
+        backends: BackendList | None = None,
     ) -> None:
         self._name = name
         self._capacity = capacity
@@ -69,6 +76,7 @@
         self._candidates = candidates
         self._fleet_time = fleet_time
         self._limits = limits if limits is not None else RateLimits()
+        self._backends = backends if backends is not None else BackendList()
         self._announced_limits = 0
         self._schedules_since: Instant | None = None
         self._sent: PeerStatus | None = None
@@ -112,6 +120,7 @@
             can_hold_duties=self._candidates.can_hold,
             offset_by_duty=dict(self._candidates.offset_by_duty),
             limits_by_backend=self._limits.notices(now),
+            started_at_by_leaving_backend=self._backends.leaving_notices(now),
         )
 
     def take(self, status: PeerStatus, now: Instant) -> None:
@@ -146,4 +155,5 @@
             status.unsure_for > 0.0,
             status.can_hold_duties,
             status.positions_by_feed if watches else None,
+            frozenset(status.started_at_by_leaving_backend),
         )
