Exclude engines for good that a request's entry must not use

What callers saw: nothing until the request's deadline. An entry that finds a granted engine leaving or not listed withdraws the grant and asks again, avoiding that engine. The scheduler takes avoided engines all the same where there is no other, so that with one engine left on its list grant and withdrawal alternate, a round trip each, until the deadline.

Cause: one set stood for two wishes, 'rather not' (it failed this request) and 'must not' (the entry cannot use it). The second is a field of its own, with the time until which it holds, and goes with the request to the scheduler. With no other engine the request waits for the earliest, if it may wait that long, and is refused at once if not. Bounds shared between requests are kept apart by what they may use.

test_caller_is_answered_if_no_engine_of_the_scheduler_is_usable: TooSlowError at 0.1 s before, passes now.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_admission.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_admission.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
+from math import inf
 from typing import TYPE_CHECKING
 
 import trio
@@ -70,21 +71,31 @@
 
     async def admit(self, request: WaitingRequest) -> Granted | Refused:
         """Wait for an engine. The load of a granted engine includes the request from then on."""
-        unusable_grants = 0
+        ticket = request.ticket
+        refused_grants: list[str] = []
         while True:
+            request = replace(request, unusable_until=dict.fromkeys(refused_grants, inf))
             scheduler = self._state.scheduler(self._pool)
             if scheduler is None:
-                return self._conclude(await self._decide_locally(request), None)
-            found = await self._request_decision(scheduler, request)
-            if isinstance(found, _NoAnswer):
-                continue
-            decision = self._resolve_decision(found, request)
-            if decision is not None:
-                return self._conclude(decision, scheduler)
-            # The granted backend server is not on this entry's list, which may be newer or older
-            # than the scheduler's.
-            unusable_grants += 1
-            request = _avoiding(request, found.backend_id, unusable_grants)
+                local = await self._decide_locally(request)
+                if isinstance(local, Rejected) or self._usable_backend(local.backend.id):
+                    return self._conclude(local, None)
+                self._release_grants(request, [local])
+                refused_grants.append(local.backend.id)
+            else:
+                found = await self._request_decision(scheduler, request)
+                if isinstance(found, _NoAnswer):
+                    continue
+                decision = self._resolve_decision(found, request)
+                if decision is not None:
+                    return self._conclude(decision, scheduler)
+                refused_grants.append(found.backend_id)
+            # This entry knows more, or less, of the granted backend server than the scheduler.
+            request = replace(
+                request,
+                ticket=f"{ticket}.{len(refused_grants)}",
+                avoid=request.avoid | {refused_grants[-1]},
+            )
 
     def take(self, message: DecisionMessage) -> None:
         """Handle a scheduler's decision; a grant that no request waits for is withdrawn."""
@@ -181,8 +192,8 @@
         """Return a decision with the backend servers as this entry lists them.
 
         Returns:
-            The decision; None for a grant of a backend server that is leaving or not listed here.
-            Such a grant is withdrawn.
+            The decision; None for a grant of a backend server that this entry must not use. Such a
+            grant is withdrawn.
         """
         if message.decision is Decision.REJECTED:
             return rejection_of(message, request)
@@ -248,10 +259,3 @@
             waited_ms=round(1000 * (self._state.clock.monotonic() - waiter.arrived_at)),
             first_event_in_ms=round(1000 * granted.first_event_after),
         )
-
-
-def _avoiding(request: WaitingRequest, backend_id: str, unusable_grants: int) -> WaitingRequest:
-    """Return a request that avoids one more backend server, with a new ticket."""
-    return replace(
-        request, ticket=f"{request.ticket}.{unusable_grants}", avoid=request.avoid | {backend_id}
-    )
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
@@ -101,6 +101,7 @@
     shortest_pause: float | None
     zone: str
     pause_target: float | None = None
+    unusable_for: dict[str, float] = {}
 
 
 class WithdrawMessage(msgspec.Struct, frozen=True, array_like=True, tag="w"):
@@ -298,6 +299,7 @@
         shortest_pause=request.shortest_pause,
         zone=request.zone,
         pause_target=request.pause_target,
+        unusable_for={key: until - now for key, until in request.unusable_until.items()},
     )
 
 
@@ -319,6 +321,7 @@
         shortest_pause=message.shortest_pause,
         zone=message.zone,
         pause_target=message.pause_target,
+        unusable_until={key: now + left for key, left in message.unusable_for.items()},
     )
 
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/queue_dispatcher.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/queue_dispatcher.py
@@ -88,10 +88,19 @@
     def _dispatch(self, only: str | None = None) -> None:
         now = self._state.clock.monotonic()
         ready = self._state.backends.ready(self._service)
-        without_excluded = self._state.failure_tracker.without_excluded(ready, now)
         traits = self._state.engine_traits(self._service)
+        engines_by_unusable: dict[frozenset[str], Sequence[BackendServer]] = {}
+
+        def usable_engines(unusable: frozenset[str]) -> Sequence[BackendServer]:
+            found = engines_by_unusable.get(unusable)
+            if found is None:
+                usable = [each for each in ready if each.id not in unusable]
+                found = self._state.failure_tracker.without_excluded(usable, now)
+                engines_by_unusable[unusable] = found
+            return found
 
         def engines_for(request: WaitingRequest) -> Sequence[BackendServer]:
+            without_excluded = usable_engines(request.unusable(now))
             if not request.avoid:
                 return without_excluded
             untried = [each for each in without_excluded if each.id not in request.avoid]
--- a/packages/ragwortwing-entry/tests/direct/test_engine_admission.py
+++ b/packages/ragwortwing-entry/tests/direct/test_engine_admission.py
@@ -120,17 +120,20 @@
             await trio.sleep(0.5)
 
     async def admit(self, ticket: str = "r-1", tokens: int = 500) -> Granted | Refused:
-        now = trio.current_time()
-        waiter = Waiter(0, now + 0.4, now + 5.0, now)
-        prompt = Prompt("m", (PromptPart(ticket, tokens),), tokens, 10)
-        request = WaitingRequest(ticket, ticket, prompt, waiter)
-        return await self.entry.pool(POOL).admission.admit(request)
+        return await self.entry.pool(POOL).admission.admit(waiting_request(ticket, tokens))
 
     def running(self) -> int:
         loads = self.scheduler.state.placement.loads_by_id.values()
         return sum(load.running for load in loads)
 
 
+def waiting_request(ticket: str, tokens: int) -> WaitingRequest:
+    now = trio.current_time()
+    waiter = Waiter(0, now + 0.4, now + 5.0, now)
+    prompt = Prompt("m", (PromptPart(ticket, tokens),), tokens, 10)
+    return WaitingRequest(ticket, ticket, prompt, waiter)
+
+
 def _entry(link: FakeLink) -> DirectEntry:
     allowance = RepeatAllowance(0.2, 10, timedelta(seconds=10))
     state = EntryState(EntryIdentity(link.name, "suva"), allowance, TrioClock())
@@ -260,3 +263,17 @@
     late = DecisionMessage("scheduler", POOL, "gone", Decision.GRANTED, backend_id="i-0")
     fleet.entry.pool(POOL).admission.take(late)
     assert fleet.network.sent[-1][1].ticket == "gone"
+
+
+async def test_caller_is_answered_if_no_engine_of_the_scheduler_is_usable(
+    fleet: EntryAndScheduler,
+) -> None:
+    """Guards against grants and withdrawals that alternate until the caller's deadline."""
+    for server in SERVERS:
+        fleet.entry.state.backends.put(replace(server, leaving=True))
+    with trio.fail_after(0.1):
+        refused = await fleet.admit()
+    assert not isinstance(refused, Granted)
+    assert fleet.network.count("entry", PlaceMessage) <= len(SERVERS) + 1
+    await trio.sleep(0.1)
+    assert fleet.running() == 0
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from datetime import timedelta
 from math import inf
 from typing import TYPE_CHECKING
 
+from ragwortwing_policy.clock import Instant
+
 from .backend_list import BackendServer
 from .engine_load import PrefillPlan
 from .placement_request import MinPendingPrefill, NotPlaced, Placed, PlacementRequest
@@ -27,8 +30,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from ragwortwing_policy.clock import Instant
-
     from .placement import Placement
     from .routing_table import EngineTraits
 
@@ -51,6 +52,13 @@
     """Availability zone of the entry that received the request."""
     pause_target: float | None = None
     """Maximum pause in seconds between the request's own events; None if not configured."""
+    unusable_until: Mapping[str, Instant] = field(default_factory=dict)
+    """Backend servers that its entry must not use, and until when: backoffs, and servers that its
+    entry does not list as ready (inf)."""
+
+    def unusable(self, now: Instant) -> frozenset[str]:
+        """Return the backend servers that its entry must not use now."""
+        return frozenset(key for key, until in self.unusable_until.items() if until > now)
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +86,10 @@
     waiting: int
 
 
+_Bound = tuple[int, frozenset[str]]
+"""Requests with common bounds of placement: their urgency and the servers that they cannot use."""
+
+
 class AdmissionQueue:
     """The queue in front of the engines of one service."""
 
@@ -91,8 +103,8 @@
         self._waiting: dict[str, WaitingRequest] = {}
         self._unread_by_ticket: dict[str, int] = {}
         """Minimum prompt tokens that any engine had to read when the request arrived."""
-        self._earliest_by_urgency: dict[int, float] = {}
-        self._least_planned_by_urgency: dict[int, MinPendingPrefill] = {}
+        self._earliest_by_bound: dict[_Bound, float] = {}
+        self._least_planned_by_bound: dict[_Bound, MinPendingPrefill] = {}
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -131,7 +143,8 @@
 
         Args:
             traits: The configured properties of the engines; None if not configured.
-            engines_for: Returns the engines that a request may use.
+            engines_for: Returns the engines that a request may use; without those that its entry
+                must not use.
             now: The current instant.
             only: Ticket of the only request to decide on; None for all.
             share: Fraction of the engines' rate limits that this entry may use.
@@ -159,15 +172,20 @@
         now: Instant,
     ) -> Granted | Rejected | None:
         until = refuse_after(request.waiter, self._due(request), is_long=request.prompt.is_long)
-        if traits is None or not engines or must_refuse(request.waiter, until, now):
-            return self._reject(request, no_engine=traits is None or not engines, now=now)
+        unusable = request.unusable(now)
+        no_engine = traits is None or not (engines or unusable)
+        if no_engine or traits is None or must_refuse(request.waiter, until, now):
+            return self._reject(request, no_engine=no_engine, now=now)
+        if not engines:
+            is_too_long = min(request.unusable_until[each] for each in unusable) > until
+            return self._reject(request, no_engine=False, now=now) if is_too_long else None
         engines = self._limits.admitting(engines, now, self._share)
         if not engines:
             return None
         placement_request = self._placement_request(request, now)
         unread = self._unread_by_ticket[request.ticket]
         if not request.avoid and self._cannot_be_placed(
-            placement_request, unread, engines, traits, now
+            placement_request, unread, engines, traits, now, unusable
         ):
             return None
         found = self._placement.place(placement_request, engines, traits, now)
@@ -183,17 +201,19 @@
         engines: Sequence[BackendServer],
         traits: EngineTraits,
         now: Instant,
+        unusable: frozenset[str],
     ) -> bool:
         """Return whether no engine can take a request now, without checking each engine's cache.
 
         In an overload hundreds of requests wait, and a single pass can place only few of them.
         """
-        earliest = self._earliest_by_urgency.get(placement_request.urgency)
+        bound = (placement_request.urgency, unusable)
+        earliest = self._earliest_by_bound.get(bound)
         if earliest is None:
             earliest = self._placement.earliest_first_event(
                 engines, traits, placement_request.urgency, now
             )
-            self._earliest_by_urgency[placement_request.urgency] = earliest
+            self._earliest_by_bound[bound] = earliest
         if earliest == inf or not placement_request.prompt.is_long:
             return earliest == inf
         if earliest > placement_request.latency_target:
@@ -203,15 +223,15 @@
             or self._placement.budget_seconds(placement_request, now) is None
         ):
             return False
-        planned = self._least_planned_by_urgency.get(placement_request.urgency)
+        planned = self._least_planned_by_bound.get(bound)
         if planned is None:
             planned = self._placement.least_planned(placement_request, engines, traits, now)
-            self._least_planned_by_urgency[placement_request.urgency] = planned
+            self._least_planned_by_bound[bound] = planned
         return not planned.may_fit(placement_request, unread)
 
     def _clear_bounds(self) -> None:
-        self._earliest_by_urgency.clear()
-        self._least_planned_by_urgency.clear()
+        self._earliest_by_bound.clear()
+        self._least_planned_by_bound.clear()
 
     def _grant(
         self, request: WaitingRequest, found: Placed, traits: EngineTraits, now: Instant
