Back off from a server for as long as it asks this entry to

Cause: Retry-After of a server's 503 was read by nothing. A refusal is no failure and leaves no load, so that the engine that refuses is the idle one and draws the next request, from this entry and, through the scheduler, from the others.

The mend: an entry keeps the end of each backoff by server, tied to its process like a stated leaving, so that it outlasts lapsed entries, new lists, configurations and reloads and ends with a restart. It concerns the entry that was asked: each request that goes to a scheduler names the servers its entry must not use and for how long, so the scheduler grants them to others and not to this one; grants are checked against it when they arrive. First sends, repeats, resumed streams and trials of a failing server all choose from what is left; a backoff comes before the exclusion of failing servers, whose fallback ('all, if too many are excluded') never brings one back. With every server resting a request waits if one is available in time, or is told at once when to return, spread at random. Other entries are not told: the server may serve them, and each is told by it when not.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_admission.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_admission.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
+from datetime import timedelta
 from math import inf
 from typing import TYPE_CHECKING
 
@@ -27,6 +28,8 @@
 from .ports import Refused
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from ragwortwing_policy.direct.backend_list import BackendServer
 
     from .entry_state import EntryState
@@ -74,7 +77,7 @@
         ticket = request.ticket
         refused_grants: list[str] = []
         while True:
-            request = replace(request, unusable_until=dict.fromkeys(refused_grants, inf))
+            request = self._with_unusable(request, refused_grants)
             scheduler = self._state.scheduler(self._pool)
             if scheduler is None:
                 local = await self._decide_locally(request)
@@ -97,6 +100,14 @@
                 avoid=request.avoid | {refused_grants[-1]},
             )
 
+    def _with_unusable(
+        self, request: WaitingRequest, refused_grants: Sequence[str]
+    ) -> WaitingRequest:
+        """Return a request that names the backend servers which this entry must not use."""
+        ready = self._state.backends.ready(self._pool)
+        backoffs = self._state.backoffs.until_by_id(ready, self._state.clock.monotonic())
+        return replace(request, unusable_until={**dict.fromkeys(refused_grants, inf), **backoffs})
+
     def take(self, message: DecisionMessage) -> None:
         """Handle a scheduler's decision; a grant that no request waits for is withdrawn."""
         self._state.choice.answered(message.sender)
@@ -210,24 +221,34 @@
         found = self._state.backends.by_id.get(backend_id)
         if found is None or found.leaving or found.service != self._pool:
             return None
-        return found
+        now = self._state.clock.monotonic()
+        return None if self._state.backoffs.until_by_id((found,), now) else found
 
     def _conclude(self, decision: Granted | Rejected, scheduler: str | None) -> Granted | Refused:
         if isinstance(decision, Rejected):
             reason = NotRunReason.NO_BACKEND if decision.no_engine else NotRunReason.OVERLOADED
+            retry_after = self._retry_after(decision)
             decided(
                 "request_refused",
                 decision.request.request_id,
                 reason=reason,
                 scheduler=scheduler,
                 waiting=decision.waiting,
-                retry_after=decision.retry_after,
+                retry_after=retry_after,
             )
-            return Refused(reason, decision.retry_after)
+            return Refused(reason, retry_after)
         self._begin_run(decision, already_counted=scheduler is None)
         self._log_granted(decision, scheduler)
         return decision
 
+    def _retry_after(self, rejected: Rejected) -> timedelta | None:
+        """Return when the caller should retry: not before this entry may use an engine again."""
+        ready = self._state.backends.ready(self._pool)
+        backoff = self._state.backoffs.retry_after(ready, self._state.clock.monotonic())
+        if backoff is None:
+            return rejected.retry_after
+        return max(rejected.retry_after or timedelta(0), timedelta(seconds=backoff))
+
     def _begin_run(self, granted: Granted, *, already_counted: bool) -> None:
         """Start reporting a run and add it to the engine's load, unless a local decision did so."""
         now = self._state.clock.monotonic()
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
@@ -101,6 +101,11 @@
             lambda service: len(state.backends.ready(service)),
         )
         now = state.clock.monotonic()
+        yield self._by_service(
+            "ragwortwing_backends_in_backoff",
+            "Backend servers that asked this entry to send nothing for a while.",
+            lambda service: len(state.backoffs.until_by_id(state.backends.ready(service), now)),
+        )
         yield self._by_service(
             "ragwortwing_repeats_left",
             "Repeats that may still be sent.",
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -4,9 +4,11 @@
 
 from collections import Counter
 from dataclasses import dataclass
+from random import Random
 from typing import TYPE_CHECKING
 
 from ragwortwing_policy.direct.backend_list import BackendList
+from ragwortwing_policy.direct.backoff import Backoffs
 from ragwortwing_policy.direct.failure_tracker import FailureTracker
 from ragwortwing_policy.direct.feed_watch import FeedWatch
 from ragwortwing_policy.direct.peer_status import StatusExchange
@@ -43,7 +45,13 @@
 class EntryState:
     """The state that the requests of one entry share."""
 
-    def __init__(self, identity: EntryIdentity, allowance: RepeatAllowance, clock: Clock) -> None:
+    def __init__(
+        self,
+        identity: EntryIdentity,
+        allowance: RepeatAllowance,
+        clock: Clock,
+        random: Random | None = None,
+    ) -> None:
         self.identity = identity
         self.clock = clock
         self.table: RoutingTable | None = None
@@ -51,6 +59,7 @@
         self.placement = Placement()
         self.failure_tracker = FailureTracker()
         self.limits = RateLimits()
+        self.backoffs = Backoffs(random if random is not None else Random())
         self.started = round(1000 * clock.utc_now().timestamp())
         """Start time in Unix ms; distinguishes this process from earlier ones of the entry."""
         self.watch = FeedWatch(identity.name)
@@ -98,6 +107,7 @@
             self.placement.forget(backend.id)
             self.failure_tracker.forget(backend.id)
             self.limits.forget(backend.id)
+            self.backoffs.forget(backend.id)
         backend = self.backends.put(backend)
         if backend == previous:
             return
@@ -135,6 +145,15 @@
         self.limits.forget(backend_id)
         decided("backend_gone", backend=backend_id)
 
+    def backoff_asked(self, backend: BackendServer, seconds: float) -> None:
+        """Begin a backoff from a backend server whose answer asks for it."""
+        last = self.backends.last_known(backend.id)
+        if last is None or not last.may_be_same_process(backend):
+            return
+        now = self.clock.monotonic()
+        until = self.backoffs.begin(backend.id, seconds, now)
+        decided("backend_backoff", backend=backend.id, seconds=round(until - now, 3))
+
     def leaving_stated(self, backend: BackendServer) -> None:
         """Stop new requests to a backend server whose answer states that it is leaving."""
         if self.backends.stated_leaving(backend, self.clock.monotonic()):
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/plain_admission.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/plain_admission.py
@@ -19,6 +19,7 @@
 from .ports import Refused
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from collections.abc import Set as AbstractSet
     from random import Random
 
@@ -68,24 +69,28 @@
             until: When the wait ends if every server is at its limit.
         """
         while True:
-            candidates = self._candidates(service, tried)
-            if not candidates:
-                return Refused(NotRunReason.NO_BACKEND, self.retry_after())
+            ready = self._state.backends.ready(service)
+            if not ready:
+                return Refused(NotRunReason.NO_BACKEND, self.retry_after(service))
             now = self._state.clock.monotonic()
+            candidates = self._candidates(ready, tried, now)
             chosen = self._least_loaded(candidates, now)
             if chosen is not None:
                 # The list may have changed while the permit was requested.
-                if await self._obtain_permit(chosen, now) and self._is_ready(chosen):
+                if await self._obtain_permit(chosen, now) and self._may_send_to(chosen):
                     return chosen
                 continue
-            unblocked_at = min(self._blocked_until(each) for each in candidates)
+            unblocked_at = min(self._blocked_until(each, now) for each in candidates or ready)
             if unblocked_at > until:
                 return Refused(NotRunReason.OVERLOADED, self._jittered_wait(unblocked_at - now))
             await trio.sleep(unblocked_at - now)
 
-    def retry_after(self) -> timedelta:
+    def retry_after(self, service: str) -> timedelta:
         """Return the wait after which a caller that found no backend server should retry."""
-        return self._jittered_wait(NO_BACKEND_RETRY_AFTER.total_seconds())
+        wait = self._jittered_wait(NO_BACKEND_RETRY_AFTER.total_seconds())
+        ready = self._state.backends.ready(service)
+        backoff = self._state.backoffs.retry_after(ready, self._state.clock.monotonic())
+        return wait if backoff is None else max(wait, timedelta(seconds=backoff))
 
     def _jittered_wait(self, wait: float) -> timedelta:
         """Return a wait with random jitter, so that callers do not all retry at the same time."""
@@ -104,15 +109,24 @@
             pending.wait = message.wait
             pending.answered.set()
 
-    def _candidates(self, service: str, tried: AbstractSet[str]) -> list[BackendServer]:
-        now = self._state.clock.monotonic()
-        without_excluded = self._state.failure_tracker.without_excluded(
-            self._state.backends.ready(service), now
-        )
+    def _candidates(
+        self, ready: Sequence[BackendServer], tried: AbstractSet[str], now: Instant
+    ) -> list[BackendServer]:
+        """Return the servers to choose from; none if this entry backs off from all."""
+        # Exclusions and earlier sends are ignored if no other server is left, but a backoff never.
+        available = [each for each in ready if self._backoff_until(each, now) <= now]
+        without_excluded = self._state.failure_tracker.without_excluded(available, now)
         return [each for each in without_excluded if each.id not in tried] or list(without_excluded)
 
-    def _is_ready(self, backend: BackendServer) -> bool:
-        return backend in self._state.backends.ready(backend.service)
+    def _may_send_to(self, backend: BackendServer) -> bool:
+        if backend not in self._state.backends.ready(backend.service):
+            return False
+        now = self._state.clock.monotonic()
+        return self._backoff_until(backend, now) <= now
+
+    def _backoff_until(self, backend: BackendServer, now: Instant) -> Instant:
+        in_flight = self._state.in_flight_by_backend.get(backend.id, 0)
+        return self._state.backoffs.blocked_until(backend.id, in_flight, now)
 
     def _least_loaded(self, candidates: list[BackendServer], now: Instant) -> BackendServer | None:
         """Return the server with the fewest calls of this entry; None if all are blocked.
@@ -123,16 +137,17 @@
         counts = self._state.in_flight_by_backend
         zone = self._state.identity.zone
         return min(
-            (each for each in candidates if self._blocked_until(each) <= now),
+            (each for each in candidates if self._blocked_until(each, now) <= now),
             key=lambda each: (counts.get(each.id, 0), each.zone != zone, self._random.random()),
             default=None,
         )
 
-    def _blocked_until(self, backend: BackendServer) -> Instant:
-        """Return until when no permit is requested for a server; -inf if it is not blocked."""
+    def _blocked_until(self, backend: BackendServer, now: Instant) -> Instant:
+        """Return until when a server's limit or a backoff blocks it; -inf if it is not blocked."""
         if self._state.limits.rate(backend.id) is None:
             self._blocked_until_by_id.pop(backend.id, None)
-        return self._blocked_until_by_id.get(backend.id, -inf)
+        no_permit_until = self._blocked_until_by_id.get(backend.id, -inf)
+        return max(no_permit_until, self._backoff_until(backend, now))
 
     async def _obtain_permit(self, backend: BackendServer, now: Instant) -> bool:
         if self._state.limits.rate(backend.id) is None:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -257,6 +257,10 @@
             )
         if notice.is_leaving:
             self._state.leaving_stated(backend)
+        if notice.retry_after is not None:
+            self._state.backoff_asked(backend, notice.retry_after)
+        elif backend_answer.kind is not AnswerKind.DECLINED:
+            self._state.backoffs.accepted(backend, self._now())
 
     @contextmanager
     def _counted(self, backend: BackendServer) -> Iterator[None]:
@@ -403,7 +407,7 @@
     # Outcomes without a backend server's answer
 
     async def _give_up(self, failure: str) -> None:
-        refusal = Refused(NotRunReason.NO_BACKEND, self._entry.plain.retry_after())
+        refusal = Refused(NotRunReason.NO_BACKEND, self._entry.plain.retry_after(self._service))
         await self._conclude(self._truthful_outcome(refusal), failure=failure)
 
     def _truthful_outcome(self, refusal: Refused) -> Refused | Unresolved:
--- a/packages/ragwortwing-entry/tests/direct/test_engine_admission.py
+++ b/packages/ragwortwing-entry/tests/direct/test_engine_admission.py
@@ -19,6 +19,7 @@
     PlaceMessage,
     ReportMessage,
 )
+from ragwortwing_entry.direct.ports import Refused
 from ragwortwing_policy.direct.admission_queue import Granted, WaitingRequest
 from ragwortwing_policy.direct.backend_list import BackendServer
 from ragwortwing_policy.direct.prompt_parts import Prompt, PromptPart
@@ -31,8 +32,6 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from ragwortwing_entry.direct.ports import Refused
-
 POOL = "engines"
 TRAITS = EngineTraits(slots=4, memory_tokens=100_000, tokens_per_event=5)
 SERVERS = [BackendServer(f"i-{number}", POOL, "", "suva", TRAITS.slots) for number in range(2)]
@@ -277,3 +276,67 @@
     assert fleet.network.count("entry", PlaceMessage) <= len(SERVERS) + 1
     await trio.sleep(0.1)
     assert fleet.running() == 0
+
+
+async def test_scheduler_grants_no_engine_that_the_entry_backs_off_from(
+    fleet: EntryAndScheduler,
+) -> None:
+    """Guards against a scheduler that knows nothing of what a server asked another entry."""
+    fleet.entry.state.backoff_asked(SERVERS[0], 3.0)
+    for number in range(TRAITS.slots):
+        granted = await fleet.admit(f"r-{number}")
+        assert isinstance(granted, Granted)
+        assert granted.backend.id == SERVERS[1].id
+    assert fleet.network.count("entry", PlaceMessage) == TRAITS.slots
+    local = fleet.scheduler.pool(POOL).admission
+    granted = await local.admit(waiting_request("r-local", 500))
+    assert isinstance(granted, Granted)
+    assert granted.backend.id == SERVERS[0].id
+
+
+@pytest.mark.parametrize("decides", ["scheduler", "entry"])
+async def test_grant_is_not_used_if_a_backoff_began_while_the_request_was_queued(
+    fleet: EntryAndScheduler, decides: str
+) -> None:
+    """Guards against a queued request that is sent to a server which has asked for none since."""
+    if decides == "entry":
+        fleet.network.drop = lambda sender, _: sender == "scheduler"
+    for number in range(2 * TRAITS.slots):
+        await fleet.admit(f"r-{number}")
+    state = getattr(fleet, decides).state
+    granted: list[Granted | Refused] = []
+
+    async def admit() -> None:
+        granted.append(await fleet.admit("queued"))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(admit)
+        await trio.sleep(0.1)
+        fleet.entry.state.backoff_asked(SERVERS[0], 3.0)
+        await trio.sleep(0.1)
+        for server in SERVERS:
+            load = state.placement.loads_by_id[server.id]
+            load.end(next(iter(load.runs_by_ticket)), trio.current_time())
+    (found,) = granted
+    assert isinstance(found, Granted)
+    assert found.backend.id == SERVERS[1].id
+
+
+async def test_request_waits_for_the_end_of_a_short_backoff(fleet: EntryAndScheduler) -> None:
+    """Guards against callers that are refused although an engine is available in time."""
+    for server in SERVERS:
+        fleet.entry.state.backoff_asked(server, 0.2)
+    began = trio.current_time()
+    assert isinstance(await fleet.admit(), Granted)
+    assert 0.2 <= trio.current_time() - began < 0.3
+
+
+async def test_caller_is_told_when_every_engine_rests_for_long(fleet: EntryAndScheduler) -> None:
+    """Guards against callers that are held in vain, or told to return before the rest ends."""
+    for server in SERVERS:
+        fleet.entry.state.backoff_asked(server, 4.0)
+    with trio.fail_after(0.1):
+        refused = await fleet.admit()
+    assert isinstance(refused, Refused)
+    assert refused.retry_after is not None
+    assert refused.retry_after > timedelta(seconds=3.9)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/backend_list.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/backend_list.py
@@ -127,6 +127,10 @@
             return False
         return self._mark_leaving(backend_id)
 
+    def last_known(self, backend_id: str) -> BackendServer | None:
+        """Return the latest registration of a server, also after its removal."""
+        return self._last_by_id.get(backend_id)
+
     def leaving_notices(self, now: Instant) -> Mapping[str, int | None]:
         """Return the start of each server that has recently stated to this entry that it leaves."""
         return {
