Keep a stated rate limit when its server's registration lapses and returns

A backend server's registration lapses while the store is away and is back within seconds. The entry then forgot the rate limit that the server had stated, and ignored what answers of its running requests said meanwhile; until the next answer it was sent requests without a limit.

Cause: what a server states was stored as a part of its registration. It belongs to its process, as the stated leaving and the backoff do: a removal drops only the load, a restart drops all three. The metric of limits names listed servers only.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
@@ -163,8 +163,10 @@
             "Requests a second that a limited backend server takes from all entries together.",
             labels=("backend",),
         )
-        for backend_id, rate in self._entry.state.limits.rate_by_id.items():
-            family.add_metric((backend_id,), rate)
+        state = self._entry.state
+        for backend_id, rate in state.limits.rate_by_id.items():
+            if backend_id in state.backends.by_id:
+                family.add_metric((backend_id,), rate)
         return family
 
     def _fencing_tokens(self) -> Metric:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -138,11 +138,10 @@
         return True
 
     def backend_gone(self, backend_id: str) -> None:
-        """Remove a backend server and all state kept for it."""
+        """Remove a backend server and its load; what it has stated holds if it is listed again."""
         self.backends.remove(backend_id)
         self.placement.forget(backend_id)
         self.failure_tracker.forget(backend_id)
-        self.limits.forget(backend_id)
         decided("backend_gone", backend=backend_id)
 
     def backoff_asked(self, backend: BackendServer, seconds: float) -> None:
@@ -175,7 +174,7 @@
 
     def limit_observed(self, backend_id: str, rate: float | None, sent_at: Instant) -> None:
         """Record the rate limit that a backend server's answer states; None if it states none."""
-        if backend_id not in self.backends.by_id:
+        if self.backends.last_known(backend_id) is None:
             return
         before = self.limits.rate(backend_id)
         self.limits.observe(backend_id, rate, sent_at, self.clock.monotonic())
@@ -184,8 +183,7 @@
     def _take_peer_limits(self, status: StatusMessage) -> None:
         now = self.clock.monotonic()
         for backend_id, (rate, age) in status.limits_by_backend.items():
-            # A peer may still report a server that has been removed.
-            if backend_id not in self.backends.by_id:
+            if self.backends.last_known(backend_id) is None:
                 continue
             before = self.limits.rate(backend_id)
             self.limits.update_from_peer(backend_id, LimitNotice(rate, age), now)
--- /dev/null
+++ b/packages/ragwortwing-entry/tests/direct/test_entry_state.py
@@ -0,0 +1,65 @@
+"""Tests of what an entry keeps of its backend servers when their registrations change."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from datetime import timedelta
+
+import pytest
+
+from ragwortwing_entry.direct.entry_state import EntryIdentity, EntryState
+from ragwortwing_policy.direct.backend_list import BackendServer
+from ragwortwing_policy.direct.repeat_budget import RepeatAllowance
+from ragwortwing_runtime.system_clock import SystemClock
+
+SERVER = BackendServer("i-1", "desk", "127.0.0.1:1", "suva", 6, started_at=1000)
+
+
+@pytest.fixture
+def state() -> EntryState:
+    allowance = RepeatAllowance(0.2, 10, timedelta(seconds=10))
+    found = EntryState(EntryIdentity("entry", "suva"), allowance, SystemClock())
+    found.backend_listed(SERVER)
+    found.limit_observed("i-1", 2.0, sent_at=0.0)
+    found.backoff_asked(SERVER, 60.0)
+    found.leaving_stated(SERVER)
+    return found
+
+
+def is_kept(state: EntryState) -> tuple[bool, bool, bool]:
+    """Return whether the limit, the backoff and the leaving that were stated are in force."""
+    now = state.clock.monotonic()
+    return (
+        state.limits.rate("i-1") == 2.0,
+        bool(state.backoffs.until_by_id((SERVER,), now)),
+        not state.backends.ready("desk"),
+    )
+
+
+def test_what_a_server_stated_outlasts_its_registration(state: EntryState) -> None:
+    """Guards against a lapsed and returned entry that gets all the requests it declined."""
+    state.backend_gone("i-1")
+    state.backend_listed(SERVER)
+    assert is_kept(state) == (True, True, True)
+
+
+def test_what_a_server_stated_while_unlisted_counts(state: EntryState) -> None:
+    """Guards against answers that are ignored because the registration lapsed meanwhile."""
+    state.backend_listed(replace(SERVER, started_at=2000))
+    assert is_kept(state) == (False, False, False)
+    server = state.backends.by_id["i-1"]
+    state.backend_gone("i-1")
+    state.limit_observed("i-1", 2.0, sent_at=0.0)
+    state.backoff_asked(server, 60.0)
+    state.leaving_stated(server)
+    state.backend_listed(server)
+    assert is_kept(state) == (True, True, True)
+
+
+def test_what_a_server_stated_ends_with_its_process(state: EntryState) -> None:
+    """Guards against a restarted server that is held to what its former process stated."""
+    state.backend_gone("i-1")
+    state.backend_listed(replace(SERVER, started_at=2000))
+    state.backoff_asked(SERVER, 60.0)
+    state.leaving_stated(SERVER)
+    assert is_kept(state) == (False, False, False)
