Let servers leave unlisted and ask for rest in the soak

A server now states in its answers that it leaves while it stays listed as ready, is registered again meanwhile, and ends; another declines the requests of one entry, or of all, and asks for rest.

A process suspended meanwhile excuses, for rests also a fault of the link to that server and a caller who left before the answer.

The test of strains names that it wants no notices, as its list of kinds is exact; its assertions are unchanged.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/callers.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/callers.py
@@ -93,7 +93,7 @@
         aborts = may_abort and self._random.random() < ABORT_SHARE
         kind = kind or self._random.choice(list(Kind))
         self._count += 1
-        request_id = f"r-{self._count}"
+        request_id = f"{entry.name}.{self._count}"
         sent_at = trio.current_time()
         with trio.move_on_after(
             self._random.uniform(0, 0.15) if aborts else ANSWER_TIMEOUT
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/checks.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/checks.py
@@ -69,6 +69,10 @@
     """A configuration takes effect in time at every entry that reaches the store."""
     LIMIT_KEPT = "limit_kept"
     """A backend server gets no more requests than the rate limit that it announces allows."""
+    LEAVING_KEPT = "leaving_kept"
+    """A backend server gets no requests of an entry that it has told that it is leaving."""
+    REST_KEPT = "rest_kept"
+    """A backend server gets hardly any requests of an entry that it has asked for rest."""
     LETS_GO = "lets_go"
     """No backend server goes on working for a caller that has disconnected."""
 
@@ -166,7 +170,7 @@
     for each in rate_limited_spans:
         span = Span(each.span.start - SETTLE_SECONDS, each.span.end)
         if any(
-            disturbance.hits_entry and _overlap(disturbance.span, span)
+            disturbance.hits_entry and overlap(disturbance.span, span)
             for disturbance in disturbances
         ):
             continue
@@ -184,10 +188,11 @@
 
 
 def _is_disturbed(disturbance: Disturbance, number: int, window: Span) -> bool:
-    return disturbance.entry in (None, number) and _overlap(disturbance.span, window)
+    return disturbance.entry in (None, number) and overlap(disturbance.span, window)
 
 
-def _overlap(first: Span, second: Span) -> bool:
+def overlap(first: Span, second: Span) -> bool:
+    """Return whether two time spans overlap."""
     return first.start <= second.end and second.start <= first.end
 
 
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/command.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/command.py
@@ -28,6 +28,12 @@
     show_default=True,
     help="Stress faults per second (they break no guarantee).",
 )
+@click.option(
+    "--notices",
+    default=0.3,
+    show_default=True,
+    help="Faults per second that only the answers of backend servers tell.",
+)
 def soak_command(
     seed: int | None,
     minutes: float,
@@ -36,9 +42,10 @@
     callers: int,
     faults: float,
     strains: float,
+    notices: float,
 ) -> None:
     """Inject random faults into entries of the platform and check their guarantees."""
-    shape = SoakShape(seconds, processes, callers, faults, strains)
+    shape = SoakShape(seconds, processes, callers, faults, strains, notices)
     end_time = time.monotonic() + 60 * minutes
     failed: list[int] = []
     runs = 0
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/fleet.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/fleet.py
@@ -18,7 +18,7 @@
     renamed_route,
 )
 from ..standins.published_backend import Pace, PublishedBackend
-from .observations import PublishedConfiguration, RateLimitedSpan
+from .observations import PublishedConfiguration, RateLimitedSpan, entry_name
 
 if TYPE_CHECKING:
     from random import Random
@@ -102,7 +102,7 @@
         self.backends.append(backend)
 
     async def _start_entry(self, number: int) -> EntryProcess:
-        entry = await self.site.add_entry(f"entry-{number}", self._store_addresses[number])
+        entry = await self.site.add_entry(entry_name(number), self._store_addresses[number])
         self.entries.append(entry)
         return entry
 
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/injector.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/injector.py
@@ -17,6 +17,7 @@
     DISTURB_ALL_ENTRIES,
     DISTURB_ONE_ENTRY,
     ENTRY_FAULTS,
+    LINK_FAULTS,
     MAY_CUT_ANSWERS,
     SoakFault,
 )
@@ -57,6 +58,9 @@
 RATE_LIMITS = (0.5, 1.0, 3.0)
 """Rate limits, in requests per second, that an overloaded backend server announces."""
 
+REST_SECONDS = 1.5
+"""Seconds for which a backend server asks for rest, in addition to the fault's drawn duration."""
+
 RATE_LIMIT_SECONDS = 6.0
 """Seconds for which a rate limit is announced, in addition to the fault's drawn duration.
 
@@ -83,6 +87,8 @@
         self.cutting_spans: list[Span] = []
         """Time spans of faults that may cut a response."""
         self.disturbances: list[Disturbance] = []
+        self.link_spans_by_backend: dict[str, list[Span]] = {}
+        """Time spans of faults of the links to backend servers."""
         self._busy_entries: set[int] = set()
         self._busy_backend_slots: set[tuple[str, int]] = set()
 
@@ -97,8 +103,11 @@
     async def _inject(self, fault: PlannedFault) -> None:
         self.injected.append(fault)
         start = trio.current_time()
+        backend = self.backend_slot(fault).backend
         await _handlers_by_kind[fault.kind](self, fault)
         span = Span(start, trio.current_time())
+        if fault.kind in LINK_FAULTS and backend is not None:
+            self.link_spans_by_backend.setdefault(backend.id, []).append(span)
         if fault.kind in MAY_CUT_ANSWERS:
             self.cutting_spans.append(span)
         if fault.kind in DISTURB_ALL_ENTRIES or fault.kind in DISTURB_ONE_ENTRY:
@@ -289,6 +298,35 @@
     fleet.site.store.drop(SERVERS_TOPIC, backend.id)
 
 
+@handles(SoakFault.BACKEND_LEAVES_UNLISTED)
+async def _backend_leaves_unlisted(injector: Injector, fault: PlannedFault) -> None:
+    fleet, backend_slot = injector.fleet, injector.backend_slot(fault)
+    backend, scopes = backend_slot.backend, backend_slot.scopes
+    assert backend is not None
+    await injector.replace_backend(backend_slot)
+    if backend_slot.backend is backend:
+        return
+    backend.leaving = "1"
+    await trio.sleep(DRAIN_SECONDS)
+    backend.announce(fleet.site.store)
+    await trio.sleep(DRAIN_SECONDS + fault.seconds)
+    kill_backend(scopes)
+    fleet.site.store.drop(SERVERS_TOPIC, backend.id)
+
+
+@handles(SoakFault.BACKEND_RESTS)
+async def _backend_rests(injector: Injector, fault: PlannedFault) -> None:
+    backend = injector.backend_slot(fault).backend
+    if backend is None or backend.retry_after is not None:
+        return
+    entries = injector.fleet.entries
+    asked = fault.target_index % (2 * len(entries))
+    backend.declines_ids = f"{entries[asked].name}." if asked < len(entries) else ""
+    backend.retry_after = f"{REST_SECONDS + fault.seconds:.2f}"
+    await trio.sleep(REST_SECONDS + fault.seconds)
+    backend.retry_after = None
+
+
 @handles(SoakFault.CONFIGURE)
 async def _configure(injector: Injector, _: PlannedFault) -> None:
     injector.fleet.publish()
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/observations.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/observations.py
@@ -34,6 +34,11 @@
     end: float
 
 
+def entry_name(number: int) -> str:
+    """Return the name of an entry by its number in the fleet."""
+    return f"entry-{number}"
+
+
 def incarnation_name(entry: EntryProcess) -> str:
     """Return the entry's name and process id, which identify one process across restarts."""
     return f"{entry.name}/{entry.handle.pid}"
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/runner.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/runner.py
@@ -25,8 +25,9 @@
 )
 from .fleet import Fleet
 from .injector import Injector
+from .notice_checks import check_leaving, check_rests
 from .observations import Kind
-from .schedule import STRESS_FAULTS, PlannedFault, draw_schedule
+from .schedule import NOTICE_FAULTS, STRESS_FAULTS, PlannedFault, draw_schedule
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
@@ -54,6 +55,7 @@
     callers: int = DEFAULT_CALLERS
     faults_per_second: float = 0.8
     stress_faults_per_second: float = 0.3
+    notice_faults_per_second: float = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +107,13 @@
             )
             violations += check_in_force(fleet.published, fleet.entries, injector.disturbances)
             violations += check_limits(fleet.rate_limited_spans, injector.disturbances)
+            violations += check_leaving(callers.attempts, fleet.backends, injector.disturbances)
+            violations += check_rests(
+                callers.attempts,
+                fleet.backends,
+                injector.disturbances,
+                injector.link_spans_by_backend,
+            )
     return SoakRun(seed, tuple(injector.injected), _count(callers), tuple(violations))
 
 
@@ -114,7 +123,10 @@
     stress_faults = draw_schedule(
         Random(f"strains of {seed}"), shape.seconds, shape.stress_faults_per_second, STRESS_FAULTS
     )
-    return tuple(sorted((*faults, *stress_faults), key=lambda each: each.at))
+    notice_faults = draw_schedule(
+        Random(f"notices of {seed}"), shape.seconds, shape.notice_faults_per_second, NOTICE_FAULTS
+    )
+    return tuple(sorted((*faults, *stress_faults, *notice_faults), key=lambda each: each.at))
 
 
 def run_in_temporary_folder(seed: int, shape: SoakShape) -> SoakRun:
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/schedule.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/schedule.py
@@ -65,12 +65,19 @@
     """One entry's link to the store has low bandwidth."""
     BACKEND_LIMITS = "backend_limits"
     """One backend server announces a rate limit."""
+    BACKEND_LEAVES_UNLISTED = "backend_leaves_unlisted"
+    """One backend server states in its answers that it leaves, is listed as ready, and ends."""
+    BACKEND_RESTS = "backend_rests"
+    """One backend server declines the requests of one entry, or of all, and asks for rest."""
 
 
 STRESS_FAULTS = (SoakFault.CONFIGURE_LARGE, SoakFault.STORE_LINK_NARROW, SoakFault.BACKEND_LIMITS)
 """Faults that break nothing: all guarantees hold for every entry while they last."""
 
-FAILURES = tuple(each for each in SoakFault if each not in STRESS_FAULTS)
+NOTICE_FAULTS = (SoakFault.BACKEND_LEAVES_UNLISTED, SoakFault.BACKEND_RESTS)
+"""Faults that only the answers of backend servers tell."""
+
+FAILURES = tuple(each for each in SoakFault if each not in STRESS_FAULTS + NOTICE_FAULTS)
 
 DISTURB_ALL_ENTRIES = frozenset(
     {
@@ -89,6 +96,11 @@
 DISTURB_ONE_ENTRY = ENTRY_FAULTS | {SoakFault.STORE_REFUSES_ONE, SoakFault.STORE_LINK_SILENT}
 """Faults that delay updates from the store at one entry."""
 
+LINK_FAULTS = frozenset(
+    {SoakFault.LINK_CUT, SoakFault.LINK_SILENT, SoakFault.LINK_ONE_WAY, SoakFault.LINK_SLOW}
+)
+"""Faults of the link to one backend server."""
+
 MAY_CUT_ANSWERS = frozenset(
     {
         SoakFault.KILL_ENTRY,
@@ -100,6 +112,7 @@
         SoakFault.BACKEND_MISBEHAVES,
         SoakFault.BACKEND_CRASHES,
         SoakFault.BACKEND_LEAVES,
+        SoakFault.BACKEND_LEAVES_UNLISTED,
     }
 )
 """Faults that may cut a response that a planned stop alone would not cut."""
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
@@ -77,6 +77,15 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class DeclinedRequest:
+    """A request that was declined with a time for which no others should follow."""
+
+    request_id: str
+    at: float
+    seconds: float
+
+
 @dataclass(slots=True)
 class Pace:
     """Speed and capacity of a backend server."""
@@ -114,6 +123,7 @@
     arrivals: list[str] = field(default_factory=list)
     arrived_at: list[float] = field(default_factory=list)
     runs: list[RecordedRun] = field(default_factory=list)
+    declined: list[DeclinedRequest] = field(default_factory=list)
     broken_off: list[str] = field(default_factory=list)
     """Ids of requests whose connection was closed while they ran."""
     running: int = 0
@@ -153,6 +163,7 @@
             return
         if self._declines(request_id):
             await exchange.respond(503, b"", self._declined_headers())
+            self._record_declined(request_id)
             return
         self.running += 1
         self.runs.append(_recorded_run(request_id, request))
@@ -165,6 +176,13 @@
         finally:
             self.running -= 1
 
+    def _record_declined(self, request_id: str) -> None:
+        try:
+            seconds = float(self.retry_after or "")
+        except ValueError:
+            return
+        self.declined.append(DeclinedRequest(request_id, trio.current_time(), seconds))
+
     def _declines(self, request_id: str) -> bool:
         if self.retry_after is not None and request_id.startswith(self.declines_ids):
             return True
--- a/packages/ragwortwing-lab/tests/test_soak.py
+++ b/packages/ragwortwing-lab/tests/test_soak.py
@@ -10,11 +10,21 @@
 
 from ragwortwing_lab.soak.checks import SoakPromise, check_answers, check_planned_stops, check_runs
 from ragwortwing_lab.soak.fleet import Fleet, kill_backend
-from ragwortwing_lab.soak.observations import Attempt, Kind, Span
+from ragwortwing_lab.soak.notice_checks import check_leaving, check_rests
+from ragwortwing_lab.soak.observations import Attempt, Disturbance, Kind, Span
 from ragwortwing_lab.soak.runner import SoakShape, run_soak
-from ragwortwing_lab.soak.schedule import STRESS_FAULTS, SoakFault, draw_schedule
+from ragwortwing_lab.soak.schedule import (
+    NOTICE_FAULTS,
+    STRESS_FAULTS,
+    SoakFault,
+    draw_schedule,
+)
 from ragwortwing_lab.standins.platform_site import CallerResponse, platform_site
-from ragwortwing_lab.standins.published_backend import PublishedBackend, RecordedRun
+from ragwortwing_lab.standins.published_backend import (
+    DeclinedRequest,
+    PublishedBackend,
+    RecordedRun,
+)
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -98,11 +108,80 @@
     assert (found == []) is is_sound
 
 
+def make_told_attempts(told_at: float, sent_at: float, entry: str) -> list[Attempt]:
+    headers = {"server-leaving": "1", "x-server-stamp": "stamp.i-1"}
+    told = CallerResponse(200, headers, b"", True, 0.1)
+    answer = CallerResponse(200, {"x-server-stamp": "stamp.i-1"}, b"", True, 0.1)
+    return [
+        Attempt("r-told", Kind.ORDER, "entry-0/1", told_at - 0.1, told_at, told),
+        Attempt("r-later", Kind.ORDER, entry, sent_at, sent_at + 0.1, answer),
+    ]
+
+
+FREEZE = Disturbance(Span(3.0, 4.0), entry=0, hits_entry=True)
+FREEZE_ELSEWHERE = Disturbance(Span(3.0, 4.0), entry=1, hits_entry=True)
+
+
+@pytest.mark.parametrize(
+    ("sent_at", "entry", "disturbances", "is_sound"),
+    [
+        (3.5, "entry-0/1", (), False),
+        (2.9, "entry-0/1", (), True),
+        (3.5, "entry-0/2", (), True),
+        (3.5, "entry-1/1", (), True),
+        (3.5, "entry-0/1", (FREEZE,), True),
+        (3.5, "entry-0/1", (FREEZE_ELSEWHERE,), False),
+    ],
+)
+def test_leaving_server_must_not_get_requests_of_an_entry_that_it_told(
+    sent_at: float, entry: str, disturbances: tuple[Disturbance, ...], is_sound: bool
+) -> None:
+    attempts = make_told_attempts(1.0, sent_at, entry)
+    backend = PublishedBackend("i-1", "desk", arrivals=["r-told", "r-later"])
+    assert (list(check_leaving(attempts, [backend], disturbances)) == []) is is_sound
+
+
+@pytest.mark.parametrize(
+    ("later", "entry", "disturbances", "links", "is_sound"),
+    [
+        ((1.6, 1.7, 1.8), "entry-0/1", (), {}, False),
+        ((1.6, 1.7), "entry-0/1", (), {}, True),
+        ((1.1, 1.2, 1.3, 4.1), "entry-0/1", (), {}, True),
+        ((1.6, 1.7, 1.8), "entry-0/2", (), {}, True),
+        ((1.6, 1.7, 1.8), "entry-0/1", (FREEZE,), {}, True),
+        ((1.6, 1.7, 1.8), "entry-0/1", (), {"i-1": [Span(0.5, 0.6)]}, True),
+        ((1.6, 1.7, 1.8), "entry-0/1", (), {"i-2": [Span(0.5, 0.6)]}, False),
+    ],
+)
+def test_resting_server_must_not_get_requests_of_an_entry_that_it_asked(
+    later: tuple[float, ...],
+    entry: str,
+    disturbances: tuple[Disturbance, ...],
+    links: dict[str, list[Span]],
+    is_sound: bool,
+) -> None:
+    answer = CallerResponse(503, {}, b"", True, 0.1)
+    attempts = [Attempt("r-0", Kind.ORDER, "entry-0/1", 1.0, 1.0, answer)]
+    attempts += [
+        Attempt(f"r-{number}", Kind.ORDER, entry, at, at, answer)
+        for number, at in enumerate(later, 1)
+    ]
+    backend = PublishedBackend(
+        "i-1",
+        "desk",
+        arrivals=[each.request_id for each in attempts],
+        arrived_at=[1.0, *later],
+        declined=[DeclinedRequest("r-0", 1.0, 3.0)],
+    )
+    assert (list(check_rests(attempts, [backend], disturbances, links)) == []) is is_sound
+
+
 def test_schedule_is_deterministic_and_repeats_faults_in_series() -> None:
     faults = draw_schedule(Random(5), 300.0, 0.8)
     assert faults == draw_schedule(Random(5), 300.0, 0.8)
     stress_faults = draw_schedule(Random(5), 300.0, 0.8, STRESS_FAULTS)
-    assert {fault.kind for fault in (*faults, *stress_faults)} == set(SoakFault)
+    notice_faults = draw_schedule(Random(5), 300.0, 0.8, NOTICE_FAULTS)
+    assert {each.kind for each in (*faults, *stress_faults, *notice_faults)} == set(SoakFault)
     assert len(faults) > 1.3 * 0.8 * 300
 
 
@@ -132,8 +211,27 @@
 
 async def test_soak_with_stress_faults_has_no_violations(tmp_path: Path) -> None:
     shape = SoakShape(
-        8.0, entries=3, callers=8, faults_per_second=0.0, stress_faults_per_second=1.5
+        8.0,
+        entries=3,
+        callers=8,
+        faults_per_second=0.0,
+        stress_faults_per_second=1.5,
+        notice_faults_per_second=0.0,
     )
     result = await run_soak(3, shape, tmp_path)
     assert result.violations == (), result.render()
     assert {each.kind for each in result.injected} == set(STRESS_FAULTS)
+
+
+async def test_soak_with_notices_of_backend_servers_has_no_violations(tmp_path: Path) -> None:
+    shape = SoakShape(
+        8.0,
+        entries=3,
+        callers=8,
+        faults_per_second=0.0,
+        stress_faults_per_second=0.0,
+        notice_faults_per_second=1.5,
+    )
+    result = await run_soak(3, shape, tmp_path)
+    assert result.violations == (), result.render()
+    assert {each.kind for each in result.injected} == set(NOTICE_FAULTS)
