Let a resumed stream wait for an engine that returns before its deadline

A request whose engines all rest was refused when the first returned later than a fresh request would wait. A resumed stream has no such limit, as its caller has a part of the answer already: it was broken off although an engine was usable seconds before its deadline.

Cause: the limit was compared by hand.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -177,8 +177,10 @@
         if no_engine or traits is None or must_refuse(request.waiter, until, now):
             return self._reject(request, no_engine=no_engine, now=now)
         if not engines:
-            is_too_long = min(request.unusable_until[each] for each in unusable) > until
-            return self._reject(request, no_engine=False, now=now) if is_too_long else None
+            usable_at = min(request.unusable_until[each] for each in unusable)
+            if must_refuse(request.waiter, until, usable_at):
+                return self._reject(request, no_engine=False, now=now)
+            return None
         engines = self._limits.admitting(engines, now, self._share)
         if not engines:
             return None
--- a/packages/ragwortwing-policy/tests/direct/test_admission_queue.py
+++ b/packages/ragwortwing-policy/tests/direct/test_admission_queue.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+from math import inf
+
+import pytest
+
 from ragwortwing_policy.direct.admission_queue import (
     AdmissionQueue,
     Granted,
@@ -134,3 +139,28 @@
         queue.enter(request(f"draft-{number}", 9_000, tier=1), 0.0)
     queue.enter(request("chat", 300, tier=0), 0.0)
     assert queue.waiting_by_urgency() == {0: 1, 1: 3}
+
+
+@pytest.mark.parametrize(
+    ("resumed", "usable_at", "waits"),
+    [
+        (False, 0.5, True),
+        (False, 4.0, False),
+        (True, 4.0, True),
+        (True, 9.0, False),
+        (True, inf, False),
+    ],
+)
+def test_a_request_waits_for_an_engine_that_is_usable_in_time(
+    resumed: bool, usable_at: float, waits: bool
+) -> None:
+    """Guards against a resumed stream that is broken off although its engine returns in time."""
+    queue = new_queue()
+    waiter = Waiter(1, target_at=0.4, deadline=5.0, arrived_at=0.0, resumed=resumed)
+    waiting = replace(request("a", 300, 1), waiter=waiter, unusable_until={"i-0": usable_at})
+    queue.enter(waiting, now=0.0)
+    decisions = queue.dispatch(TRAITS, lambda _: [], now=0.0)
+    assert (decisions == []) is waits
+    if waits:
+        (granted,) = queue.dispatch(TRAITS, lambda _: engines(1), now=usable_at)
+        assert isinstance(granted, Granted)
