Give a repeat that was not sent back to the budget

What callers saw: nothing observed; follows from the backoff. A repeat is charged to the entry's share of the fleet's budget before a server is found for it. With every server resting none is found, and requests that fail for another reason in the next ten seconds could not be repeated: 20 calls at once to two servers that both ask for rest left 11.2 of 19.2 repeats, with none sent beyond those counted.

Cause: the charge stood for a send that might not follow. It still comes first, as requests that wait together must not overspend, and is taken back where the search ends without a server, also by the caller's leaving or the deadline.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -69,6 +69,8 @@
         self._delivered_event = request.resume_after
         self._answer_begun = False
         self._send: Send | None = None
+        self._repeat_spent_at: Instant | None = None
+        """When the budget was charged for a repeat that has not been sent yet."""
         self._matched_route: Route | None = None
         self._account: ClientAccount | None = None
         self._service = ""
@@ -158,7 +160,7 @@
 
     async def _serve(self) -> None:
         while True:
-            placed = await self._place()
+            placed = await self._place_or_refund()
             if isinstance(placed, Refused):
                 await self._conclude(self._truthful_outcome(placed))
                 return
@@ -169,6 +171,17 @@
                 await self._give_up(failure)
                 return
 
+    async def _place_or_refund(self) -> _Destination | Refused:
+        """Find a backend server; a repeat that is not sent is given back to the budget."""
+        spent_at, self._repeat_spent_at = self._repeat_spent_at, None
+        placed: _Destination | Refused | None = None
+        try:
+            placed = await self._place()
+            return placed
+        finally:
+            if spent_at is not None and not isinstance(placed, _Destination):
+                self._state.budget(self._service).refund(spent_at)
+
     async def _place(self) -> _Destination | Refused:
         table = self._state.table
         prompt = self._request.prompt
@@ -402,7 +415,11 @@
             return False
         if not self._history.sends:
             return True
-        return self._state.budget(self._service).try_spend(self._now())
+        now = self._now()
+        if not self._state.budget(self._service).try_spend(now):
+            return False
+        self._repeat_spent_at = now
+        return True
 
     # Outcomes without a backend server's answer
 
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/repeat_budget.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/repeat_budget.py
@@ -69,6 +69,11 @@
         self._repeats.append(now)
         return True
 
+    def refund(self, spent_at: Instant) -> None:
+        """Give back a repeat that was spent at an instant and has not been sent."""
+        if spent_at in self._repeats:
+            self._repeats.remove(spent_at)
+
     def _drop_expired(self, now: Instant) -> None:
         since = now - self._allowance.window.total_seconds()
         for times in (self._requests, self._repeats):
--- a/packages/ragwortwing-policy/tests/direct/test_repeat_budget.py
+++ b/packages/ragwortwing-policy/tests/direct/test_repeat_budget.py
@@ -46,3 +46,17 @@
     assert spend_all(budget, 0.0) == 8
     assert spend_all(budget, 9.9) == 0
     assert spend_all(budget, 10.1) == 8
+
+
+def test_a_repeat_that_is_not_sent_can_be_spent_again() -> None:
+    """Guards against a budget that shrinks although nothing is repeated."""
+    budget = RepeatBudget(ALLOWANCE)
+    budget.entries = 50
+    for _ in range(5):
+        budget.count_request(0.0)
+    assert budget.try_spend(1.0)
+    assert not budget.try_spend(2.0)
+    budget.refund(1.0)
+    budget.refund(1.0)
+    assert budget.left(2.0) == 0.8 * (0.2 * 5 + 1)
+    assert budget.try_spend(2.0)
