Share the changes around a server between the tests of leaving and of rest

Two tests each wrote out the same five changes (listed again, lapsed, unreadable, configured, reload), and two handlers of the soak the same replacement of a leaving server.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/injector.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/injector.py
@@ -25,6 +25,7 @@
 if TYPE_CHECKING:
     from ..fault_proxy import FaultProxy
     from ..standins.platform_site import EntryProcess
+    from ..standins.published_backend import PublishedBackend
     from .fleet import BackendSlot, Fleet
     from .schedule import PlannedFault
 
@@ -284,34 +285,38 @@
         await injector.replace_backend(backend_slot)
 
 
-@handles(SoakFault.BACKEND_LEAVES)
-async def _backend_leaves(injector: Injector, fault: PlannedFault) -> None:
-    fleet, backend_slot = injector.fleet, injector.backend_slot(fault)
+async def _replace_leaving(
+    injector: Injector, fault: PlannedFault, leave: Callable[[PublishedBackend], Awaitable[None]]
+) -> None:
+    """Start a replacement, let the former backend server leave, and end it."""
+    backend_slot = injector.backend_slot(fault)
     backend, scopes = backend_slot.backend, backend_slot.scopes
     assert backend is not None
     await injector.replace_backend(backend_slot)
     if backend_slot.backend is backend:
         return
-    backend.announce(fleet.site.store, state="draining")
+    await leave(backend)
     await trio.sleep(DRAIN_SECONDS + fault.seconds)
     kill_backend(scopes)
-    fleet.site.store.drop(SERVERS_TOPIC, backend.id)
+    injector.fleet.site.store.drop(SERVERS_TOPIC, backend.id)
+
+
+@handles(SoakFault.BACKEND_LEAVES)
+async def _backend_leaves(injector: Injector, fault: PlannedFault) -> None:
+    async def leave(backend: PublishedBackend) -> None:
+        backend.announce(injector.fleet.site.store, state="draining")
+
+    await _replace_leaving(injector, fault, leave)
 
 
 @handles(SoakFault.BACKEND_LEAVES_UNLISTED)
 async def _backend_leaves_unlisted(injector: Injector, fault: PlannedFault) -> None:
-    fleet, backend_slot = injector.fleet, injector.backend_slot(fault)
-    backend, scopes = backend_slot.backend, backend_slot.scopes
-    assert backend is not None
-    await injector.replace_backend(backend_slot)
-    if backend_slot.backend is backend:
-        return
-    backend.leaving = "1"
-    await trio.sleep(DRAIN_SECONDS)
-    backend.announce(fleet.site.store)
-    await trio.sleep(DRAIN_SECONDS + fault.seconds)
-    kill_backend(scopes)
-    fleet.site.store.drop(SERVERS_TOPIC, backend.id)
+    async def leave(backend: PublishedBackend) -> None:
+        backend.leaving = "1"
+        await trio.sleep(DRAIN_SECONDS)
+        backend.announce(injector.fleet.site.store)
+
+    await _replace_leaving(injector, fault, leave)
 
 
 @handles(SoakFault.BACKEND_RESTS)
--- a/tests/entry_load.py
+++ b/tests/entry_load.py
@@ -1,17 +1,27 @@
-"""Starts several entries of a site and sends them a steady load."""
+"""Starts several entries of a site, sends them a steady load, and changes what surrounds them."""
 
 from __future__ import annotations
 
+import signal
 from typing import TYPE_CHECKING, Any
 
 import trio
 
-from ragwortwing_lab.standins.platform_site import CHAT_PROMPT, DESK, ENGINES, call, until
+from ragwortwing_lab.standins.platform_site import (
+    CHAT_PROMPT,
+    DESK,
+    ENGINES,
+    call,
+    configuration,
+    until,
+)
+from ragwortwing_lab.standins.published_backend import SERVERS_TOPIC
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from ragwortwing_lab.standins.platform_site import CallerResponse, EntryProcess, PlatformSite
+    from ragwortwing_lab.standins.published_backend import PublishedBackend
 
 CALLS = {
     DESK: {"path": "/lookup/", "method": "GET"},
@@ -58,3 +68,41 @@
             nursery.start_soon(call_one, number)
             await trio.sleep(1 / CALLS_PER_SECOND)
     return answers
+
+
+async def _list_again(site: PlatformSite, _: EntryProcess, server: PublishedBackend) -> None:
+    server.announce(site.store)
+
+
+async def _lapse(site: PlatformSite, entry: EntryProcess, server: PublishedBackend) -> None:
+    site.store.drop(SERVERS_TOPIC, server.id)
+    await until(lambda: bool(entry.lines("backend_gone")))
+    server.announce(site.store)
+
+
+async def _list_unreadable(
+    site: PlatformSite, entry: EntryProcess, server: PublishedBackend
+) -> None:
+    site.store.put(SERVERS_TOPIC, server.id, {"state": "unknown"})
+    await until(lambda: bool(entry.lines("backend_unreadable")))
+    server.announce(site.store)
+
+
+async def _configure(site: PlatformSite, entry: EntryProcess, _: PublishedBackend) -> None:
+    site.configure(configuration(version=2))
+    await until(lambda: len(entry.lines("configuration_in_force")) == 2)
+
+
+async def _reload(_site: PlatformSite, entry: EntryProcess, _server: PublishedBackend) -> None:
+    entry.handle.send_signal(signal.SIGHUP)
+    await until(lambda: bool(entry.lines("settings_reloaded")))
+
+
+CHANGES_BY_NAME = {
+    "listed again": _list_again,
+    "lapsed": _lapse,
+    "unreadable": _list_unreadable,
+    "configured": _configure,
+    "reload": _reload,
+}
+"""Changes after which an entry still has the same process of a backend server before it."""
