--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/notice_checks.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/notice_checks.py
@@ -34,9 +34,10 @@
     """
     told_at: dict[tuple[str, str], float] = {}
     for attempt in attempts:
-        if attempt.response is None or "server-leaving" not in attempt.response.headers:
+        leaving = attempt.response.leaving_backend_id if attempt.response is not None else None
+        if leaving is None:
             continue
-        key = (attempt.entry, attempt.response.headers["x-server-stamp"].partition(".")[2])
+        key = (attempt.entry, leaving)
         told_at[key] = min(attempt.ended_at, told_at.get(key, attempt.ended_at))
     for backend in backends:
         arrived = set(backend.arrivals)
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/platform_site.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/platform_site.py
@@ -120,6 +120,13 @@
         """Whether it has the `x-server-stamp` header of a backend server."""
         return "x-server-stamp" in self.headers
 
+    @property
+    def leaving_backend_id(self) -> str | None:
+        """The backend server that answered if it stated that it is leaving."""
+        if "server-leaving" not in self.headers:
+            return None
+        return self.headers.get("x-server-stamp", "").partition(".")[2]
+
 
 class Caller:
     """One HTTP/1.1 client connection to an entry."""
