--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -144,7 +144,7 @@
         self.failure_tracker.forget(backend_id)
         decided("backend_gone", backend=backend_id)
 
-    def backoff_asked(self, backend: BackendServer, seconds: float) -> None:
+    def backoff_requested(self, backend: BackendServer, seconds: float) -> None:
         """Begin a backoff from a backend server whose answer asks for it."""
         last = self.backends.last_known(backend.id)
         if last is None or not last.may_be_same_process(backend):
@@ -153,15 +153,15 @@
         until = self.backoffs.begin(backend.id, seconds, now)
         decided("backend_backoff", backend=backend.id, seconds=round(until - now, 3))
 
-    def leaving_stated(self, backend: BackendServer) -> None:
+    def leaving_announced(self, backend: BackendServer) -> None:
         """Stop new requests to a backend server whose answer states that it is leaving."""
-        if self.backends.stated_leaving(backend, self.clock.monotonic()):
+        if self.backends.record_leaving(backend, self.clock.monotonic()):
             self._log_leaving(backend.id, stated_to=self.identity.name)
             self.peers.wake()
 
     def _take_peer_leaving(self, status: StatusMessage) -> None:
         for backend_id, started_at in status.started_at_by_leaving_backend.items():
-            if self.backends.stated_leaving_to_peer(backend_id, started_at):
+            if self.backends.record_leaving_from_peer(backend_id, started_at):
                 self._log_leaving(backend_id, stated_to=status.sender)
 
     def _log_leaving(self, backend_id: str, stated_to: str) -> None:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -269,9 +269,9 @@
                 listed_leaving=self._state.is_listed_leaving(backend.id),
             )
         if notice.is_leaving:
-            self._state.leaving_stated(backend)
+            self._state.leaving_announced(backend)
         if notice.retry_after is not None:
-            self._state.backoff_asked(backend, notice.retry_after)
+            self._state.backoff_requested(backend, notice.retry_after)
         elif backend_answer.kind is not AnswerKind.DECLINED:
             self._state.backoffs.accepted(backend, self._now())
 
--- a/packages/ragwortwing-entry/tests/direct/test_engine_admission.py
+++ b/packages/ragwortwing-entry/tests/direct/test_engine_admission.py
@@ -282,7 +282,7 @@
     fleet: EntryAndScheduler,
 ) -> None:
     """Guards against a scheduler that knows nothing of what a server asked another entry."""
-    fleet.entry.state.backoff_asked(SERVERS[0], 3.0)
+    fleet.entry.state.backoff_requested(SERVERS[0], 3.0)
     for number in range(TRAITS.slots):
         granted = await fleet.admit(f"r-{number}")
         assert isinstance(granted, Granted)
@@ -312,7 +312,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(admit)
         await trio.sleep(0.1)
-        fleet.entry.state.backoff_asked(SERVERS[0], 3.0)
+        fleet.entry.state.backoff_requested(SERVERS[0], 3.0)
         await trio.sleep(0.1)
         for server in SERVERS:
             load = state.placement.loads_by_id[server.id]
@@ -325,7 +325,7 @@
 async def test_request_waits_for_the_end_of_a_short_backoff(fleet: EntryAndScheduler) -> None:
     """Guards against callers that are refused although an engine is available in time."""
     for server in SERVERS:
-        fleet.entry.state.backoff_asked(server, 0.2)
+        fleet.entry.state.backoff_requested(server, 0.2)
     began = trio.current_time()
     assert isinstance(await fleet.admit(), Granted)
     assert 0.2 <= trio.current_time() - began < 0.3
@@ -334,7 +334,7 @@
 async def test_caller_is_told_when_every_engine_rests_for_long(fleet: EntryAndScheduler) -> None:
     """Guards against callers that are held in vain, or told to return before the rest ends."""
     for server in SERVERS:
-        fleet.entry.state.backoff_asked(server, 4.0)
+        fleet.entry.state.backoff_requested(server, 4.0)
     with trio.fail_after(0.1):
         refused = await fleet.admit()
     assert isinstance(refused, Refused)
--- a/packages/ragwortwing-entry/tests/direct/test_entry_state.py
+++ b/packages/ragwortwing-entry/tests/direct/test_entry_state.py
@@ -21,8 +21,8 @@
     found = EntryState(EntryIdentity("entry", "suva"), allowance, SystemClock())
     found.backend_listed(SERVER)
     found.limit_observed("i-1", 2.0, sent_at=0.0)
-    found.backoff_asked(SERVER, 60.0)
-    found.leaving_stated(SERVER)
+    found.backoff_requested(SERVER, 60.0)
+    found.leaving_announced(SERVER)
     return found
 
 
@@ -50,8 +50,8 @@
     server = state.backends.by_id["i-1"]
     state.backend_gone("i-1")
     state.limit_observed("i-1", 2.0, sent_at=0.0)
-    state.backoff_asked(server, 60.0)
-    state.leaving_stated(server)
+    state.backoff_requested(server, 60.0)
+    state.leaving_announced(server)
     state.backend_listed(server)
     assert is_kept(state) == (True, True, True)
 
@@ -60,6 +60,6 @@
     """Guards against a restarted server that is held to what its former process stated."""
     state.backend_gone("i-1")
     state.backend_listed(replace(SERVER, started_at=2000))
-    state.backoff_asked(SERVER, 60.0)
-    state.leaving_stated(SERVER)
+    state.backoff_requested(SERVER, 60.0)
+    state.leaving_announced(SERVER)
     assert is_kept(state) == (False, False, False)
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/checks.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/checks.py
@@ -71,8 +71,8 @@
     """A backend server gets no more requests than the rate limit that it announces allows."""
     LEAVING_KEPT = "leaving_kept"
     """A backend server gets no requests of an entry that it has told that it is leaving."""
-    REST_KEPT = "rest_kept"
-    """A backend server gets hardly any requests of an entry that it has asked for rest."""
+    BACKOFF_KEPT = "backoff_kept"
+    """A backend server gets hardly any requests of an entry within a backoff that it requested."""
     LETS_GO = "lets_go"
     """No backend server goes on working for a caller that has disconnected."""
 
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/injector.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/injector.py
@@ -59,8 +59,8 @@
 RATE_LIMITS = (0.5, 1.0, 3.0)
 """Rate limits, in requests per second, that an overloaded backend server announces."""
 
-REST_SECONDS = 1.5
-"""Seconds for which a backend server asks for rest, in addition to the fault's drawn duration."""
+BACKOFF_SECONDS = 1.5
+"""Seconds of a requested backoff, in addition to the fault's drawn duration."""
 
 RATE_LIMIT_SECONDS = 6.0
 """Seconds for which a rate limit is announced, in addition to the fault's drawn duration.
@@ -319,16 +319,16 @@
     await _replace_leaving(injector, fault, leave)
 
 
-@handles(SoakFault.BACKEND_RESTS)
-async def _backend_rests(injector: Injector, fault: PlannedFault) -> None:
+@handles(SoakFault.BACKEND_REQUESTS_BACKOFF)
+async def _backend_requests_backoff(injector: Injector, fault: PlannedFault) -> None:
     backend = injector.backend_slot(fault).backend
     if backend is None or backend.retry_after is not None:
         return
     entries = injector.fleet.entries
     asked = fault.target_index % (2 * len(entries))
     backend.declines_ids = f"{entries[asked].name}." if asked < len(entries) else ""
-    backend.retry_after = f"{REST_SECONDS + fault.seconds:.2f}"
-    await trio.sleep(REST_SECONDS + fault.seconds)
+    backend.retry_after = f"{BACKOFF_SECONDS + fault.seconds:.2f}"
+    await trio.sleep(BACKOFF_SECONDS + fault.seconds)
     backend.retry_after = None
 
 
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/notice_checks.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/notice_checks.py
@@ -1,4 +1,4 @@
-"""Checks that entries act on what backend servers state in their answers: leaving, and rest."""
+"""Checks that entries act on what backend servers state: that they leave, or request a backoff."""
 
 from __future__ import annotations
 
@@ -16,11 +16,11 @@
 LEAVING_DELAY = 2.0
 """Seconds after an entry has passed on that a server leaves, until its requests may reach it."""
 
-REST_DELAY = 0.5
-"""Seconds after an answer that asks for rest, until the requests of its entry count."""
+BACKOFF_DELAY = 0.5
+"""Seconds after an answer that requests a backoff, until the requests of its entry count."""
 
-MAX_DURING_REST = 2
-"""Requests of one entry that may reach a resting server."""
+MAX_DURING_BACKOFF = 2
+"""Requests of one entry that may reach a server within the backoff that it requested."""
 
 
 def check_leaving(
@@ -52,15 +52,15 @@
                 yield SoakViolation(SoakPromise.LEAVING_KEPT, f"{detail} {attempt.entry}")
 
 
-def check_rests(
+def check_backoffs(
     attempts: Iterable[Attempt],
     backends: Iterable[PublishedBackend],
     disturbances: Sequence[Disturbance],
     link_spans_by_backend: Mapping[str, Sequence[Span]],
 ) -> Iterator[SoakViolation]:
-    """Check that a server gets hardly any requests of an entry that it has asked for rest.
+    """Check that a server gets hardly any requests of an entry within a backoff that it requested.
 
-    Passed over are rests during which the entry or its link to the server was disturbed, and
+    Passed over are backoffs during which the entry or its link to the server was disturbed, and
     answers to callers that left before: their entry may not have read them.
     """
     entries_by_request = {each.request_id: each.entry for each in attempts if each.response}
@@ -78,12 +78,12 @@
             if any(overlap(each, span) for each in links):
                 continue
             count = sum(
-                sender == entry and REST_DELAY < at - declined.at < declined.seconds
+                sender == entry and BACKOFF_DELAY < at - declined.at < declined.seconds
                 for at, sender in arrivals
             )
-            if count > MAX_DURING_REST:
+            if count > MAX_DURING_BACKOFF:
                 detail = f"{backend.id} got {count} requests of {entry} in {declined.seconds} s"
-                yield SoakViolation(SoakPromise.REST_KEPT, f"{detail} of rest")
+                yield SoakViolation(SoakPromise.BACKOFF_KEPT, f"{detail} of backoff")
 
 
 def _is_hit(incarnation: str, span: Span, disturbances: Sequence[Disturbance]) -> bool:
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/runner.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/runner.py
@@ -25,7 +25,7 @@
 )
 from .fleet import Fleet
 from .injector import Injector
-from .notice_checks import check_leaving, check_rests
+from .notice_checks import check_backoffs, check_leaving
 from .observations import Kind
 from .schedule import NOTICE_FAULTS, STRESS_FAULTS, PlannedFault, draw_schedule
 
@@ -108,7 +108,7 @@
             violations += check_in_force(fleet.published, fleet.entries, injector.disturbances)
             violations += check_limits(fleet.rate_limited_spans, injector.disturbances)
             violations += check_leaving(callers.attempts, fleet.backends, injector.disturbances)
-            violations += check_rests(
+            violations += check_backoffs(
                 callers.attempts,
                 fleet.backends,
                 injector.disturbances,
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/schedule.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/schedule.py
@@ -67,14 +67,14 @@
     """One backend server announces a rate limit."""
     BACKEND_LEAVES_UNLISTED = "backend_leaves_unlisted"
     """One backend server states in its answers that it leaves, is listed as ready, and ends."""
-    BACKEND_RESTS = "backend_rests"
-    """One backend server declines the requests of one entry, or of all, and asks for rest."""
+    BACKEND_REQUESTS_BACKOFF = "backend_requests_backoff"
+    """One backend server declines the requests of one entry, or of all, and requests a backoff."""
 
 
 STRESS_FAULTS = (SoakFault.CONFIGURE_LARGE, SoakFault.STORE_LINK_NARROW, SoakFault.BACKEND_LIMITS)
 """Faults that break nothing: all guarantees hold for every entry while they last."""
 
-NOTICE_FAULTS = (SoakFault.BACKEND_LEAVES_UNLISTED, SoakFault.BACKEND_RESTS)
+NOTICE_FAULTS = (SoakFault.BACKEND_LEAVES_UNLISTED, SoakFault.BACKEND_REQUESTS_BACKOFF)
 """Faults that only the answers of backend servers tell."""
 
 FAILURES = tuple(each for each in SoakFault if each not in STRESS_FAULTS + NOTICE_FAULTS)
--- a/packages/ragwortwing-lab/tests/test_soak.py
+++ b/packages/ragwortwing-lab/tests/test_soak.py
@@ -10,7 +10,7 @@
 
 from ragwortwing_lab.soak.checks import SoakPromise, check_answers, check_planned_stops, check_runs
 from ragwortwing_lab.soak.fleet import Fleet, kill_backend
-from ragwortwing_lab.soak.notice_checks import check_leaving, check_rests
+from ragwortwing_lab.soak.notice_checks import check_backoffs, check_leaving
 from ragwortwing_lab.soak.observations import Attempt, Disturbance, Kind, Span
 from ragwortwing_lab.soak.runner import SoakShape, run_soak
 from ragwortwing_lab.soak.schedule import (
@@ -173,7 +173,7 @@
         arrived_at=[1.0, *later],
         declined=[DeclinedRequest("r-0", 1.0, 3.0)],
     )
-    assert (list(check_rests(attempts, [backend], disturbances, links)) == []) is is_sound
+    assert (list(check_backoffs(attempts, [backend], disturbances, links)) == []) is is_sound
 
 
 def test_schedule_is_deterministic_and_repeats_faults_in_series() -> None:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/backend_list.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/backend_list.py
@@ -58,7 +58,7 @@
         self._missing_until_by_id: dict[str, Instant] = {}
         self._last_by_id: dict[str, BackendServer] = {}
         """The latest registration of each server, also after its removal."""
-        self._stated_leaving: set[str] = set()
+        self._announced_leaving: set[str] = set()
         """Servers that have stated that they are leaving. This outlasts new registrations and
         removals: the list may be older than the statement, and entries lapse and return."""
         self._told_at_by_id: dict[str, Instant] = {}
@@ -87,16 +87,16 @@
     def put(self, backend: BackendServer) -> BackendServer:
         """Add a server or replace its registration; return it with what it has stated itself."""
         if self.is_restart(backend):
-            self._stated_leaving.discard(backend.id)
+            self._announced_leaving.discard(backend.id)
             self._told_at_by_id.pop(backend.id, None)
-        if backend.id in self._stated_leaving:
+        if backend.id in self._announced_leaving:
             backend = replace(backend, leaving=True)
         self._missing_until_by_id.pop(backend.id, None)
         self._last_by_id[backend.id] = self._by_id[backend.id] = backend
         self._ready_by_service.clear()
         return backend
 
-    def stated_leaving(self, backend: BackendServer, now: Instant) -> bool:
+    def record_leaving(self, backend: BackendServer, now: Instant) -> bool:
         """Record that a server has stated to this entry that it is leaving.
 
         Args:
@@ -112,7 +112,7 @@
         self._told_at_by_id.setdefault(backend.id, now)
         return self._mark_leaving(backend.id)
 
-    def stated_leaving_to_peer(self, backend_id: str, started_at: int | None) -> bool:
+    def record_leaving_from_peer(self, backend_id: str, started_at: int | None) -> bool:
         """Record that a server has stated to another entry that it is leaving.
 
         Args:
@@ -140,9 +140,9 @@
         }
 
     def _mark_leaving(self, backend_id: str) -> bool:
-        if backend_id in self._stated_leaving:
+        if backend_id in self._announced_leaving:
             return False
-        self._stated_leaving.add(backend_id)
+        self._announced_leaving.add(backend_id)
         listed = self._by_id.get(backend_id)
         if listed is not None:
             self._by_id[backend_id] = replace(listed, leaving=True)
--- a/packages/ragwortwing-policy/tests/direct/test_backend_list.py
+++ b/packages/ragwortwing-policy/tests/direct/test_backend_list.py
@@ -24,7 +24,7 @@
 def test_statement_outlasts_registrations_and_removals() -> None:
     """Guards against a leaving server that an older list makes available again."""
     backends = listed()
-    assert backends.stated_leaving(SERVER, now=0.0)
+    assert backends.record_leaving(SERVER, now=0.0)
     assert backends.ready("desk") == ()
     assert backends.put(replace(SERVER, slots=7)).leaving
     backends.remove("i-1")
@@ -36,7 +36,7 @@
     """Guards against an answer that arrives while its server's registration has lapsed."""
     backends = listed()
     backends.remove("i-1")
-    assert backends.stated_leaving(SERVER, now=0.0)
+    assert backends.record_leaving(SERVER, now=0.0)
     assert "i-1" not in backends.by_id
     assert backends.put(SERVER).leaving
 
@@ -51,10 +51,10 @@
 def test_statement_ends_with_the_process(later: BackendServer) -> None:
     """Guards against a restarted server that inherits what its former process stated."""
     backends = listed()
-    backends.stated_leaving(SERVER, now=0.0)
+    backends.record_leaving(SERVER, now=0.0)
     assert backends.is_restart(later)
     assert not backends.put(later).leaving
-    assert not backends.stated_leaving(SERVER, now=1.0)
+    assert not backends.record_leaving(SERVER, now=1.0)
     assert backends.ready("desk") == (later,)
     assert backends.leaving_notices(now=1.0) == {}
 
@@ -63,8 +63,8 @@
 def test_statement_to_a_peer_counts(started_at: int | None) -> None:
     """Guards against entries that each have to be told by the server itself."""
     backends = listed()
-    assert backends.stated_leaving_to_peer("i-1", started_at)
-    assert not backends.stated_leaving_to_peer("i-1", started_at)
+    assert backends.record_leaving_from_peer("i-1", started_at)
+    assert not backends.record_leaving_from_peer("i-1", started_at)
     assert backends.ready("desk") == ()
     assert backends.leaving_notices(now=0.0) == {}
 
@@ -72,14 +72,14 @@
 def test_statement_to_a_peer_about_another_process_is_ignored() -> None:
     """Guards against a late status that takes a restarted server out of service."""
     backends = listed()
-    assert not backends.stated_leaving_to_peer("i-1", 900)
-    assert not backends.stated_leaving_to_peer("i-2", None)
+    assert not backends.record_leaving_from_peer("i-1", 900)
+    assert not backends.record_leaving_from_peer("i-2", None)
     assert backends.ready("desk") == (SERVER,)
 
 
 def test_own_statement_is_passed_on_for_a_while() -> None:
     """Guards against statuses that name every server that ever left."""
     backends = listed()
-    backends.stated_leaving(SERVER, now=1.0)
+    backends.record_leaving(SERVER, now=1.0)
     assert backends.leaving_notices(now=1.0) == {"i-1": 1000}
     assert backends.leaving_notices(now=1.0 + LEAVING_NOTICE_LIFETIME) == {}
