--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_admission.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_admission.py
@@ -263,6 +263,7 @@
             request.prompt,
             granted.reading,
             request.waiter.urgency,
+            account=request.account,
         )
         self._reporting.begin(self._pool, run)
 
--- a/platform/src/ragwortwing_platform/events.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/event_splitter.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ragwortwing_entry.direct.ports import AnswerPiece
+from .ports import AnswerPiece
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
@@ -69,6 +69,11 @@
     age: float
     is_read: bool
     exceeded: bool = False
+    account: str | None = None
+    first_event_after: float | None = None
+    longest_gap: float | None = None
+    mean_gap: float | None = None
+    events: int = 0
 
 
 class ReportMessage(msgspec.Struct, frozen=True, array_like=True, tag="r"):
@@ -102,6 +107,8 @@
     zone: str
     pause_target: float | None = None
     unusable_for: dict[str, float] = {}
+    account: str | None = None
+    weight: float = 1.0
 
 
 class WithdrawMessage(msgspec.Struct, frozen=True, array_like=True, tag="w"):
@@ -300,6 +307,8 @@
         zone=request.zone,
         pause_target=request.pause_target,
         unusable_for={key: until - now for key, until in request.unusable_until.items()},
+        account=request.account,
+        weight=request.weight,
     )
 
 
@@ -322,6 +331,8 @@
         zone=message.zone,
         pause_target=message.pause_target,
         unusable_until={key: now + left for key, left in message.unusable_for.items()},
+        account=message.account,
+        weight=message.weight,
     )
 
 
@@ -408,6 +419,11 @@
         round(run.age, 3),
         run.is_read,
         run.exceeded,
+        run.account,
+        _rounded(run.first_event_after),
+        _rounded(run.longest_gap),
+        _rounded(run.mean_gap),
+        run.events,
     )
 
 
@@ -423,4 +439,13 @@
         body.age,
         body.is_read,
         body.exceeded,
+        body.account,
+        body.first_event_after,
+        body.longest_gap,
+        body.mean_gap,
+        body.events,
     )
+
+
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 4)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -212,6 +212,8 @@
             shortest_pause=pauses.shortest.total_seconds() if pauses else None,
             zone=self._state.identity.zone,
             pause_target=_seconds(self._route.pause_target),
+            account=self._account_name,
+            weight=self._account.weight if self._account is not None else 1.0,
         )
 
     def _waiter(self) -> Waiter:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -55,6 +55,10 @@
     unusable_until: Mapping[str, Instant] = field(default_factory=dict)
     """Backend servers that its entry must not use, and until when: backoffs, and servers that its
     entry does not list as ready (inf)."""
+    account: str | None = None
+    """Client account of the request; None on a public route."""
+    weight: float = 1.0
+    """Weight of the account's share of the engines."""
 
     def unusable(self, now: Instant) -> frozenset[str]:
         """Return the backend servers that its entry must not use now."""
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/routing_table.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/routing_table.py
@@ -97,6 +97,8 @@
 
     name: str
     tier: int | None = None
+    weight: float = 1.0
+    """Weight of its share of the engines while requests wait."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/run_report.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/run_report.py
@@ -32,6 +32,16 @@
     """Whether its first event has arrived."""
     exceeded: bool = False
     """Whether its stream had a pause longer than its target."""
+    account: str | None = None
+    """Client account of the request; None on a public route."""
+    first_event_after: float | None = None
+    """Measured seconds from the send to the first event; None before it."""
+    longest_gap: float | None = None
+    """Longest gap in seconds between two events since the last report; None without two events."""
+    mean_gap: float | None = None
+    """Mean of these gaps in seconds."""
+    events: int = 0
+    """Number of these gaps."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/platform/src/ragwortwing_platform/http_connection.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/http_client.py
@@ -6,16 +6,17 @@
 
 import h11
 
-from ragwortwing_runtime.tcp_sockets import RECEIVE_BYTES, connect, is_idle, reset, send_all
-
-from . import headers as names
+from .tcp_sockets import RECEIVE_BYTES, connect, is_idle, reset, send_all
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     import trio
 
-    from .headers import Headers
+    Headers = list[tuple[bytes, bytes]]
+
+
+KEEP_ALIVE = b"keep-alive"
 
 
 class ConnectionLostError(Exception):
@@ -150,8 +151,8 @@
                 raise ConnectionLostError(f"receive: {error.strerror or error}") from error
 
     def _read_idle_limit(self, response: h11.Response) -> None:
-        value = names.first(response.headers, names.KEEP_ALIVE)
-        for token in (value or b"").split(b","):
+        values = [value for name, value in response.headers if name == KEEP_ALIVE]
+        for token in b"".join(values[:1]).split(b","):
             key, _, seconds = token.strip().partition(b"=")
             if key == b"timeout" and seconds.isdigit():
                 self.idle_limit = float(seconds)
