Order requests by whether they can still be sent in time

In an overload of the slots, requests were served in the order of their targets until the target itself had passed. A request now counts as on time only while the predicted first event, with the margin for prediction errors, lies before its target. The test fails on the previous order.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -107,6 +107,8 @@
         self._waiting: dict[str, WaitingRequest] = {}
         self._unread_by_ticket: dict[str, int] = {}
         """Minimum prompt tokens that any engine had to read when the request arrived."""
+        self._first_event_by_ticket: dict[str, float] = {}
+        """Predicted seconds to the first event on an idle engine with most of the prompt cached."""
         self._earliest_by_bound: dict[_Bound, float] = {}
         self._least_planned_by_bound: dict[_Bound, MinPendingPrefill] = {}
 
@@ -121,12 +123,16 @@
         """Add a request to the queue."""
         unread = self._placement.count_arrival(self._placement_request(request, now), now)
         self._unread_by_ticket[request.ticket] = unread
+        self._first_event_by_ticket[request.ticket] = self._placement.first_event_when_idle(
+            self._service, unread, request.waiter.urgency
+        )
         self._waiting[request.ticket] = request
 
     def leave(self, ticket: str) -> None:
         """Remove a request from the queue."""
         self._waiting.pop(ticket, None)
         self._unread_by_ticket.pop(ticket, None)
+        self._first_event_by_ticket.pop(ticket, None)
 
     def is_first(self, ticket: str) -> bool:
         """Return whether no other waiting request is at least as urgent."""
@@ -157,7 +163,11 @@
             The decisions; all other requests keep waiting.
         """
         considered = self._waiting.values() if only is None else (self._waiting[only],)
-        ordered = sorted(considered, key=lambda each: queue_order(each.waiter, now))
+        first_event_by_ticket = self._first_event_by_ticket
+        ordered = sorted(
+            considered,
+            key=lambda each: queue_order(each.waiter, now, first_event_by_ticket[each.ticket]),
+        )
         decisions: list[Granted | Rejected] = []
         self._share = share
         self._clear_bounds()
@@ -266,7 +276,7 @@
     def _due(self, request: WaitingRequest) -> Instant:
         waiter = request.waiter
         first_event_when_idle = self._placement.first_event_when_idle(
-            self._service, request.prompt, waiter.urgency
+            self._service, request.prompt.prompt_tokens, waiter.urgency
         )
         return due_at(waiter, first_event_when_idle)
 
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -23,7 +23,6 @@
     from ragwortwing_policy.clock import Instant
 
     from .backend_list import BackendServer
-    from .prompt_parts import Prompt
     from .routing_table import EngineTraits
 
 BORROW_BEYOND_FRACTION = 0.5
@@ -72,11 +71,11 @@
         """Return the lane split of a service's engines."""
         return self._lanes_by_service.setdefault(service, Lanes())
 
-    def first_event_when_idle(self, service: str, prompt: Prompt, urgency: int) -> float:
-        """Return the seconds to the first event on an idle engine without cached parts."""
+    def first_event_when_idle(self, service: str, unread_tokens: int, urgency: int) -> float:
+        """Return the seconds to the first event on an idle engine that has to read some tokens."""
         rate = self._tokens_per_second(service) or INITIAL_TOKENS_PER_SECOND
         stretch = self.stretch(service).factor(urgency)
-        return stretch * prompt.prompt_tokens / rate + FIRST_EVENT_OVERHEAD
+        return stretch * unread_tokens / rate + FIRST_EVENT_OVERHEAD
 
     def stretch(self, service: str) -> FirstEventRatioEstimator:
         """Return the learned delay of first events on a service's engines."""
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/queue_order.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/queue_order.py
@@ -48,7 +48,27 @@
     """Whether the caller has already received part of the answer."""
 
 
-def queue_order(waiter: Waiter, now: Instant) -> tuple[int, bool, bool, float]:
+def latest_start(waiter: Waiter, first_event_after: float) -> Instant:
+    """Return until when a waiting request can be sent to an idle engine and still be on time.
+
+    When all slots are taken for longer than a latency target, requests are served in the order of
+    their targets, each just before its own. Without the time to the first event, every one of
+    them would be sent too late, although the engines could serve most of them on time.
+
+    Args:
+        waiter: The waiting request.
+        first_event_after: Predicted seconds from the send to the first event on an idle engine. A
+            request that this makes late in any case counts as on time until its target.
+    """
+    needed = (1.0 + PREDICTION_MARGIN) * first_event_after
+    if needed >= waiter.target_at - waiter.arrived_at:
+        return waiter.target_at
+    return waiter.target_at - needed
+
+
+def queue_order(
+    waiter: Waiter, now: Instant, first_event_after: float = 0.0
+) -> tuple[int, bool, bool, float]:
     """Return the sort key of a waiting request; the lowest is served first.
 
     Urgency is strict. Within an urgency, resumed answers come first. Requests that can still be
@@ -59,8 +79,10 @@
         >>> late = Waiter(urgency=1, target_at=0.5, deadline=4.0, arrived_at=0.0)
         >>> queue_order(fresh, now=1.0) < queue_order(late, now=1.0)
         True
+        >>> queue_order(fresh, now=1.9) < queue_order(fresh, now=1.9, first_event_after=0.2)
+        True
     """
-    late = now > waiter.target_at
+    late = now > latest_start(waiter, first_event_after)
     return (waiter.urgency, not waiter.resumed, late, waiter.deadline if late else waiter.target_at)
 
 
