Leave time for the first event when a request waits for a better engine

The wait is now a fraction of the time that remains beside the first event on an idle engine. Long prompts were also placed late by design, because the time that a prompt may wait counted the whole prompt although engines had most of it cached: 321 of 1,700 were predicted late when they were placed. It counts the tokens that are not cached anywhere now.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -121,7 +121,8 @@
 
     def enter(self, request: WaitingRequest, now: Instant) -> None:
         """Add a request to the queue."""
-        unread = self._placement.count_arrival(self._placement_request(request, now), now)
+        arrival = PlacementRequest(self._service, request.prompt, request.waiter.target_at - now)
+        unread = self._placement.count_arrival(arrival, now)
         self._unread_by_ticket[request.ticket] = unread
         self._first_event_by_ticket[request.ticket] = self._placement.first_event_when_idle(
             self._service, unread, request.waiter.urgency
@@ -274,11 +275,7 @@
         )
 
     def _due(self, request: WaitingRequest) -> Instant:
-        waiter = request.waiter
-        first_event_when_idle = self._placement.first_event_when_idle(
-            self._service, request.prompt.prompt_tokens, waiter.urgency
-        )
-        return due_at(waiter, first_event_when_idle)
+        return due_at(request.waiter, self._first_event_by_ticket[request.ticket])
 
     def _placement_request(self, request: WaitingRequest, now: Instant) -> PlacementRequest:
         waiter = request.waiter
@@ -289,7 +286,12 @@
             target,
             waiter.urgency,
             request.shortest_pause,
-            may_wait=may_wait(waiter, now, is_long=request.prompt.is_long),
+            may_wait=may_wait(
+                waiter,
+                now,
+                self._first_event_by_ticket[request.ticket],
+                is_long=request.prompt.is_long,
+            ),
             zone=request.zone,
             pause_target=request.pause_target,
         )
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/queue_order.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/queue_order.py
@@ -113,10 +113,24 @@
     return min(due - margin, waiter.deadline - REFUSAL_LEAD_SECONDS)
 
 
-def may_wait(waiter: Waiter, now: Instant, *, is_long: bool = False) -> bool:
-    """Return whether a request is early enough to wait for a better placement."""
+def may_wait(
+    waiter: Waiter, now: Instant, first_event_after: float = 0.0, *, is_long: bool = False
+) -> bool:
+    """Return whether a request is early enough to wait for a better placement.
+
+    Where the first event takes a large part of the target even on an idle engine, only the rest of
+    the target is available for the wait and for a placement that is not better.
+
+    Args:
+        waiter: The waiting request.
+        now: The current instant.
+        first_event_after: Predicted seconds from the send to the first event on an idle engine.
+        is_long: Whether the request is placed on the engines for long prompts.
+    """
     fraction = EARLY_FRACTION_LONG if is_long else EARLY_FRACTION
-    return now < waiter.arrived_at + fraction * (waiter.target_at - waiter.arrived_at)
+    return now < waiter.arrived_at + fraction * (
+        latest_start(waiter, first_event_after) - waiter.arrived_at
+    )
 
 
 def refuse_after(waiter: Waiter, due: Instant, *, is_long: bool) -> Instant:
--- a/packages/ragwortwing-policy/tests/direct/test_admission_queue.py
+++ b/packages/ragwortwing-policy/tests/direct/test_admission_queue.py
@@ -14,7 +14,12 @@
     WaitingRequest,
 )
 from ragwortwing_policy.direct.placement import Placement
-from ragwortwing_policy.direct.queue_order import Waiter, latest_first_event, retry_after_of
+from ragwortwing_policy.direct.queue_order import (
+    Waiter,
+    latest_first_event,
+    may_wait,
+    retry_after_of,
+)
 
 from .builders import TRAITS, engines, prompt
 
@@ -67,6 +72,31 @@
     assert isinstance(refused, Rejected)
 
 
+def test_a_cached_prompt_does_not_wait_like_one_that_takes_long_to_read() -> None:
+    """Guards against placing long prompts late although the engines have cached most of them."""
+    queue = new_queue()
+    queue.enter(request("first", 9_000, tier=1), 0.0)
+    (granted,) = dispatch(queue, 0.0)
+    assert isinstance(granted, Granted)
+    load = queue._placement.loads_by_id[granted.backend.id]  # noqa: SLF001
+    load.first_event("first", 0.2)
+    load.end("first", 0.3)
+    for number in range(40):
+        queue.enter(request(f"other-{number}", 9_000, tier=0, arrived_at=0.3), 0.3)
+    queue.enter(replace(request("again", 9_000, 1, 0.3), prompt=granted.request.prompt), 0.3)
+    dispatch(queue, 0.3)
+    refused = [each for each in dispatch(queue, 0.95) if each.request.ticket == "again"]
+    assert [type(each) for each in refused] == [Rejected]
+
+
+def test_a_wait_for_a_better_engine_leaves_time_for_the_first_event() -> None:
+    """Guards against a wait that makes a request late wherever it is sent afterwards."""
+    waiter = Waiter(0, 0.3, 15.0, 0.0)
+    assert may_wait(waiter, 0.1)
+    assert may_wait(waiter, 0.03, first_event_after=0.12)
+    assert not may_wait(waiter, 0.1, first_event_after=0.12)
+
+
 def test_a_placement_keeps_a_margin_for_prediction_errors() -> None:
     """Guards against placements that use the whole target: in a burst half of them were slightly
     late."""
