Group losses by account, engine and zone

A table by route does not show that one account, engine or zone loses more than the others. `request losses` takes `--by`, repeatable, and `--summary` prints by group how many requests were on time, late or refused. `request_accepted`, `request_placed` and `request_refused` name the entry's zone; a denied request has the zone of its process. `request explain` states the share and the retry time of a refusal where its line has them; lines of older versions read as before.

`request_refused` logged retry_after as an ISO 8601 duration, while the documentation says seconds: it is now a number. The test failed before.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/commands/inspect.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/commands/inspect.py
@@ -10,7 +10,7 @@
 import httpcore
 import msgspec
 
-from ragwortwing_entry.direct.log_losses import losses
+from ragwortwing_entry.direct.log_losses import Grouping, losses
 from ragwortwing_entry.direct.request_explanation import UnknownRequestError, explain_request
 
 if TYPE_CHECKING:
@@ -71,8 +71,21 @@
 @request.command(name="losses")
 @click.argument("folder", type=click.Path(exists=True, path_type=Path))
 @click.option("--span", default=5.0, show_default=True, help="Seconds of each row.")
+@click.option(
+    "--by",
+    "groupings",
+    multiple=True,
+    type=click.Choice([each.value for each in Grouping]),
+    help="Group by this, besides reason; may be repeated. By default, by route; the summary by "
+    "account.",
+)
+@click.option(
+    "--summary", is_flag=True, help="Print per group how many requests were on time, late, refused."
+)
 @click.option("--csv", "as_csv", is_flag=True, help="Print comma-separated values.")
-def show_losses(folder: Path, span: float, *, as_csv: bool) -> None:
+def show_losses(
+    folder: Path, span: float, groupings: tuple[str, ...], *, summary: bool, as_csv: bool
+) -> None:
     """Show which requests missed their targets, by route, time and reason.
 
     FOLDER contains the logs of one or more processes; a single file is accepted too.
@@ -80,8 +93,17 @@
     if span <= 0:
         raise click.BadParameter("must be above 0", param_hint="--span")
     files = sorted(folder.rglob("*")) if folder.is_dir() else [folder]
-    table = losses(_read_lines([each for each in files if each.is_file()]), span)
-    click.echo(table.to_csv() if as_csv else table.render(), nl=not as_csv)
+    chosen = groupings or (Grouping.ACCOUNT if summary else Grouping.ROUTE,)
+    table = losses(
+        _read_lines([each for each in files if each.is_file()]),
+        span,
+        tuple(Grouping(each) for each in chosen),
+    )
+    if summary:
+        text = table.summary_to_csv() if as_csv else table.render_summary()
+    else:
+        text = table.to_csv() if as_csv else table.render()
+    click.echo(text, nl=not as_csv)
     if table.skipped:
         click.echo(f"{table.skipped} unreadable lines were skipped", err=True)
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_admission.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_admission.py
@@ -233,8 +233,9 @@
                 decision.request.request_id,
                 reason=reason,
                 scheduler=scheduler,
+                zone=self._state.identity.zone,
                 waiting=decision.waiting,
-                retry_after=retry_after,
+                retry_after=round(retry_after.total_seconds(), 3) if retry_after else None,
             )
             return Refused(reason, retry_after)
         self._begin_run(decision, already_counted=scheduler is None)
@@ -274,6 +275,7 @@
             granted.request.request_id,
             backend=granted.backend.id,
             scheduler=scheduler,
+            zone=self._state.identity.zone,
             backlog_ms=round(1000 * granted.backlog),
             unread_tokens=granted.reading.unread_tokens,
             fetch_from=granted.reading.fetch_from.id if granted.reading.fetch_from else None,
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_explanation.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_explanation.py
@@ -123,7 +123,9 @@
     if ended is None:
         return "no end was logged: the process ended first, or log lines were dropped"
     if refused:
-        return f"refused before any send: {refused[-1].get('reason')}"
+        return f"refused before any send: {refused[-1].get('reason')}" + "".join(
+            f"; {each}" for each in _refusal_inputs(refused[-1])
+        )
     if ended.get("outcome") == "answered":
         return _cause_of_answer(ended, own)
     if failures:
@@ -133,6 +135,21 @@
     return f"{ended['outcome']}: {ended.get('conclusion')}"
 
 
+def _refusal_inputs(refused: Fields) -> list[str]:
+    """Describe the share and the retry time of a refusal, as far as its line has them."""
+    inputs = []
+    usage, share = refused.get("usage"), refused.get("share")
+    if usage is not None and share is not None:
+        side = "beyond" if usage > share else "within"
+        account = refused.get("account") or "requests without an account"
+        inputs.append(f"{account} had used {usage}, {side} its share of {share}")
+    if refused.get("is_retry"):
+        inputs.append("it was a retry at its assigned time")
+    if refused.get("retry_after") is not None:
+        inputs.append(f"the caller was told to retry after {refused['retry_after']} s")
+    return inputs
+
+
 def _cause_of_answer(ended: Fields, own: list[Fields]) -> str:
     placed = [line for line in own if line["message"] == "request_placed"]
     if ended.get("kind") != "success":
@@ -155,7 +172,8 @@
 
 @describes("request_placed")
 def _placed(line: Fields) -> str:
-    return f"placed on {line.get('backend')} after waiting {line.get('waited_ms')} ms"
+    placed = f"placed on {line.get('backend')} after waiting {line.get('waited_ms')} ms"
+    return f"{placed}; a retry at its assigned time" if line.get("is_retry") else placed
 
 
 @describes("request_refused")
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -147,6 +147,7 @@
             route=self._route.name,
             service=self._service,
             account=self._account_name,
+            zone=self._state.identity.zone,
             tier=table.tier_of(self._route, self._account),
             urgency=self._urgency,
             version=table.version,
--- a/packages/ragwortwing-entry/tests/direct/test_engine_admission.py
+++ b/packages/ragwortwing-entry/tests/direct/test_engine_admission.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
+import logbook
 import pytest
 import trio
 
@@ -332,11 +333,17 @@
 
 
 async def test_caller_is_told_when_every_engine_rests_for_long(fleet: EntryAndScheduler) -> None:
-    """Guards against callers that are held in vain, or told to return before the rest ends."""
+    """Guards against callers that are held in vain, or told to return before the rest ends.
+
+    The log line of the refusal states the time in seconds, as documented.
+    """
     for server in SERVERS:
         fleet.entry.state.backoff_requested(server, 4.0)
-    with trio.fail_after(0.1):
+    with trio.fail_after(0.1), logbook.TestHandler() as logs:
         refused = await fleet.admit()
     assert isinstance(refused, Refused)
     assert refused.retry_after is not None
     assert refused.retry_after > timedelta(seconds=3.9)
+    (line,) = (each.kwargs for each in logs.records if each.msg == "request_refused")
+    assert line["retry_after"] == pytest.approx(refused.retry_after.total_seconds(), abs=0.001)
+    assert line["zone"] == "suva"
--- a/packages/ragwortwing-entry/tests/direct/test_log_story.py
+++ b/packages/ragwortwing-entry/tests/direct/test_log_story.py
@@ -62,6 +62,40 @@
         explain_request("r-9", BROKEN_OFF)
 
 
+REFUSED_BY_SHARE = {"account": "big", "usage": 12.5, "share": 4.0, "retry_after": 0.8}
+
+
+@pytest.mark.parametrize(
+    ("fields", "cause"),
+    [
+        ({}, ""),
+        (
+            REFUSED_BY_SHARE,
+            "; big had used 12.5, beyond its share of 4.0"
+            "; the caller was told to retry after 0.8 s",
+        ),
+        (
+            REFUSED_BY_SHARE | {"usage": 3.5, "retry_after": None, "is_retry": True},
+            "; big had used 3.5, within its share of 4.0; it was a retry at its assigned time",
+        ),
+    ],
+)
+def test_refusal_is_explained_by_share_and_retry_time(fields: dict[str, Any], cause: str) -> None:
+    """Guards against a refusal whose line names the share, but whose cause does not."""
+    logs = [
+        line("request_refused", 1.0, request_id="r-1", reason="overloaded", **fields),
+        line("request_ended", 1.0, request_id="r-1", outcome="concluded"),
+    ]
+    assert explain_request("r-1", logs).cause == f"refused before any send: overloaded{cause}"
+
+
+def test_placement_of_a_retry_at_its_time_is_named() -> None:
+    """Guards against a timeline that hides why a request went before newer ones."""
+    logs = [line("request_placed", 1.0, request_id="r-1", backend="i-1", is_retry=True)]
+    (shown,) = explain_request("r-1", logs).lines
+    assert "; a retry at its assigned time" in shown.text
+
+
 def test_command_reads_several_files(tmp_path: Path) -> None:
     first, second = tmp_path / "a.log", tmp_path / "b.log"
     first.write_bytes(b"\n".join(BROKEN_OFF[:2]) + b"\n")
