Ignore a rate limit stated by a former process of a server

EntryState.limit_observed was tied to a server's id: a late answer of a former process could limit its successor, or raise its limit. It now takes the server as it was registered at the send, as leaving and backoff do. The check that the latest registration is of the same process existed three times; BackendList.is_latest_process serves all.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -146,8 +146,7 @@
 
     def backoff_requested(self, backend: BackendServer, seconds: float) -> None:
         """Begin a backoff from a backend server whose answer asks for it."""
-        last = self.backends.last_known(backend.id)
-        if last is None or not last.may_be_same_process(backend):
+        if not self.backends.is_latest_process(backend):
             return
         now = self.clock.monotonic()
         until = self.backoffs.begin(backend.id, seconds, now)
@@ -172,13 +171,19 @@
         listed = self.backends.by_id.get(backend_id)
         return None if listed is None else listed.leaving
 
-    def limit_observed(self, backend_id: str, rate: float | None, sent_at: Instant) -> None:
-        """Record the rate limit that a backend server's answer states; None if it states none."""
-        if self.backends.last_known(backend_id) is None:
+    def limit_observed(self, backend: BackendServer, rate: float | None, sent_at: Instant) -> None:
+        """Record the rate limit that a backend server's answer states; None if it states none.
+
+        Args:
+            backend: The server as it was registered when it was sent the request.
+            rate: Requests per second.
+            sent_at: When the request was sent.
+        """
+        if not self.backends.is_latest_process(backend):
             return
-        before = self.limits.rate(backend_id)
-        self.limits.observe(backend_id, rate, sent_at, self.clock.monotonic())
-        self._log_limit(backend_id, before, observed_by=self.identity.name)
+        before = self.limits.rate(backend.id)
+        self.limits.observe(backend.id, rate, sent_at, self.clock.monotonic())
+        self._log_limit(backend.id, before, observed_by=self.identity.name)
 
     def _take_peer_limits(self, status: StatusMessage) -> None:
         now = self.clock.monotonic()
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -261,7 +261,7 @@
         if backend_answer.kind is AnswerKind.ANOTHER_SERVER:
             return
         notice = backend_answer.notice
-        self._state.limit_observed(backend.id, notice.rate_limit, sent_at)
+        self._state.limit_observed(backend, notice.rate_limit, sent_at)
         if notice.is_leaving or notice.retry_after is not None:
             decided(
                 "backend_notice",
--- a/packages/ragwortwing-entry/tests/direct/test_entry_state.py
+++ b/packages/ragwortwing-entry/tests/direct/test_entry_state.py
@@ -20,7 +20,7 @@
     allowance = RepeatAllowance(0.2, 10, timedelta(seconds=10))
     found = EntryState(EntryIdentity("entry", "suva"), allowance, SystemClock())
     found.backend_listed(SERVER)
-    found.limit_observed("i-1", 2.0, sent_at=0.0)
+    found.limit_observed(SERVER, 2.0, sent_at=0.0)
     found.backoff_requested(SERVER, 60.0)
     found.leaving_announced(SERVER)
     return found
@@ -49,7 +49,7 @@
     assert is_kept(state) == (False, False, False)
     server = state.backends.by_id["i-1"]
     state.backend_gone("i-1")
-    state.limit_observed("i-1", 2.0, sent_at=0.0)
+    state.limit_observed(server, 2.0, sent_at=0.0)
     state.backoff_requested(server, 60.0)
     state.leaving_announced(server)
     state.backend_listed(server)
@@ -57,9 +57,22 @@
 
 
 def test_what_a_server_stated_ends_with_its_process(state: EntryState) -> None:
-    """Guards against a restarted server that is held to what its former process stated."""
+    """Guards against a restarted server that is held to what its former process stated.
+
+    A late answer of the former process must not limit its successor either.
+    """
     state.backend_gone("i-1")
     state.backend_listed(replace(SERVER, started_at=2000))
+    state.limit_observed(SERVER, 2.0, sent_at=0.0)
     state.backoff_requested(SERVER, 60.0)
     state.leaving_announced(SERVER)
     assert is_kept(state) == (False, False, False)
+
+
+def test_late_answer_of_a_former_process_leaves_the_limit(state: EntryState) -> None:
+    """Guards against a higher limit of a former process that overloads its successor."""
+    restarted = replace(SERVER, started_at=2000)
+    state.backend_listed(restarted)
+    state.limit_observed(restarted, 2.0, sent_at=0.0)
+    state.limit_observed(SERVER, 9.0, sent_at=0.0)
+    assert state.limits.rate("i-1") == 2.0
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/backend_list.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/backend_list.py
@@ -79,10 +79,18 @@
             self._ready_by_service[service] = found
         return found
 
+    def is_latest_process(self, backend: BackendServer) -> bool:
+        """Return whether the latest registration under a server's id may be by its process.
+
+        An answer can arrive after its server has restarted under the same id; what it states does
+        not hold for the new process. False if the id was never registered.
+        """
+        last = self._last_by_id.get(backend.id)
+        return last is not None and last.may_be_same_process(backend)
+
     def is_restart(self, backend: BackendServer) -> bool:
         """Return whether a registration is by a later process than the one known under its id."""
-        last = self._last_by_id.get(backend.id)
-        return last is not None and not last.may_be_same_process(backend)
+        return backend.id in self._last_by_id and not self.is_latest_process(backend)
 
     def put(self, backend: BackendServer) -> BackendServer:
         """Add a server or replace its registration; return it with what it has stated itself."""
@@ -106,8 +114,7 @@
         Returns:
             Whether this was unknown.
         """
-        last = self._last_by_id.get(backend.id)
-        if last is None or not last.may_be_same_process(backend):
+        if not self.is_latest_process(backend):
             return False
         self._told_at_by_id.setdefault(backend.id, now)
         return self._mark_leaving(backend.id)
@@ -123,7 +130,7 @@
             Whether this was unknown.
         """
         last = self._last_by_id.get(backend_id)
-        if last is None or not last.may_be_same_process(replace(last, started_at=started_at)):
+        if last is None or not self.is_latest_process(replace(last, started_at=started_at)):
             return False
         return self._mark_leaving(backend_id)
 
--- a/packages/ragwortwing-policy/tests/direct/test_backend_list.py
+++ b/packages/ragwortwing-policy/tests/direct/test_backend_list.py
@@ -89,7 +89,9 @@
     backends = listed()
     backends.record_leaving(SERVER, now=0.0)
     assert backends.is_restart(later)
+    assert not backends.is_latest_process(later)
     assert not backends.put(later).leaving
+    assert backends.is_latest_process(later)
     assert not backends.record_leaving(SERVER, now=1.0)
     assert backends.ready("desk") == (later,)
     assert backends.leaving_notices(now=1.0) == {}
@@ -110,6 +112,8 @@
     backends = listed()
     assert not backends.record_leaving_from_peer("i-1", 900)
     assert not backends.record_leaving_from_peer("i-2", None)
+    assert not backends.is_latest_process(replace(SERVER, id="i-2"))
+    assert not backends.is_restart(replace(SERVER, id="i-2"))
     assert backends.ready("desk") == (SERVER,)
 
 
