Soak: an account's burst, callers that read slowly, an engine that slows down

The soak had no case in which requests compete. Three faults, drawn from a random source of their own so that the other faults of a seed stay: one account sends from 50 callers at once, 8 callers read a large answer slowly or not before its deadline, one engine takes 6 times as long. Checks: the usual chats are served during a burst or a slowdown (only with the module of shares or of the engine model), a slow reader does not hold a slot (only with the relay buffer and the contract "pressure", which half of the seeds set), no answer that ended early looks complete, and every engine gets requests again after the faults.

The stand-in of a backend server gets a slowdown factor, a cutoff for unread answers and padded events.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/fault_proxy.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/fault_proxy.py
@@ -52,12 +52,15 @@
 class FaultProxy:
     """Forwards TCP connections to one target and applies the active faults."""
 
-    def __init__(self, target: str | None = None) -> None:
+    def __init__(self, target: str | None = None, buffer: int | None = None) -> None:
         """Create a proxy.
 
         Args:
             target: Address to forward to, as `ip:port`. Connections are reset while it is None.
+            buffer: Bytes that the kernel may hold on each side of the way from the target to a
+                client; by default its choice, some MB on loopback.
         """
+        self._buffer = buffer
         self.faults = Faults()
         self.links: set[Link] = set()
         self.accepted = 0
@@ -117,6 +120,9 @@
         except OSError:
             _reset(client)
             return
+        if self._buffer is not None:
+            target.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._buffer)
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self._buffer)
         link = Link(client, target)
         silent = self.faults.get(FaultKind.SILENT)
         if silent is not None and not silent.existing_only:
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/callers.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/callers.py
@@ -6,8 +6,8 @@
 
 import trio
 
-from ..standins.platform_site import CHAT_PROMPT, DRAFT_PROMPT, Caller
-from .observations import Attempt, Kind, incarnation_name
+from ..standins.platform_site import CHAT_PROMPT, DRAFT_PROMPT, SECOND_KEY, Caller
+from .observations import Attempt, Kind, Role, incarnation_name
 
 if TYPE_CHECKING:
     from random import Random
@@ -33,6 +33,27 @@
 
 Twice the longest timeout of a route."""
 
+BURST_CALLERS = 50
+"""Concurrent callers of a burst; the engines have 24 slots for all."""
+
+BURST_PAUSE = 0.05
+"""Seconds after which a refused caller of a burst sends again."""
+
+SLOW_CALLERS = 8
+"""Callers that read slowly at the same time."""
+
+SLOW_PADDING = 55_000
+"""Bytes in each event of an answer that is read slowly.
+
+The kernels hold about 400 to 600 KB of an answer on its way, and a relay buffer 256 KB: without one
+some of the answers remain unread in part, and with one none do."""
+
+SLOW_RECEIVE_BUFFER = 8_192
+SLOW_READ_SIZE = 4_096
+SLOW_READS = ((0.0, 0.02), (4.0, 0.0))
+"""Seconds before the first read and before each. At the first, an answer ends before its deadline;
+at the second, nothing is read until after it."""
+
 PROMPTS = {Kind.CHAT: CHAT_PROMPT, Kind.DRAFT: DRAFT_PROMPT}
 
 
@@ -81,6 +102,53 @@
             await caller.leave()
         return self.attempts[-1]
 
+    async def burst(self, seconds: float) -> None:
+        """Send chats of the second account from many callers for `seconds`."""
+        end_time = trio.current_time() + seconds
+
+        async def call_until_end() -> None:
+            while trio.current_time() < end_time:
+                attempt = await self._call_as(Role.BURST, {"authorization": f"Token {SECOND_KEY}"})
+                if attempt is None or attempt.response is None or attempt.response.status != 200:
+                    await trio.sleep(BURST_PAUSE)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(BURST_CALLERS):
+                nursery.start_soon(call_until_end)
+
+    async def read_slowly(self) -> None:
+        """Send chats with large answers, which their callers read slowly or not in time."""
+        async with trio.open_nursery() as nursery:
+            for number in range(SLOW_CALLERS):
+                stall, pause = SLOW_READS[number % len(SLOW_READS)]
+                nursery.start_soon(self._call_as, Role.SLOW, {}, stall, pause)
+
+    async def _call_as(
+        self, role: Role, headers: dict[str, str], stall: float = 0.0, pause: float = 0.0
+    ) -> Attempt | None:
+        """Send a chat to an entry on a new connection; None if the entry cannot be reached."""
+        entry = self._random.choice(self._fleet.entries)
+        caller = Caller(entry.callers)
+        path = f"/{Kind.CHAT}/padded-{SLOW_PADDING}" if role is Role.SLOW else f"/{Kind.CHAT}/x"
+        self._count += 1
+        request_id = f"{entry.name}.{role}-{self._count}"
+        process, sent_at = incarnation_name(entry), trio.current_time()
+        try:
+            await caller.open(SLOW_RECEIVE_BUFFER if role is Role.SLOW else None)
+            with trio.move_on_after(ANSWER_TIMEOUT) as scope:
+                await caller.send(path, request_id, headers=CHAT_PROMPT | headers)
+                await trio.sleep(stall)
+                response = await caller.receive(SLOW_READ_SIZE, pause)
+        except (OSError, trio.BrokenResourceError):
+            return None
+        finally:
+            await caller.leave()
+        ended_at = trio.current_time()
+        answer = None if scope.cancelled_caught else response
+        attempt = Attempt(request_id, Kind.CHAT, process, sent_at, ended_at, answer, role)
+        (self.unanswered if answer is None else self.attempts).append(attempt)
+        return attempt
+
     async def _call(
         self,
         caller: Caller,
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/checks.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/checks.py
@@ -8,7 +8,9 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
-from .observations import Kind, Span
+from ..standins.published_backend import event_of
+from .callers import SLOW_PADDING
+from .observations import Kind, Role, Span
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping, Sequence
@@ -73,6 +75,12 @@
     """A backend server gets no requests of an entry that it has told that it is leaving."""
     BACKOFF_KEPT = "backoff_kept"
     """A backend server gets hardly any requests of an entry within a backoff that it requested."""
+    SERVED = "served"
+    """The usual requests are served while another account bursts or an engine is slow."""
+    SLOT_FREED = "slot_freed"
+    """A caller that reads slowly does not keep an engine's slot longer than its answer takes."""
+    USED_AGAIN = "used_again"
+    """After the faults end, every engine gets requests again."""
     LETS_GO = "lets_go"
     """No backend server goes on working for a caller that has disconnected."""
 
@@ -132,7 +140,9 @@
         if stopped_at is None or attempt.response is None:
             continue
         was_affected = attempt.ended_at >= stopped_at >= attempt.sent_at - SERVED_AFTER_STOP_SECONDS
-        if not was_affected or attempt.response.whole or _may_be_cut(attempt, spans):
+        # An answer that is read slowly may end early at its deadline.
+        is_cut = not attempt.response.whole and attempt.role is not Role.SLOW
+        if not was_affected or not is_cut or _may_be_cut(attempt, spans):
             continue
         detail = (
             f"{attempt.kind} {attempt.request_id}, stopped at {stopped_at - attempt.sent_at:.2f} s"
@@ -218,16 +228,17 @@
     if not response.is_stamped:
         return "success without a server stamp"
     if attempt.kind.streams:
-        return _stream_fault(attempt.request_id, response)
+        padding = SLOW_PADDING if attempt.role is Role.SLOW else 0
+        return _stream_fault(attempt.request_id, response, padding)
     expected = {f"{attempt.request_id} by {backend}".encode() for backend in backend_ids}
     return (
         None if response.body in expected or not response.whole else f"body {response.body[:60]!r}"
     )
 
 
-def _stream_fault(request_id: str, response: CallerResponse) -> str | None:
+def _stream_fault(request_id: str, response: CallerResponse, padding: int) -> str | None:
     events = response.body.split(b"\n\n")
-    expected = [b"id: %d\ndata: %s-%d" % (n, request_id.encode(), n) for n in range(STREAM_EVENTS)]
+    expected = [event_of(request_id, n, padding)[:-2] for n in range(STREAM_EVENTS)]
     if response.whole and events != [*expected, b""]:
         return f"unexpected complete stream, {len(events) - 1} events: {response.body[-60:]!r}"
     seen = events[:-1]
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/command.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/command.py
@@ -34,6 +34,13 @@
     show_default=True,
     help="Faults per second that only the answers of backend servers tell.",
 )
+@click.option(
+    "--contention",
+    default=0.2,
+    show_default=True,
+    help="Faults per second under which requests compete: an account's burst, slow callers, a slow "
+    "engine.",
+)
 def soak_command(
     seed: int | None,
     minutes: float,
@@ -43,9 +50,10 @@
     faults: float,
     strains: float,
     notices: float,
+    contention: float,
 ) -> None:
     """Inject random faults into entries of the platform and check their guarantees."""
-    shape = SoakShape(seconds, processes, callers, faults, strains, notices)
+    shape = SoakShape(seconds, processes, callers, faults, strains, notices, contention)
     end_time = time.monotonic() + 60 * minutes
     failed: list[int] = []
     runs = 0
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/fleet.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/fleet.py
@@ -28,7 +28,12 @@
 """Minimum seconds for which a draining backend server goes on serving before it ends."""
 
 DESK_PACE = Pace(work=0.03, slots=20)
-ENGINE_PACE = Pace(work=0.05, events=10, event_gap=0.02, slots=20)
+ENGINE_PACE = Pace(work=0.05, events=10, event_gap=0.02, slots=20, unread_cutoff=2.0)
+
+KERNEL_BUFFER = 16_384
+"""Bytes that the kernel may hold at each socket between an engine and an entry.
+
+By default it holds some MB on loopback, so no answer would ever remain unread."""
 
 
 @dataclass(slots=True)
@@ -90,10 +95,11 @@
             backend_slot.service,
             streams=streams,
             pace=pace,
+            send_buffer=KERNEL_BUFFER,
         )
         scopes = (trio.CancelScope(), trio.CancelScope())
         address = await self.site.nursery.start(_serve_within, scopes[0], backend)
-        proxy = FaultProxy(address)
+        proxy = FaultProxy(address, KERNEL_BUFFER)
         backend.address = await self.site.nursery.start(_serve_within, scopes[1], proxy)
         # Until both listen, a fault on this slot must hit the previous incarnation.
         backend_slot.scopes, backend_slot.proxy = scopes, proxy
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/injector.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/injector.py
@@ -9,6 +9,7 @@
 import trio
 
 from ..standins.faults import Direction, Fault, FaultKind
+from ..standins.platform_site import ENGINES
 from ..standins.published_backend import SERVERS_TOPIC, Misbehaviour
 from ..standins.published_store import StoreMood
 from .fleet import DRAIN_SECONDS, kill_backend
@@ -26,6 +27,7 @@
     from ..fault_proxy import FaultProxy
     from ..standins.platform_site import EntryProcess
     from ..standins.published_backend import PublishedBackend
+    from .callers import Callers
     from .fleet import BackendSlot, Fleet
     from .schedule import PlannedFault
 
@@ -62,6 +64,13 @@
 BACKOFF_SECONDS = 1.5
 """Seconds of a requested backoff, in addition to the fault's drawn duration."""
 
+BURST_SECONDS = 3.0
+"""Seconds of a burst, in addition to the fault's drawn duration."""
+
+SLOWDOWN_FACTOR = 6.0
+SLOWDOWN_SECONDS = 2.0
+"""Seconds for which an engine is slow, in addition to the fault's drawn duration."""
+
 RATE_LIMIT_SECONDS = 6.0
 """Seconds for which a rate limit is announced, in addition to the fault's drawn duration.
 
@@ -82,12 +91,15 @@
 class Injector:
     """Injects scheduled faults into a fleet."""
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(self, fleet: Fleet, callers: Callers) -> None:
         self.fleet = fleet
+        self.callers = callers
         self.injected: list[PlannedFault] = []
         self.cutting_spans: list[Span] = []
         """Time spans of faults that may cut a response."""
         self.disturbances: list[Disturbance] = []
+        self.spans: list[tuple[SoakFault, Span]] = []
+        """Time span of each fault."""
         self.link_spans_by_backend: dict[str, list[Span]] = {}
         """Time spans of faults of the links to backend servers."""
         self._busy_entries: set[int] = set()
@@ -107,6 +119,7 @@
         backend = self.backend_slot(fault).backend
         await _handlers_by_kind[fault.kind](self, fault)
         span = Span(start, trio.current_time())
+        self.spans.append((fault.kind, span))
         if fault.kind in LINK_FAULTS and backend is not None:
             self.link_spans_by_backend.setdefault(backend.id, []).append(span)
         if fault.kind in MAY_CUT_ANSWERS:
@@ -362,3 +375,23 @@
     backend.rate_limit = None
     span = Span(start, trio.current_time())
     injector.fleet.rate_limited_spans.append(RateLimitedSpan(backend, rate, span))
+
+
+@handles(SoakFault.ACCOUNT_BURST)
+async def _account_burst(injector: Injector, fault: PlannedFault) -> None:
+    await injector.callers.burst(BURST_SECONDS + fault.seconds)
+
+
+@handles(SoakFault.SLOW_READERS)
+async def _slow_readers(injector: Injector, _: PlannedFault) -> None:
+    await injector.callers.read_slowly()
+
+
+@handles(SoakFault.ENGINE_SLOWS)
+async def _engine_slows(injector: Injector, fault: PlannedFault) -> None:
+    engines = [each for each in injector.fleet.backend_slots if each.service == ENGINES]
+    backend = engines[fault.target_index % len(engines)].backend
+    assert backend is not None
+    backend.slowdown = SLOWDOWN_FACTOR
+    await trio.sleep(SLOWDOWN_SECONDS + fault.seconds)
+    backend.slowdown = 1.0
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/observations.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/observations.py
@@ -26,6 +26,16 @@
         return self in (Kind.CHAT, Kind.DRAFT)
 
 
+class Role(StrEnum):
+    """Why a request is sent, and how its caller behaves."""
+
+    USUAL = "usual"
+    BURST = "burst"
+    """Part of a burst of the second client account."""
+    SLOW = "slow"
+    """Its large answer is read slowly, or not before its deadline."""
+
+
 @dataclass(frozen=True, slots=True)
 class Span:
     """A time span within the soak test, in seconds of the trio clock."""
@@ -56,6 +66,7 @@
     ended_at: float
     response: CallerResponse | None
     """None if the caller aborted the request or gave up waiting."""
+    role: Role = Role.USUAL
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/runner.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/runner.py
@@ -23,11 +23,24 @@
     check_planned_stops,
     check_runs,
 )
+from .contention_checks import (
+    check_served,
+    check_slots_freed,
+    check_used_again,
+    checked_faults,
+    has_relay_buffer,
+)
 from .fleet import Fleet
 from .injector import Injector
 from .notice_checks import check_backoffs, check_leaving
 from .observations import Kind
-from .schedule import NOTICE_FAULTS, STRESS_FAULTS, PlannedFault, draw_schedule
+from .schedule import (
+    CONTENTION_FAULTS,
+    NOTICE_FAULTS,
+    STRESS_FAULTS,
+    PlannedFault,
+    draw_schedule,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
@@ -56,6 +69,7 @@
     faults_per_second: float = 0.8
     stress_faults_per_second: float = 0.3
     notice_faults_per_second: float = 0.3
+    contention_faults_per_second: float = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,9 +101,12 @@
     schedule = _schedule(random, seed, shape)
     violations: list[SoakViolation] = []
     async with platform_site(folder, GRACE_SECONDS) as site:
+        contracts = Random(f"contracts of {seed}").choice(((), ("pressure",)))
+        site.settings["contracts"] = contracts
         fleet = Fleet(site, random, shape.entries)
         await fleet.start()
-        callers, injector = Callers(fleet, random), Injector(fleet)
+        callers = Callers(fleet, random)
+        injector = Injector(fleet, callers)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 _check_continuously, fleet, callers, violations, nursery.cancel_scope
@@ -114,6 +131,9 @@
                 injector.disturbances,
                 injector.link_spans_by_backend,
             )
+            violations += check_served(callers.attempts, injector.spans, checked_faults())
+            if has_relay_buffer() and "pressure" in contracts:
+                violations += check_slots_freed(callers.attempts, fleet.backends, injector.spans)
     return SoakRun(seed, tuple(injector.injected), _count(callers), tuple(violations))
 
 
@@ -126,7 +146,14 @@
     notice_faults = draw_schedule(
         Random(f"notices of {seed}"), shape.seconds, shape.notice_faults_per_second, NOTICE_FAULTS
     )
-    return tuple(sorted((*faults, *stress_faults, *notice_faults), key=lambda each: each.at))
+    contention_faults = draw_schedule(
+        Random(f"contention of {seed}"),
+        shape.seconds,
+        shape.contention_faults_per_second,
+        CONTENTION_FAULTS,
+    )
+    drawn = (*faults, *stress_faults, *notice_faults, *contention_faults)
+    return tuple(sorted(drawn, key=lambda each: each.at))
 
 
 def run_in_temporary_folder(seed: int, shape: SoakShape) -> SoakRun:
@@ -170,6 +197,8 @@
         if fleet.version > 1 and not await _has_newest(fleet, entry):
             detail = f"{entry.name} does not have version {fleet.version}"
             yield SoakViolation(SoakPromise.IN_FORCE, detail)
+    async for violation in check_used_again(fleet, callers):
+        yield violation
     with trio.move_on_after(RELEASE_TIMEOUT):
         while any(backend.running for backend in fleet.backends):
             await trio.sleep(0.05)
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/schedule.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/schedule.py
@@ -69,6 +69,12 @@
     """One backend server states in its answers that it leaves, is listed as ready, and ends."""
     BACKEND_REQUESTS_BACKOFF = "backend_requests_backoff"
     """One backend server declines the requests of one entry, or of all, and requests a backoff."""
+    ACCOUNT_BURST = "account_burst"
+    """One client account sends many times its usual rate."""
+    SLOW_READERS = "slow_readers"
+    """Some callers read their answers slowly, or stop reading."""
+    ENGINE_SLOWS = "engine_slows"
+    """One engine takes several times as long for each step."""
 
 
 STRESS_FAULTS = (SoakFault.CONFIGURE_LARGE, SoakFault.STORE_LINK_NARROW, SoakFault.BACKEND_LIMITS)
@@ -77,7 +83,12 @@
 NOTICE_FAULTS = (SoakFault.BACKEND_LEAVES_UNLISTED, SoakFault.BACKEND_REQUESTS_BACKOFF)
 """Faults that only the answers of backend servers tell."""
 
-FAILURES = tuple(each for each in SoakFault if each not in STRESS_FAULTS + NOTICE_FAULTS)
+CONTENTION_FAULTS = (SoakFault.ACCOUNT_BURST, SoakFault.SLOW_READERS, SoakFault.ENGINE_SLOWS)
+"""Faults under which requests compete for engines, connections and memory."""
+
+FAILURES = tuple(
+    each for each in SoakFault if each not in STRESS_FAULTS + NOTICE_FAULTS + CONTENTION_FAULTS
+)
 
 DISTURB_ALL_ENTRIES = frozenset(
     {
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/http_server.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/http_server.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import socket
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs, urlsplit
@@ -103,8 +104,18 @@
     faults: Faults,
     port: int,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+    send_buffer: int | None = None,
 ) -> None:
-    """Serve on loopback until cancelled; reports its `ip:port` through `task_status`."""
+    """Serve on loopback until cancelled; reports its `ip:port` through `task_status`.
+
+    Args:
+        handler: Handles each request.
+        faults: The active faults.
+        port: Port to listen on; 0 lets the kernel choose.
+        task_status: Told the address once it listens.
+        send_buffer: Bytes that the kernel may hold for a client; by default its choice, some MB on
+            loopback.
+    """
 
     async def serve_connection(stream: trio.SocketStream) -> None:
         try:
@@ -115,6 +126,8 @@
             await trio.aclose_forcefully(stream)
 
     listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
+    if send_buffer is not None:
+        listeners[0].socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer)
     host, bound_port = listeners[0].socket.getsockname()[:2]
     async with trio.open_nursery() as nursery:
         await nursery.start(trio.serve_listeners, serve_connection, listeners)
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/platform_site.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/platform_site.py
@@ -30,6 +30,11 @@
 OPERATOR_TOPIC = "keyed.op"
 HOST = "bakery.example"
 KEY = "suva-key"
+ETHERNET_SEGMENT = 1_460
+"""Bytes in a TCP segment on an Ethernet network."""
+
+SECOND_KEY = "kazi-key"
+"""Key of a second client account."""
 ENGINES = "engines"
 DESK = "desk"
 UNREACHABLE_ADDRESS = "127.0.0.1:1"
@@ -60,7 +65,10 @@
             {"name": ENGINES, "max_conns": 100, "engine": {"slots": 8, "kv_tokens": 100_000}},
             {"name": DESK, "max_conns": 100},
         ],
-        "tenants": [{"name": "litia", "api_keys": [KEY]}],
+        "tenants": [
+            {"name": "litia", "api_keys": [KEY]},
+            {"name": "kazi", "api_keys": [SECOND_KEY]},
+        ],
         "limits": {
             "header_bytes": 16384,
             "body_bytes": 1_000_000,
@@ -137,9 +145,22 @@
         self.stream: trio.SocketStream | None = None
         self._h11 = h11.Connection(h11.CLIENT)
 
-    async def open(self) -> None:
-        """Open the connection."""
-        self.stream = await trio.open_tcp_stream(self._host, self._port)
+    async def open(self, receive_buffer: int | None = None) -> None:
+        """Open the connection.
+
+        Args:
+            receive_buffer: Bytes that the kernel may hold for this caller; by default its choice,
+                some MB on loopback.
+        """
+        if receive_buffer is None:
+            self.stream = await trio.open_tcp_stream(self._host, self._port)
+            return
+        sock = trio.socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        # The entry's kernel sizes its send buffer by the segment size, 64 KB on loopback.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, ETHERNET_SEGMENT)
+        self.stream = trio.SocketStream(sock)
+        await sock.connect((self._host, self._port))
 
     async def send(
         self,
@@ -172,8 +193,13 @@
         data = (self._h11.send(request) or b"") + (self._h11.send(h11.Data(data=body)) or b"")
         await self.stream.send_all(data + (self._h11.send(h11.EndOfMessage()) or b""))
 
-    async def receive(self) -> CallerResponse:
-        """Receive one response, or the part of it that arrives before the connection ends."""
+    async def receive(self, size: int = 65536, pause: float = 0.0) -> CallerResponse:
+        """Receive one response, or the part of it that arrives before the connection ends.
+
+        Args:
+            size: Most bytes to read at once.
+            pause: Seconds to wait before each read.
+        """
         assert self.stream is not None
         started = trio.current_time()
         head: h11.Response | None = None
@@ -183,7 +209,9 @@
             try:
                 event = self._h11.next_event()
                 if event is h11.NEED_DATA:
-                    self._h11.receive_data(await self.stream.receive_some(65536))
+                    if pause:
+                        await trio.sleep(pause)
+                    self._h11.receive_data(await self.stream.receive_some(size))
                     continue
             except (trio.BrokenResourceError, h11.RemoteProtocolError):
                 break
@@ -264,6 +292,8 @@
     store_address: str
     grace: float = 3.0
     """Seconds that an entry may take to shut down, as `grace_s` in its settings."""
+    settings: dict[str, Any] = field(default_factory=dict)
+    """Top-level settings of the entries, beside or instead of the usual ones."""
     cloud: PublishedCloud | None = None
     """Receives the usage reports; None if the entries have no duties."""
     cloud_address: str = ""
@@ -291,7 +321,7 @@
     async def add_entry(self, name: str = "entry-1", store: str | None = None) -> EntryProcess:
         """Start an entry and wait until it listens, which can be before it is ready."""
         ip = self._ip_by_name.setdefault(name, f"127.0.0.{2 + len(self._ip_by_name)}")
-        settings = _settings(name, ip, store or self.store_address, self.grace)
+        settings = _settings(name, ip, store or self.store_address, self.grace) | self.settings
         settings["inner_ports"] = [self.peer_port, self.peer_port]
         if self.cloud is not None:
             settings["cloud_api"] = {"address": self.cloud_address, "duties": ["usage_report"]}
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
@@ -9,6 +9,8 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from functools import partial
+from math import inf
 from typing import TYPE_CHECKING
 
 import trio
@@ -98,6 +100,10 @@
     """Seconds between two events."""
     slots: int = 8
     """Requests that run at the same time; further ones are refused."""
+    event_bytes: int = 0
+    """Bytes by which each event is padded."""
+    unread_cutoff: float = inf
+    """Seconds after which an answer that remains unread is aborted."""
 
 
 @dataclass(slots=True)
@@ -110,6 +116,8 @@
     streams: bool = False
     pace: Pace = field(default_factory=Pace)
     misbehaviour: Misbehaviour = Misbehaviour.NONE
+    slowdown: float = 1.0
+    """Factor by which every step takes longer than `pace` says."""
     address: str = ""
     rate_limit: str | None = None
     """Value of the `server-limit` header, in requests per second; None sends no header."""
@@ -126,7 +134,11 @@
     declined: list[DeclinedRequest] = field(default_factory=list)
     broken_off: list[str] = field(default_factory=list)
     """Ids of requests whose connection was closed while they ran."""
+    send_buffer: int | None = None
+    """Bytes that the kernel may hold for an answer; None leaves it to the kernel."""
     running: int = 0
+    seconds_by_id: dict[str, float] = field(default_factory=dict)
+    """How long each request that has ended held its slot."""
     faults: Faults = field(default_factory=Faults)
 
     async def serve(
@@ -134,7 +146,8 @@
     ) -> None:
         """Serve on loopback until cancelled; reports its `ip:port` through `task_status`."""
         async with trio.open_nursery() as nursery:
-            self.address = await nursery.start(serve_http, self._handle, self.faults, port)
+            serve = partial(serve_http, send_buffer=self.send_buffer)
+            self.address = await nursery.start(serve, self._handle, self.faults, port)
             task_status.started(self.address)
 
     def announce(self, store: PublishedStore, state: str = "ready", born: int = 1) -> None:
@@ -166,6 +179,7 @@
             self._record_declined(request_id)
             return
         self.running += 1
+        started = trio.current_time()
         self.runs.append(_recorded_run(request_id, request))
         try:
             await self._run(exchange, request_id)
@@ -175,6 +189,7 @@
             raise
         finally:
             self.running -= 1
+            self.seconds_by_id[request_id] = trio.current_time() - started
 
     def _record_declined(self, request_id: str) -> None:
         try:
@@ -191,7 +206,7 @@
     async def _run(self, exchange: Exchange, request_id: str) -> None:
         if self.misbehaviour is Misbehaviour.MUTE:
             await trio.sleep_forever()
-        await trio.sleep(self.pace.work)
+        await trio.sleep(self.pace.work * self.slowdown)
         if self.misbehaviour is Misbehaviour.RESET_BEFORE_HEAD:
             raise ConnectionCutError
         if self.misbehaviour is Misbehaviour.NOT_HTTP:
@@ -227,13 +242,17 @@
         first = int(last) + 1 if last else 0
         head = (*self._answer_headers(request_id), (b"content-type", b"text/event-stream"))
         await exchange.start(200, (*head, (b"transfer-encoding", b"chunked")))
+        padding = self.pace.event_bytes + padding_of(exchange.request.path)
         for number in range(first, self.pace.events):
-            event = b"id: %d\ndata: %s-%d\n\n" % (number, request_id.encode(), number)
+            event = event_of(request_id, number, padding)
             if number - first == 3 and self.misbehaviour in STREAM_RESETTING:
                 await exchange.write(event[: len(event) // 2])
                 raise ConnectionCutError
-            await exchange.write(event)
-            await trio.sleep(self.pace.event_gap)
+            with trio.move_on_after(self.pace.unread_cutoff) as scope:
+                await exchange.write(event)
+            if scope.cancelled_caught:
+                raise ConnectionCutError
+            await trio.sleep(self.pace.event_gap * self.slowdown)
         await exchange.finish()
 
     async def _resume_badly(self, exchange: Exchange, request_id: str) -> bool:
@@ -280,6 +299,17 @@
         return tuple((name, value.encode()) for name, value in values if value is not None)
 
 
+def event_of(request_id: str, number: int, padding: int = 0) -> bytes:
+    """Return an event of a stream."""
+    return b"id: %d\ndata: %s-%d%s\n\n" % (number, request_id.encode(), number, b"." * padding)
+
+
+def padding_of(path: str) -> int:
+    """Return the bytes by which each event is padded for a path that ends in `padded-N`."""
+    _, found, number = path.rpartition("/padded-")
+    return int(number) if found else 0
+
+
 def _recorded_run(request_id: str, request: HttpRequest) -> RecordedRun:
     return RecordedRun(
         request_id, request.path, request.body, request.headers_by_name, trio.current_time()
--- a/packages/ragwortwing-lab/tests/test_soak.py
+++ b/packages/ragwortwing-lab/tests/test_soak.py
@@ -8,12 +8,15 @@
 import pytest
 import trio
 
+from ragwortwing_lab.soak.callers import SLOW_PADDING
 from ragwortwing_lab.soak.checks import SoakPromise, check_answers, check_planned_stops, check_runs
+from ragwortwing_lab.soak.contention_checks import check_served, check_slots_freed
 from ragwortwing_lab.soak.fleet import Fleet, kill_backend
 from ragwortwing_lab.soak.notice_checks import check_backoffs, check_leaving
-from ragwortwing_lab.soak.observations import Attempt, Disturbance, Kind, Span
+from ragwortwing_lab.soak.observations import Attempt, Disturbance, Kind, Role, Span
 from ragwortwing_lab.soak.runner import SoakShape, run_soak
 from ragwortwing_lab.soak.schedule import (
+    CONTENTION_FAULTS,
     NOTICE_FAULTS,
     STRESS_FAULTS,
     SoakFault,
@@ -24,6 +27,7 @@
     DeclinedRequest,
     PublishedBackend,
     RecordedRun,
+    event_of,
 )
 
 if TYPE_CHECKING:
@@ -108,6 +112,71 @@
     assert (found == []) is is_sound
 
 
+def make_chats(
+    failed: int, served: int = 18, role: Role = Role.USUAL, at: float = 2.0
+) -> list[Attempt]:
+    answers = [CallerResponse(200, {}, b"", True, 0.1)] * served
+    answers += [CallerResponse(503, {}, b"", True, 0.1)] * failed
+    return [Attempt("r", Kind.CHAT, "entry-0/1", at, at, answer, role) for answer in answers]
+
+
+BURST = (SoakFault.ACCOUNT_BURST, Span(0.0, 5.0))
+
+
+@pytest.mark.parametrize(
+    ("attempts", "others", "is_sound"),
+    [
+        (make_chats(failed=3), (), False),
+        (make_chats(failed=2), (), True),
+        (make_chats(failed=3, role=Role.BURST), (), True),
+        (make_chats(failed=3, at=0.5), (), True),
+        (make_chats(failed=3, at=5.5), (), True),
+        (make_chats(failed=3, served=6), (), True),
+        (make_chats(failed=3), ((SoakFault.ACCOUNT_BURST, Span(1.0, 6.0)),), False),
+        (make_chats(failed=3), ((SoakFault.KILL_ENTRY, Span(-4.0, -1.0)),), True),
+    ],
+)
+def test_usual_requests_must_be_served_during_a_burst(
+    attempts: list[Attempt], others: tuple[tuple[SoakFault, Span], ...], is_sound: bool
+) -> None:
+    kinds = frozenset({SoakFault.ACCOUNT_BURST})
+    assert (list(check_served(attempts, (BURST, *others), kinds)) == []) is is_sound
+    assert list(check_served(attempts, (BURST, *others), frozenset())) == []
+
+
+@pytest.mark.parametrize(
+    ("held", "role", "others", "is_sound"),
+    [
+        (1.1, Role.SLOW, (), False),
+        (0.9, Role.SLOW, (), True),
+        (1.1, Role.USUAL, (), True),
+        (1.1, Role.SLOW, ((SoakFault.ENGINE_SLOWS, Span(0.0, 2.0)),), True),
+    ],
+)
+def test_slow_caller_must_not_hold_a_slot(
+    held: float, role: Role, others: tuple[tuple[SoakFault, Span], ...], is_sound: bool
+) -> None:
+    backend = PublishedBackend("i-1", "engines", seconds_by_id={"r": held})
+    attempts = make_chats(failed=0, served=1, role=role)
+    assert (list(check_slots_freed(attempts, [backend], others)) == []) is is_sound
+
+
+def test_answer_that_is_read_slowly_must_not_look_complete() -> None:
+    """Guards against an answer that was aborted at its deadline and ends like a complete one."""
+    events = b"".join(event_of("r", number, SLOW_PADDING) for number in range(10))
+    for body, whole, is_sound in (
+        (events, True, True),
+        (events[:200_000], False, True),
+        (events[: len(events) // 2], True, False),
+    ):
+        headers = {"x-server-stamp": "s"}
+        answer = CallerResponse(200, headers, body, whole, 0.1)
+        attempt = Attempt("r", Kind.CHAT, "entry-0/1", 0.0, 4.0, answer, Role.SLOW)
+        assert (list(check_answers([attempt], frozenset())) == []) is is_sound
+        # An answer that is read slowly may end at its deadline while its entry stops.
+        assert list(check_planned_stops([attempt], {"entry-0/1": 2.0}, ())) == []
+
+
 def make_told_attempts(told_at: float, sent_at: float, entry: str) -> list[Attempt]:
     headers = {"server-leaving": "1", "x-server-stamp": "stamp.i-1"}
     told = CallerResponse(200, headers, b"", True, 0.1)
@@ -181,7 +250,9 @@
     assert faults == draw_schedule(Random(5), 300.0, 0.8)
     stress_faults = draw_schedule(Random(5), 300.0, 0.8, STRESS_FAULTS)
     notice_faults = draw_schedule(Random(5), 300.0, 0.8, NOTICE_FAULTS)
-    assert {each.kind for each in (*faults, *stress_faults, *notice_faults)} == set(SoakFault)
+    contention_faults = draw_schedule(Random(5), 300.0, 0.8, CONTENTION_FAULTS)
+    drawn = (*faults, *stress_faults, *notice_faults, *contention_faults)
+    assert {each.kind for each in drawn} == set(SoakFault)
     assert len(faults) > 1.3 * 0.8 * 300
 
 
@@ -217,6 +288,7 @@
         faults_per_second=0.0,
         stress_faults_per_second=1.5,
         notice_faults_per_second=0.0,
+        contention_faults_per_second=0.0,
     )
     result = await run_soak(3, shape, tmp_path)
     assert result.violations == (), result.render()
@@ -231,7 +303,23 @@
         faults_per_second=0.0,
         stress_faults_per_second=0.0,
         notice_faults_per_second=1.5,
+        contention_faults_per_second=0.0,
     )
     result = await run_soak(3, shape, tmp_path)
     assert result.violations == (), result.render()
     assert {each.kind for each in result.injected} == set(NOTICE_FAULTS)
+
+
+async def test_soak_with_contention_has_no_violations(tmp_path: Path) -> None:
+    shape = SoakShape(
+        8.0,
+        entries=2,
+        callers=8,
+        faults_per_second=0.0,
+        stress_faults_per_second=0.0,
+        notice_faults_per_second=0.0,
+        contention_faults_per_second=0.5,
+    )
+    result = await run_soak(8, shape, tmp_path)
+    assert result.violations == (), result.render()
+    assert {each.kind for each in result.injected} == set(CONTENTION_FAULTS)
