--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -147,6 +147,7 @@
             route=self._route.name,
             service=self._service,
             account=self._account_name,
+            zone=self._state.identity.zone,
             tier=table.tier_of(self._route, self._account),
             urgency=self._urgency,
             version=table.version,
@@ -260,7 +261,7 @@
         if backend_answer.kind is AnswerKind.ANOTHER_SERVER:
             return
         notice = backend_answer.notice
-        self._state.limit_observed(backend.id, notice.rate_limit, sent_at)
+        self._state.limit_observed(backend, notice.rate_limit, sent_at)
         if notice.is_leaving or notice.retry_after is not None:
             decided(
                 "backend_notice",
