Divide a pool's engines between client accounts while requests wait

While requests wait they were ordered by target alone, so an account at many times its rate took engines in proportion to what it sent.

The admission queue now keeps the decayed usage and demand of each account in predicted engine seconds, and orders requests beyond the weighted max-min share of their account after the others of their urgency that can be on time. Order alone had little effect: the backlog of an engine and the time that a request has left shrink together, so a request that finds every engine filled up to its own limit never fits later. Requests beyond their share therefore use half of their time in the backlog. They are also refused once the measured rate of grants shows that they cannot be placed in time.

Runs are charged at the grant, credited for what they did not use when they end, and adopted from run reports by a new scheduler. Log lines and metrics name usage and share. Without client accounts nothing changes.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/decision_log.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/decision_log.py
@@ -6,10 +6,14 @@
 
 from __future__ import annotations
 
-from typing import Any
+from math import isfinite
+from typing import TYPE_CHECKING, Any
 
 import logbook
 
+if TYPE_CHECKING:
+    from ragwortwing_policy.direct.account_shares import Standing
+
 _log = logbook.Logger("decision")
 
 
@@ -31,3 +35,14 @@
     if request_id:
         inputs["request_id"] = request_id
     _log.warning(decision, **inputs)
+
+
+def standing_fields(standing: Standing | None) -> dict[str, Any]:
+    """Return the log fields of an account's usage and share; none without client accounts.
+
+    While the engines suffice for all accounts no share is in force, and none is logged.
+    """
+    if standing is None:
+        return {}
+    share = round(standing.share, 3) if isfinite(standing.share) else None
+    return {"account_usage": round(standing.usage, 3), "account_share": share}
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
@@ -159,9 +159,7 @@
         """Record the end of a call; calls to plain services have no ticket and are not tracked."""
         if not ticket:
             return
-        load = self.state.placement.loads_by_id.get(backend_id)
-        if load is not None:
-            load.end(ticket, self.state.clock.monotonic())
+        self.state.placement.end(backend_id, ticket, self.state.clock.monotonic())
         self._reporting.end(service, ticket, failed=failed)
         self._notify(service)
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_admission.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_admission.py
@@ -12,11 +12,12 @@
 
 import trio
 
+from ragwortwing_policy.direct.account_shares import RunCost
 from ragwortwing_policy.direct.admission_queue import Granted, Rejected, WaitingRequest
 from ragwortwing_policy.direct.run_report import ReportedRun
 from ragwortwing_policy.outcomes import NotRunReason
 
-from .decision_log import decided
+from .decision_log import decided, standing_fields
 from .peer_messages import (
     Decision,
     DecisionMessage,
@@ -139,13 +140,9 @@
 
     def _release_grants(self, request: WaitingRequest, decisions: list[Granted | Rejected]) -> None:
         for decision in decisions:
-            load = (
-                self._state.placement.loads_by_id.get(decision.backend.id)
-                if isinstance(decision, Granted)
-                else None
-            )
-            if load is not None:
-                load.end(request.ticket, self._state.clock.monotonic())
+            if isinstance(decision, Granted):
+                now = self._state.clock.monotonic()
+                self._state.placement.end(decision.backend.id, request.ticket, now)
 
     async def _request_decision(
         self, scheduler: str, request: WaitingRequest
@@ -235,6 +232,8 @@
                 scheduler=scheduler,
                 waiting=decision.waiting,
                 retry_after=retry_after,
+                account=decision.request.account,
+                **standing_fields(decision.standing),
             )
             return Refused(reason, retry_after)
         self._begin_run(decision, already_counted=scheduler is None)
@@ -256,7 +255,12 @@
         traits = self._state.engine_traits(self._pool)
         if not already_counted and traits is not None:
             load = self._state.placement.load(granted.backend, traits)
-            load.begin(request.ticket, request.prompt, granted.reading, now, request.waiter.urgency)
+            cost = RunCost.on(load, granted.reading, request.prompt)
+            urgency = request.waiter.urgency
+            self._state.placement.shares.began(
+                self._pool, request.ticket, request.account, urgency, cost, now
+            )
+            load.begin(request.ticket, request.prompt, granted.reading, now, urgency)
         run = ReportedRun(
             request.ticket,
             granted.backend.id,
@@ -280,4 +284,6 @@
             running=granted.running,
             waited_ms=round(1000 * (self._state.clock.monotonic() - waiter.arrived_at)),
             first_event_in_ms=round(1000 * granted.first_event_after),
+            account=granted.request.account,
+            **standing_fields(granted.standing),
         )
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
@@ -125,6 +125,7 @@
         yield self._rate_limits()
         yield self._fencing_tokens()
         yield self._waiting_by_urgency()
+        yield from self._account_shares()
 
     def _feed_ages(self, now: Instant) -> Metric:
         family = GaugeMetricFamily(
@@ -190,6 +191,39 @@
             family.add_metric((str(urgency),), count)
         return family
 
+    def _account_shares(self) -> Iterator[Metric]:
+        """Yield the use of each pool's engines by the accounts that use most of them."""
+        labels = ("service", "urgency", "account")
+        usage = GaugeMetricFamily(
+            "ragwortwing_account_usage",
+            "Part of the engine time lately granted in an urgency that an account got.",
+            labels=labels,
+        )
+        share = GaugeMetricFamily(
+            "ragwortwing_account_share",
+            "Part of that time that an account may use before others go first.",
+            labels=labels,
+        )
+        refusals = CounterMetricFamily(
+            "ragwortwing_share_refusals",
+            "Requests refused while they waited for an engine, within or beyond their share.",
+            labels=("service", "standing"),
+        )
+        weights = CounterMetricFamily(
+            "ragwortwing_account_weights_ignored",
+            "Requests whose account's weight is not a positive number.",
+            labels=("service",),
+        )
+        for service, pool in self._entry.state.placement.shares.by_pool.items():
+            for urgency, standing in pool.largest():
+                names = (service, str(urgency), standing.account)
+                usage.add_metric(names, standing.usage)
+                share.add_metric(names, standing.share)
+            for name, count in pool.refusals.items():
+                refusals.add_metric((service, name), count)
+            weights.add_metric((service,), pool.invalid_weights)
+        yield from (usage, share, refusals, weights)
+
     def _by_service(self, name: str, text: str, value: Callable[[str], float]) -> Metric:
         family = GaugeMetricFamily(name, text, labels=("service",))
         table = self._entry.state.table
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -96,6 +96,7 @@
         if self.table is not None and table.version <= self.table.version:
             return False
         self.table = table
+        self.placement.shares.enabled = bool(table.accounts_by_key)
         decided("configuration_in_force", version=table.version, routes=len(table.routes))
         return True
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from ragwortwing_policy.direct.account_shares import SHARED_ACCOUNT, Standing
 from ragwortwing_policy.direct.admission_queue import Granted, Rejected, WaitingRequest
 from ragwortwing_policy.direct.engine_load import PrefillPlan
 from ragwortwing_policy.direct.peer_status import PeerStatus
@@ -183,6 +184,8 @@
     retry_after: float | None = None
     no_engine: bool = False
     waiting: int = 0
+    account_usage: float | None = None
+    account_share: float | None = None
 
 
 PeerMessage = (
@@ -340,6 +343,7 @@
     decision: Granted | Rejected, sender: str, pool: str, ticket: str
 ) -> DecisionMessage:
     """Return the message for a scheduler's decision."""
+    standing = decision.standing
     if isinstance(decision, Rejected):
         after = decision.retry_after
         return DecisionMessage(
@@ -350,6 +354,8 @@
             retry_after=None if after is None else after.total_seconds(),
             no_engine=decision.no_engine,
             waiting=decision.waiting,
+            account_usage=standing.usage if standing else None,
+            account_share=standing.share if standing else None,
         )
     reading = decision.reading
     return DecisionMessage(
@@ -364,6 +370,8 @@
         backlog=decision.backlog,
         running=decision.running,
         first_event_after=decision.first_event_after,
+        account_usage=standing.usage if standing else None,
+        account_share=standing.share if standing else None,
     )
 
 
@@ -375,6 +383,7 @@
         retry_after=None if after is None else timedelta(seconds=after),
         no_engine=message.no_engine,
         waiting=message.waiting,
+        standing=_standing_of(message, request),
     )
 
 
@@ -393,9 +402,17 @@
         backlog=message.backlog,
         running=message.running,
         first_event_after=message.first_event_after,
+        standing=_standing_of(message, request),
     )
 
 
+def _standing_of(message: DecisionMessage, request: WaitingRequest) -> Standing | None:
+    usage, share = message.account_usage, message.account_share
+    if usage is None or share is None:
+        return None
+    return Standing(request.account or SHARED_ACCOUNT, usage, share)
+
+
 def _prompt_body(prompt: Prompt) -> PromptBody:
     parts = tuple((each.id, each.tokens) for each in prompt.parts)
     return PromptBody(
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/queue_dispatcher.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/queue_dispatcher.py
@@ -13,6 +13,8 @@
     WaitingRequest,
 )
 
+from .decision_log import warned
+
 if TYPE_CHECKING:
     from collections import Counter
     from collections.abc import Callable, Sequence
@@ -57,6 +59,7 @@
         """
         self._callbacks_by_ticket[request.ticket] = on_decision
         self._queue.enter(request, self._state.clock.monotonic())
+        self._log_invalid_weights()
         if self._queue.is_first(request.ticket):
             self._dispatch(only=request.ticket)
         self.notify()
@@ -71,6 +74,11 @@
         if len(self._queue):
             self._load_changed.set()
 
+    def _log_invalid_weights(self) -> None:
+        shares = self._state.placement.shares.by_pool.get(self._service)
+        for account, weight in shares.take_invalid_weights().items() if shares else ():
+            warned("account_weight_ignored", pool=self._service, account=account, weight=weight)
+
     async def run(self) -> None:
         """Dispatch repeatedly while requests wait, until cancelled."""
         while True:
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
@@ -16,6 +16,7 @@
 from math import ceil
 from random import Random
 
+from ragwortwing_policy.direct.account_shares import PoolShares
 from ragwortwing_policy.direct.admission_queue import (
     AdmissionQueue,
     Granted,
@@ -114,6 +115,19 @@
     factor: float
 
 
+@dataclass(frozen=True, slots=True)
+class AccountLoad:
+    """A client account and its part of the arrivals."""
+
+    name: str
+    part: float
+    """Part of each kind's base rate."""
+    begins: float = 0.0
+    ends: float = 0.0
+    factor: float = 1.0
+    """Multiple of its rate from `begins` to `ends`."""
+
+
 @dataclass(frozen=True, slots=True)
 class Replay:
     """Workload and fleet of one simulation."""
@@ -136,6 +150,11 @@
     """Maximum retries of a caller that is refused with a retry time."""
     pauses_declared: bool = True
     """Whether the placement decisions are given the pause targets."""
+    accounts: tuple[AccountLoad, ...] = ()
+    """Client accounts, each with arrivals of its own that do not depend on the others'; without
+    them all requests are of no account."""
+    new_shares: Callable[[], PoolShares] | None = PoolShares
+    """Creates the shares of the accounts; None for no shares."""
 
     def pause_targets(self) -> PauseTargets | None:
         """Return the pause targets given to the placement decisions, or None."""
@@ -245,11 +264,13 @@
     kind: RequestKind
     prompt: Prompt
     arrived_at: float
+    account: str | None = None
     retries: int = 0
     last_event_at: float | None = None
     first_event_after: float = 0.0
     longest_pause: float = 0.0
     is_served: bool = False
+    is_on_time: bool = False
 
 
 @dataclass(slots=True)
@@ -289,7 +310,8 @@
     """
     fleet = _make_fleet(replay)
     for kind in replay.kinds:
-        fleet.at(0.0, _arrivals(fleet, kind))
+        for account in replay.accounts or (None,):
+            fleet.at(0.0, _arrivals(fleet, kind, account))
     for entry in fleet.entries:
         fleet.at(0.0, _dispatch_loop(fleet, entry))
         if replay.scheduled and entry is not fleet.entries[0]:
@@ -316,6 +338,10 @@
 
 def _make_entry(fleet: _Fleet, name: str) -> _Entry:
     placement = Placement()
+    new_shares = fleet.replay.new_shares
+    if fleet.replay.accounts and new_shares is not None:
+        placement.shares.enabled = True
+        placement.shares.by_pool[SERVICE] = new_shares()
     servers_by_id = {each.id: each for each in fleet.servers}
     traits = _traits(fleet.replay)
     ledger = RunLedger(placement, FailureTracker(), lambda key: (servers_by_id[key], traits))
@@ -342,26 +368,38 @@
     return rate
 
 
-def _arrivals(fleet: _Fleet, kind: RequestKind) -> Callable[[float], None]:
+def _arrivals(
+    fleet: _Fleet, kind: RequestKind, account: AccountLoad | None
+) -> Callable[[float], None]:
+    random = fleet.random
+    name = account.name if account is not None else None
+    if account is not None:
+        random = Random(f"{fleet.replay.seed}/{account.name}/{kind.name}")
+
+    def rate(now: float) -> float:
+        base = _rate(fleet.replay, kind, now)
+        if account is None:
+            return base
+        return base * account.part * (account.factor if account.begins <= now < account.ends else 1)
+
     def arrive(now: float) -> None:
         if now >= fleet.replay.length:
             return
-        fleet.at(now + fleet.random.expovariate(_rate(fleet.replay, kind, now)), arrive)
-        request = _Request(kind, _prompt(fleet, kind), now)
+        fleet.at(now + random.expovariate(rate(now)), arrive)
+        request = _Request(kind, _prompt(fleet, kind, random), now, name)
         ticket = f"{kind.name}-{next(fleet.sequence)}"
         fleet.requests_by_ticket[ticket] = request
         fleet.results_by_kind[kind.name].offered += 1
         fleet.results_by_kind[kind.name].requests.append(request)
         if fleet.replay.placing is Placing.OURS:
-            _receive_request(fleet, fleet.random.choice(fleet.entries), ticket, now)
+            _receive_request(fleet, random.choice(fleet.entries), ticket, now)
         else:
             _submit_to_engine(fleet, None, ticket, _baseline_choice(fleet), now)
 
     return arrive
 
 
-def _prompt(fleet: _Fleet, kind: RequestKind) -> Prompt:
-    random = fleet.random
+def _prompt(fleet: _Fleet, kind: RequestKind, random: Random) -> Prompt:
     session = random.randrange(kind.sessions)
     own = max(20, int(random.lognormvariate(0.0, 0.8) * kind.prompt_tokens / 1.38))
     parts = (
@@ -399,6 +437,7 @@
         waiter,
         shortest_pause=pauses.shortest.total_seconds() if pauses else None,
         pause_target=kind.pause,
+        account=request.account,
     )
     scheduler.admission_queue.enter(waiting, now)
     _dispatch(fleet, scheduler, now)
@@ -426,7 +465,14 @@
         prompt, urgency = decision.request.prompt, decision.request.waiter.urgency
         load = entry.placement.load(decision.backend, _traits(fleet.replay))
         load.begin(ticket, prompt, decision.reading, now, urgency)
-        run = ReportedRun(ticket, decision.backend.id, prompt, decision.reading, urgency)
+        run = ReportedRun(
+            ticket,
+            decision.backend.id,
+            prompt,
+            decision.reading,
+            urgency,
+            account=decision.request.account,
+        )
         entry.reporter.begin(run, now)
         _start(fleet, entry, ticket, decision, now)
 
@@ -522,7 +568,7 @@
 
     def on_end(at: float) -> None:
         if load is not None and entry is not None:
-            load.end(ticket, at)
+            entry.placement.end(f"i-{number}", ticket, at)
             entry.reporter.end(ticket, failed=False)
         _record_result(fleet, request, at)
 
@@ -553,6 +599,7 @@
     request.is_served = True
     if request.first_event_after <= kind.target and request.longest_pause <= kind.pause:
         result.on_time += 1
+        request.is_on_time = True
         result.worth += kind.worth
     else:
         result.late += 1
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -11,11 +11,13 @@
 
 from ragwortwing_policy.clock import Instant
 
+from .account_shares import RunCost, Standing
 from .backend_list import BackendServer
 from .engine_load import PrefillPlan
 from .placement_request import MinPendingPrefill, NotPlaced, Placed, PlacementRequest
 from .prompt_parts import Prompt
 from .queue_order import (
+    WITHIN_SHARE,
     Waiter,
     due_at,
     latest_first_event,
@@ -24,12 +26,14 @@
     queue_order,
     refuse_after,
     retry_after_of,
+    target_beyond_share,
 )
 from .rate_limits import RateLimits
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from .account_shares import Shares
     from .placement import Placement
     from .routing_table import EngineTraits
 
@@ -77,6 +81,8 @@
     running: int
     """Requests on the engine before this one."""
     first_event_after: float
+    standing: Standing | None = None
+    """Usage and share of the request's account; None without client accounts."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +94,8 @@
     no_engine: bool
     """Whether the service has no engine at all, as opposed to being overloaded."""
     waiting: int
+    standing: Standing | None = None
+    """Usage and share of the request's account; None without client accounts."""
 
 
 _Bound = tuple[int, frozenset[str]]
@@ -113,18 +121,37 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
+    @property
+    def _shares(self) -> Shares:
+        return self._placement.shares.pool(self._service)
+
     def waiting_by_urgency(self) -> Counter[int]:
         """Return the number of waiting requests of each urgency."""
         return Counter(each.waiter.urgency for each in self._waiting.values())
 
     def enter(self, request: WaitingRequest, now: Instant) -> None:
         """Add a request to the queue."""
-        unread = self._placement.count_arrival(self._placement_request(request, now), now)
+        unread = self._placement.count_arrival(
+            self._placement_request(request, now, self._due(request)), now
+        )
         self._unread_by_ticket[request.ticket] = unread
         self._waiting[request.ticket] = request
+        if self._placement.shares.enabled:
+            self._shares.arrived(
+                request.ticket,
+                request.account,
+                request.weight,
+                request.waiter.urgency,
+                self._placement.run_cost(self._service, request.prompt, unread),
+                now,
+            )
 
     def leave(self, ticket: str) -> None:
-        """Remove a request from the queue."""
+        """Remove a request that needs no decision any more from the queue."""
+        self._shares.left(ticket)
+        self._remove(ticket)
+
+    def _remove(self, ticket: str) -> None:
         self._waiting.pop(ticket, None)
         self._unread_by_ticket.pop(ticket, None)
 
@@ -158,24 +185,72 @@
         """
         considered = self._waiting.values() if only is None else (self._waiting[only],)
         ordered = sorted(considered, key=lambda each: queue_order(each.waiter, now))
+        rank_by_ticket = self._ranks(ordered, now)
+        if rank_by_ticket:
+            ordered.sort(
+                key=lambda each: queue_order(
+                    each.waiter, now, rank_by_ticket.get(each.ticket, WITHIN_SHARE)
+                )
+            )
         decisions: list[Granted | Rejected] = []
         self._share = share
         self._clear_bounds()
+        ahead_by_urgency: defaultdict[int, float] = defaultdict(float)
         for request in ordered:
-            decision = self._decide(request, traits, engines_for(request), now)
+            beyond = request.ticket in rank_by_ticket
+            decision = self._decide(request, traits, engines_for(request), now, beyond=beyond)
+            if decision is None and rank_by_ticket:
+                decision = self._refuse_early(request, rank_by_ticket, ahead_by_urgency, now)
             if decision is not None:
-                self.leave(request.ticket)
+                self._remove(request.ticket)
                 decisions.append(decision)
+        if only is None:
+            self._shares.passed(self.waiting_by_urgency(), now)
         return decisions
 
+    def _ranks(self, ordered: Sequence[WaitingRequest], now: Instant) -> Mapping[str, float]:
+        """Return the ranks of requests beyond their account's share; resumed answers have none.
+
+        A request that finds nobody waiting is ranked as well while the engines are contended:
+        otherwise the account that sends most would fill every engine between two passes.
+        """
+        if len(ordered) < 2 and not self._shares.is_contended(now):
+            return {}
+        tickets = (each.ticket for each in ordered if not each.waiter.resumed)
+        return self._shares.ranks(tickets, now)
+
+    def _refuse_early(
+        self,
+        request: WaitingRequest,
+        rank_by_ticket: Mapping[str, float],
+        ahead_by_urgency: defaultdict[int, float],
+        now: Instant,
+    ) -> Rejected | None:
+        """Refuse a request beyond its account's share that would be refused later anyway.
+
+        Those furthest beyond their share are last in the order, so they are refused first. Their
+        callers have more time left for a retry.
+        """
+        urgency = request.waiter.urgency
+        if request.ticket in rank_by_ticket:
+            wait = self._shares.wait_seconds(request.ticket, ahead_by_urgency[urgency], now)
+            until = refuse_after(request.waiter, self._due(request), is_long=request.prompt.is_long)
+            if wait and must_refuse(request.waiter, until, now + wait):
+                return self._reject(request, no_engine=False, now=now)
+        ahead_by_urgency[urgency] += self._shares.seconds(request.ticket)
+        return None
+
     def _decide(
         self,
         request: WaitingRequest,
         traits: EngineTraits | None,
         engines: Sequence[BackendServer],
         now: Instant,
+        *,
+        beyond: bool,
     ) -> Granted | Rejected | None:
-        until = refuse_after(request.waiter, self._due(request), is_long=request.prompt.is_long)
+        due = self._due(request)
+        until = refuse_after(request.waiter, due, is_long=request.prompt.is_long)
         unusable = request.unusable(now)
         no_engine = traits is None or not (engines or unusable)
         if no_engine or traits is None or must_refuse(request.waiter, until, now):
@@ -188,7 +263,7 @@
         engines = self._limits.admitting(engines, now, self._share)
         if not engines:
             return None
-        placement_request = self._placement_request(request, now)
+        placement_request = self._placement_request(request, now, due, beyond=beyond)
         unread = self._unread_by_ticket[request.ticket]
         if not request.avoid and self._cannot_be_placed(
             placement_request, unread, engines, traits, now, unusable
@@ -250,7 +325,10 @@
             backlog=load.backlog(now, request.waiter.urgency),
             running=load.running,
             first_event_after=found.first_event_after,
+            standing=self._shares.standing(request.account, request.waiter.urgency),
         )
+        cost = RunCost.on(load, found.reading, request.prompt)
+        self._shares.granted(request.ticket, cost, now)
         load.begin(request.ticket, request.prompt, found.reading, now, request.waiter.urgency)
         self._limits.spend(found.backend.id)
         return granted
@@ -261,18 +339,26 @@
             retry_after=retry_after_of(request.waiter, now),
             no_engine=no_engine,
             waiting=len(self._waiting),
+            standing=self._shares.refused(request.ticket),
         )
 
     def _due(self, request: WaitingRequest) -> Instant:
-        waiter = request.waiter
-        first_event_when_idle = self._placement.first_event_when_idle(
-            self._service, request.prompt, waiter.urgency
+        return due_at(request.waiter, self._first_event_when_idle(request))
+
+    def _first_event_when_idle(self, request: WaitingRequest) -> float:
+        return self._placement.first_event_when_idle(
+            self._service, request.prompt, request.waiter.urgency
         )
-        return due_at(waiter, first_event_when_idle)
 
-    def _placement_request(self, request: WaitingRequest, now: Instant) -> PlacementRequest:
+    def _placement_request(
+        self, request: WaitingRequest, now: Instant, due: Instant, *, beyond: bool = False
+    ) -> PlacementRequest:
         waiter = request.waiter
-        target = latest_first_event(waiter, self._due(request)) - now
+        latest = latest_first_event(waiter, due)
+        target = latest - now
+        if beyond:
+            idle = self._first_event_when_idle(request)
+            target = min(target, target_beyond_share(latest - waiter.arrived_at, idle))
         return PlacementRequest(
             self._service,
             request.prompt,
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ._engine_choice import EngineChoice, earlier, place_long_prompt
+from .account_shares import AccountShares, RunCost
 from .engine_load import (
     FIRST_EVENT_OVERHEAD,
     INITIAL_TOKENS_PER_SECOND,
@@ -39,6 +40,7 @@
         self._lanes_by_service: dict[str, Lanes] = {}
         self._stretch_by_service: dict[str, FirstEventRatioEstimator] = {}
         self._budgets: dict[tuple[str, int], PrefillBudget] = {}
+        self.shares = AccountShares()
 
     def load(self, backend: BackendServer, traits: EngineTraits) -> EngineLoad:
         """Return the load of an engine; a new engine is idle."""
@@ -78,6 +80,21 @@
         stretch = self.stretch(service).factor(urgency)
         return stretch * prompt.prompt_tokens / rate + FIRST_EVENT_OVERHEAD
 
+    def run_cost(self, service: str, prompt: Prompt, unread_tokens: int) -> RunCost:
+        """Return the predicted engine time of a request that is not placed yet."""
+        loads = [load for load in self.loads_by_id.values() if load.service == service]
+        if not loads:
+            return RunCost(unread_tokens / INITIAL_TOKENS_PER_SECOND, prompt.output_tokens, 1)
+        rate = sum(load.tokens_per_second for load in loads) / len(loads)
+        return RunCost(unread_tokens / rate, prompt.output_tokens, loads[0].traits.slots)
+
+    def end(self, backend_id: str, ticket: str, now: Instant) -> None:
+        """Remove a request that no longer runs, and correct what its account was charged."""
+        load = self.loads_by_id.get(backend_id)
+        if load is not None:
+            load.end(ticket, now)
+        self.shares.ended(ticket, now)
+
     def stretch(self, service: str) -> FirstEventRatioEstimator:
         """Return the learned delay of first events on a service's engines."""
         return self._stretch_by_service.setdefault(service, FirstEventRatioEstimator())
@@ -93,6 +110,7 @@
         if load is not None and run is not None:
             took = now - run.sent_at - FIRST_EVENT_OVERHEAD
             self.stretch(load.service).learn(run.urgency, run.predicted, took)
+            self.shares.first_event(load.service, ticket, now)
         return run
 
     def pause_exceeded(self, backend_id: str, ticket: str, now: Instant) -> None:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/queue_order.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/queue_order.py
@@ -34,6 +34,16 @@
 """Minimum delay after which a refused caller is asked to retry."""
 
 
+BEYOND_SHARE_FRACTION = 0.5
+"""Fraction of its time in queue and backlog that a request beyond its account's share may use. An
+engine's backlog and the time that a request has left shrink together, so a request that finds every
+engine's backlog at its own limit never fits later. The rest of the backlog is kept for requests
+within their share; engines stay busy meanwhile."""
+
+WITHIN_SHARE = 0.0
+"""Rank of a request whose account is within its share of the engines."""
+
+
 @dataclass(frozen=True, slots=True)
 class Waiter:
     """The properties of a waiting request that determine its position."""
@@ -48,11 +58,19 @@
     """Whether the caller has already received part of the answer."""
 
 
-def queue_order(waiter: Waiter, now: Instant) -> tuple[int, bool, bool, float]:
+def queue_order(
+    waiter: Waiter, now: Instant, beyond_share: float = WITHIN_SHARE
+) -> tuple[int, bool, bool, float, float]:
     """Return the sort key of a waiting request; the lowest is served first.
 
     Urgency is strict. Within an urgency, resumed answers come first. Requests that can still be
-    on time follow, by target, and then late requests, by deadline.
+    on time follow, by target, and then late requests, by deadline. Among either, requests within
+    their account's share precede those beyond it, which follow by how far they are beyond it.
+
+    Args:
+        waiter: The waiting request.
+        now: The current instant.
+        beyond_share: How far the request is beyond its account's share.
 
     Example:
         >>> fresh = Waiter(urgency=1, target_at=2.0, deadline=9.0, arrived_at=1.0)
@@ -61,7 +79,8 @@
         True
     """
     late = now > waiter.target_at
-    return (waiter.urgency, not waiter.resumed, late, waiter.deadline if late else waiter.target_at)
+    until = waiter.deadline if late else waiter.target_at
+    return (waiter.urgency, not waiter.resumed, late, beyond_share, until)
 
 
 def due_at(waiter: Waiter, first_event_when_idle: float) -> Instant:
@@ -91,6 +110,17 @@
     return min(due - margin, waiter.deadline - REFUSAL_LEAD_SECONDS)
 
 
+def target_beyond_share(target: float, first_event_when_idle: float) -> float:
+    """Return the latest predicted first event for a request beyond its account's share.
+
+    Args:
+        target: Seconds from now to the latest predicted first event of a new request of its kind.
+        first_event_when_idle: Seconds to its first event on an otherwise idle engine.
+    """
+    spare = max(0.0, target - first_event_when_idle)
+    return first_event_when_idle + BEYOND_SHARE_FRACTION * spare
+
+
 def may_wait(waiter: Waiter, now: Instant, *, is_long: bool = False) -> bool:
     """Return whether a request is early enough to wait for a better placement."""
     fraction = EARLY_FRACTION_LONG if is_long else EARLY_FRACTION
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/run_ledger.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/run_ledger.py
@@ -7,6 +7,8 @@
 
 from ragwortwing_policy.clock import Instant
 
+from .account_shares import RunCost
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -153,6 +155,14 @@
             run.urgency,
             is_read=run.is_read,
         )
+        self._placement.shares.began(
+            report.pool,
+            run_key(report.sender, run.ticket),
+            run.account,
+            run.urgency,
+            RunCost.on(load, run.reading, run.prompt),
+            now - run.age,
+        )
         lanes = self._placement.lanes(report.pool)
         lanes.count(run.reading.unread_tokens, is_long=run.prompt.is_long, now=now)
         sender.runs_by_ticket[run.ticket] = _Run(run.backend_id, now, reported=True)
@@ -177,9 +187,8 @@
 
     def _end(self, name: str, sender: _Sender, ticket: str, now: Instant) -> None:
         run = sender.runs_by_ticket.pop(ticket, None)
-        load = self._placement.loads_by_id.get(run.backend_id) if run is not None else None
-        if load is not None:
-            load.end(run_key(name, ticket), now)
+        if run is not None:
+            self._placement.end(run.backend_id, run_key(name, ticket), now)
 
     def _drop(self, pool: str, name: str, now: Instant) -> None:
         sender = self._senders_by_pool.pop((pool, name))
