Merge the shares of client accounts

Within an urgency and while requests wait, engine time is divided by weighted max-min fairness in predicted engine seconds.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/queue_order.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/queue_order.py
@@ -34,6 +34,16 @@
 """Minimum delay after which a refused caller is asked to retry."""
 
 
+BEYOND_SHARE_FRACTION = 0.5
+"""Fraction of its time in queue and backlog that a request beyond its account's share may use. An
+engine's backlog and the time that a request has left shrink together, so a request that finds every
+engine's backlog at its own limit never fits later. The rest of the backlog is kept for requests
+within their share; engines stay busy meanwhile."""
+
+WITHIN_SHARE = 0.0
+"""Rank of a request whose account is within its share of the engines."""
+
+
 @dataclass(frozen=True, slots=True)
 class Waiter:
     """The properties of a waiting request that determine its position."""
@@ -48,6 +58,10 @@
     """Whether the caller has already received part of the answer."""
 
 
+QueueOrder = tuple[int, bool, bool, float, bool, float]
+"""Sort key of a waiting request."""
+
+
 def latest_start(waiter: Waiter, first_event_after: float) -> Instant:
     """Return until when a waiting request can be sent to an idle engine and still be on time.
 
@@ -67,12 +81,23 @@
 
 
 def queue_order(
-    waiter: Waiter, now: Instant, first_event_after: float = 0.0
-) -> tuple[int, bool, bool, float]:
+    waiter: Waiter,
+    now: Instant,
+    first_event_after: float = 0.0,
+    beyond_share: float = WITHIN_SHARE,
+) -> QueueOrder:
     """Return the sort key of a waiting request; the lowest is served first.
 
-    Urgency is strict. Within an urgency, resumed answers come first. Requests that can still be
-    on time follow, by target, and then late requests, by deadline.
+    Urgency is strict. Within an urgency, resumed answers come first. Requests whose target has not
+    passed follow, by target, and then late requests, by deadline. Among either, requests within
+    their account's share precede those beyond it, which follow by how far they are beyond it, and
+    requests that can still be on time precede those that no engine could answer before the target.
+
+    Args:
+        waiter: The waiting request.
+        now: The current instant.
+        first_event_after: Predicted seconds from the send to the first event on an idle engine.
+        beyond_share: How far the request is beyond its account's share.
 
     Example:
         >>> fresh = Waiter(urgency=1, target_at=2.0, deadline=9.0, arrived_at=1.0)
@@ -82,8 +107,10 @@
         >>> queue_order(fresh, now=1.9) < queue_order(fresh, now=1.9, first_event_after=0.2)
         True
     """
-    late = now > latest_start(waiter, first_event_after)
-    return (waiter.urgency, not waiter.resumed, late, waiter.deadline if late else waiter.target_at)
+    late = now > waiter.target_at
+    until = waiter.deadline if late else waiter.target_at
+    unreachable = now > latest_start(waiter, first_event_after)
+    return (waiter.urgency, not waiter.resumed, late, beyond_share, unreachable, until)
 
 
 def due_at(waiter: Waiter, first_event_when_idle: float) -> Instant:
@@ -113,6 +140,17 @@
     return min(due - margin, waiter.deadline - REFUSAL_LEAD_SECONDS)
 
 
+def target_beyond_share(target: float, first_event_when_idle: float) -> float:
+    """Return the latest predicted first event for a request beyond its account's share.
+
+    Args:
+        target: Seconds from now to the latest predicted first event of a new request of its kind.
+        first_event_when_idle: Seconds to its first event on an otherwise idle engine.
+    """
+    spare = max(0.0, target - first_event_when_idle)
+    return first_event_when_idle + BEYOND_SHARE_FRACTION * spare
+
+
 def may_wait(
     waiter: Waiter, now: Instant, first_event_after: float = 0.0, *, is_long: bool = False
 ) -> bool:
