--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_explanation.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_explanation.py
@@ -138,18 +138,25 @@
 def _refusal_inputs(refused: Fields) -> list[str]:
     """Describe the share and the retry time of a refusal, as far as its line has them."""
     inputs = []
-    usage, share = refused.get("usage"), refused.get("share")
+    usage = refused.get("account_usage", refused.get("usage"))
+    share = refused.get("account_share", refused.get("share"))
     if usage is not None and share is not None:
         side = "beyond" if usage > share else "within"
         account = refused.get("account") or "requests without an account"
         inputs.append(f"{account} had used {usage}, {side} its share of {share}")
-    if refused.get("is_retry"):
+    if _is_retry(refused):
         inputs.append("it was a retry at its assigned time")
+    elif refused.get("retry_recognized") == "early":
+        inputs.append("it was a retry before its assigned time")
     if refused.get("retry_after") is not None:
         inputs.append(f"the caller was told to retry after {refused['retry_after']} s")
     return inputs
 
 
+def _is_retry(line: Fields) -> bool:
+    return bool(line.get("is_retry")) or line.get("retry_recognized") == "on_time"
+
+
 def _cause_of_answer(ended: Fields, own: list[Fields]) -> str:
     placed = [line for line in own if line["message"] == "request_placed"]
     if ended.get("kind") != "success":
@@ -173,7 +180,7 @@
 @describes("request_placed")
 def _placed(line: Fields) -> str:
     placed = f"placed on {line.get('backend')} after waiting {line.get('waited_ms')} ms"
-    return f"{placed}; a retry at its assigned time" if line.get("is_retry") else placed
+    return f"{placed}; a retry at its assigned time" if _is_retry(line) else placed
 
 
 @describes("request_refused")
--- a/packages/ragwortwing-entry/tests/direct/test_log_story.py
+++ b/packages/ragwortwing-entry/tests/direct/test_log_story.py
@@ -78,6 +78,12 @@
             REFUSED_BY_SHARE | {"usage": 3.5, "retry_after": None, "is_retry": True},
             "; big had used 3.5, within its share of 4.0; it was a retry at its assigned time",
         ),
+        (
+            {"account_usage": 0.4, "account_share": 0.3, "retry_recognized": "early"},
+            "; requests without an account had used 0.4, beyond its share of 0.3"
+            "; it was a retry before its assigned time",
+        ),
+        ({"account_usage": 0.4, "account_share": None, "retry_recognized": "unknown"}, ""),
     ],
 )
 def test_refusal_is_explained_by_share_and_retry_time(fields: dict[str, Any], cause: str) -> None:
