--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -252,6 +252,7 @@
             first_event_after=found.first_event_after,
         )
         load.begin(request.ticket, request.prompt, found.reading, now, request.waiter.urgency)
+        load.placed(request.ticket)
         self._limits.spend(found.backend.id)
         return granted
 
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
@@ -9,6 +9,7 @@
 from ragwortwing_policy.clock import Instant
 
 from .backend_list import BackendServer
+from .memory_guard import RetainedTokens, fits_engine
 from .prompt_parts import PartCache, Prompt, PromptPart
 from .routing_table import LEAST_URGENT_TIER, EngineTraits
 from .unread_prompts import UnreadPrompts
@@ -76,6 +77,8 @@
     read: bool = False
     exceeded: bool = False
     """Whether its stream had a pause longer than its target."""
+    by_share: bool = False
+    """Whether this entry placed it while it had only a share of the engine's memory."""
 
 
 @dataclass(slots=True)
@@ -97,6 +100,12 @@
     """Running requests with short prompts."""
     memory_tokens: int = 0
     """Tokens of memory that the running requests occupy when they end."""
+    memory_share: float | None = None
+    """Fraction of the free memory that this entry may commit; None without the memory guard."""
+    share_tokens: int = 0
+    """Tokens of the running requests that this entry placed while it had only a share."""
+    retained: RetainedTokens = field(default_factory=RetainedTokens)
+    """Tokens of lost runs that the engine may still hold; only with the memory guard."""
     _unread: UnreadPrompts = field(default_factory=UnreadPrompts)
     _sent: deque[tuple[Instant, float]] = field(default_factory=lambda: deque(maxlen=SENDS_KEPT))
     """Recent sends with their seconds of prefill."""
@@ -185,8 +194,29 @@
         if not self.has_slot(urgency):
             return False
         open_memory = self.traits.memory_tokens * self._open_fraction(urgency)
+        if self.memory_share is not None:
+            return self._fits_share(prompt.memory_tokens, open_memory, self.memory_share)
         return self.memory_tokens + prompt.memory_tokens <= open_memory
 
+    def _fits_share(self, tokens: int, open_memory: float, share: float) -> bool:
+        # A request of almost the whole memory would otherwise never fit, as every rank but the
+        # most urgent leaves a part of the engine free.
+        capacity = int(open_memory) if self.running else self.traits.memory_tokens
+        return fits_engine(
+            tokens,
+            capacity=capacity,
+            committed=self.memory_tokens + self.retained.total,
+            by_share=self.share_tokens,
+            share=share,
+        )
+
+    def placed(self, ticket: str) -> None:
+        """Record that this entry has decided on the placement of a request that has begun."""
+        run = self.runs_by_ticket.get(ticket)
+        if run is not None and self.memory_share is not None and self.memory_share < 1.0:
+            run.by_share = True
+            self.share_tokens += run.memory_tokens
+
     def _open_fraction(self, urgency: int) -> float:
         return 1.0 - min(MAXIMUM_RESERVED, urgency * RESERVED_PER_RANK)
 
@@ -253,12 +283,22 @@
         self._learn_rate(run, now)
         return run
 
-    def end(self, ticket: str, now: Instant) -> None:
-        """Remove a request that no longer runs; its prefill is cancelled if it was not read."""
+    def end(self, ticket: str, now: Instant, retain_for: float = 0.0) -> None:
+        """Remove a request that no longer runs; its prefill is cancelled if it was not read.
+
+        Args:
+            ticket: The request's name on this engine.
+            now: The current instant.
+            retain_for: Seconds for which the engine may still hold its memory.
+        """
         run = self.runs_by_ticket.pop(ticket, None)
         if run is None:
             return
+        if retain_for > 0.0 and self.memory_share is not None:
+            self.retained.add(run.memory_tokens, now + retain_for)
         self.memory_tokens -= run.memory_tokens
+        if run.by_share:
+            self.share_tokens -= run.memory_tokens
         self.short_running -= not run.is_long
         if not run.read:
             self.cache.drop_unread(run.parts)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/run_ledger.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/run_ledger.py
@@ -7,6 +7,8 @@
 
 from ragwortwing_policy.clock import Instant
 
+from .memory_guard import REPORTS_WITHIN, RETAINED_AFTER_LOSS
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -41,6 +43,8 @@
     started: int
     heard_at: Instant
     number: int = 0
+    whole_at: Instant | None = None
+    """When its last whole report was received."""
     runs_by_ticket: dict[str, _Run] = field(default_factory=dict)
 
 
@@ -92,10 +96,21 @@
         for ended in report.ended:
             self._process_end(report.sender, sender, ended, now)
         if report.whole:
+            sender.whole_at = now
             named = {each.ticket for each in report.runs}
             changed |= self._end_missing(report.sender, sender, named, now)
         return changed
 
+    def reported(self, pool: str, now: Instant) -> frozenset[str]:
+        """Return the entries whose whole report on a pool is recent."""
+        return frozenset(
+            name
+            for (of_pool, name), sender in self._senders_by_pool.items()
+            if of_pool == pool
+            and sender.whole_at is not None
+            and now - sender.whole_at <= SENDER_SILENCE
+        )
+
     def withdraw(self, pool: str, sender: str, ticket: str, now: Instant) -> None:
         """Revoke a grant that its entry does not use."""
         state = self._senders_by_pool.get((pool, sender))
@@ -113,7 +128,8 @@
                 continue
             for ticket, run in list(sender.runs_by_ticket.items()):
                 if not run.reported and now - run.granted_at > GRANT_EXPIRY:
-                    self._end(name, sender, ticket, now)
+                    # Its entry may use the grant although all of its reports were lost so far.
+                    self._end(name, sender, ticket, now, REPORTS_WITHIN - GRANT_EXPIRY)
         return tuple(silent)
 
     def _sender(self, pool: str, name: str, started: int, now: Instant) -> _Sender:
@@ -159,7 +175,7 @@
         return True
 
     def _process_end(self, name: str, sender: _Sender, ended: EndedRun, now: Instant) -> None:
-        self._end(name, sender, ended.ticket, now)
+        self._end(name, sender, ended.ticket, now, RETAINED_AFTER_LOSS if ended.failed else 0.0)
         if ended.failed:
             self._trust.failed(ended.backend_id, now)
         else:
@@ -175,13 +191,15 @@
             self._end(name, sender, ticket, now)
         return bool(gone)
 
-    def _end(self, name: str, sender: _Sender, ticket: str, now: Instant) -> None:
+    def _end(
+        self, name: str, sender: _Sender, ticket: str, now: Instant, retain_for: float = 0.0
+    ) -> None:
         run = sender.runs_by_ticket.pop(ticket, None)
         load = self._placement.loads_by_id.get(run.backend_id) if run is not None else None
         if load is not None:
-            load.end(run_key(name, ticket), now)
+            load.end(run_key(name, ticket), now, retain_for)
 
     def _drop(self, pool: str, name: str, now: Instant) -> None:
         sender = self._senders_by_pool.pop((pool, name))
         for ticket in list(sender.runs_by_ticket):
-            self._end(name, sender, ticket, now)
+            self._end(name, sender, ticket, now, RETAINED_AFTER_LOSS)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/outcomes.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/outcomes.py
@@ -51,6 +51,10 @@
     """The caller disconnected before the request was sent."""
     UNCONFIGURED = "unconfigured"
     """The process has no configuration yet."""
+    TOO_LARGE = "too_large"
+    """The prompt and its longest answer exceed the memory of an engine."""
+    ENTRY_PRESSURE = "entry_pressure"
+    """The entry is short of processor time or memory and sheds the least urgent tier."""
 
 
 class UnknownReason(StrEnum):
