--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
@@ -55,6 +55,7 @@
     offset_by_duty: dict[str, int] = {}
     limits_by_backend: dict[str, tuple[float | None, float]] = {}
     started_at_by_leaving_backend: dict[str, int | None] = {}
+    pressure: float = 0.0
 
 
 class RunBody(msgspec.Struct, frozen=True, array_like=True):
@@ -215,6 +216,7 @@
         dict(status.offset_by_duty),
         {key: (each.rate, round(each.age, 3)) for key, each in status.limits_by_backend.items()},
         dict(status.started_at_by_leaving_backend),
+        status.pressure,
     )
 
 
@@ -234,6 +236,7 @@
             key: LimitNotice(*each) for key, each in message.limits_by_backend.items()
         },
         started_at_by_leaving_backend=message.started_at_by_leaving_backend,
+        pressure=message.pressure,
     )
 
 
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_status.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_status.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from .backend_list import BackendList
+from .entry_pressure import AVOID_AT
 from .rate_limits import LimitNotice, RateLimits
 from .scheduler_choice import Candidate
 
@@ -53,6 +54,8 @@
     """Rate limits of backend servers that it has observed recently."""
     started_at_by_leaving_backend: Mapping[str, int | None] = field(default_factory=dict)
     """Start in Unix ms of backend servers that have recently stated to it that they are leaving."""
+    pressure: float = 0.0
+    """How short the entry is of processor time or memory, from 0 to 1; 0 if unknown."""
 
 
 class StatusExchange:
@@ -78,6 +81,8 @@
         self._limits = limits if limits is not None else RateLimits()
         self._backends = backends if backends is not None else BackendList()
         self._announced_limits = 0
+        self.pressure = 0.0
+        """This entry's pressure as reported to the others; 0 if it does not measure any."""
         self._schedules_since: Instant | None = None
         self._sent: PeerStatus | None = None
         self._sent_at: Instant = 0.0
@@ -89,8 +94,11 @@
         elif self._schedules_since is None:
             self._schedules_since = now
         since = self._schedules_since
-        own = None if since is None else Candidate(self._name, self._capacity, now - since, now)
-        self._choice.offer(own)
+        if since is None:
+            self._choice.offer(None)
+            return
+        uptime = now - since
+        self._choice.offer(Candidate(self._name, self._capacity, uptime, now, self.pressure))
 
     def due(self, now: Instant) -> PeerStatus | None:
         """Return the status to send if the interval has passed or a relevant value has changed."""
@@ -121,6 +129,7 @@
             offset_by_duty=dict(self._candidates.offset_by_duty),
             limits_by_backend=self._limits.notices(now),
             started_at_by_leaving_backend=self._backends.leaving_notices(now),
+            pressure=self.pressure,
         )
 
     def take(self, status: PeerStatus, now: Instant) -> None:
@@ -131,7 +140,7 @@
             self._choice.withdraw(status.sender)
         else:
             self._choice.update_from_peer(
-                Candidate(status.sender, status.capacity, status.uptime, now)
+                Candidate(status.sender, status.capacity, status.uptime, now, status.pressure)
             )
         self._watch.peer_reported(
             status.sender,
@@ -156,4 +165,5 @@
             status.can_hold_duties,
             status.positions_by_feed if watches else None,
             frozenset(status.started_at_by_leaving_backend),
+            status.pressure >= AVOID_AT,
         )
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/routing_table.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/routing_table.py
@@ -192,6 +192,11 @@
             return account.tier
         return route.tier
 
+    @property
+    def least_urgent_tier(self) -> int:
+        """The least urgent tier of any request."""
+        return max((tier for tier, _ in self._urgency_by_tiers), default=0)
+
     def urgency_of(self, route: Route, account: ClientAccount | None) -> int:
         """Return the rank of a request among those on the engines; 0 is the most urgent.
 
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/scheduler_choice.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/scheduler_choice.py
@@ -10,6 +10,7 @@
 
 from ragwortwing_policy.clock import Instant
 
+from .entry_pressure import AVOID_AT
 from .lanes import rank
 
 PEER_SILENCE = 1.8
@@ -39,6 +40,13 @@
     uptime: float
     """Seconds since the entry became able to schedule."""
     heard_at: Instant
+    pressure: float = 0.0
+    """How short it is of processor time or memory, from 0 to 1; 0 if unknown."""
+
+    @property
+    def is_pressed(self) -> bool:
+        """Whether it is avoided while another candidate is available."""
+        return self.pressure >= AVOID_AT
 
 
 class SchedulerChoice:
@@ -65,13 +73,14 @@
 
     def offer(self, own: Candidate | None) -> None:
         """Set this entry's own candidacy; None if it cannot schedule."""
-        if (own is None) != (self._own is None):
+        if (own is None) != (self._own is None) or _is_pressed(own) != _is_pressed(self._own):
             self._ranked_by_pool.clear()
         self._own = own
 
     def update_from_peer(self, peer: Candidate) -> None:
         """Record the candidacy of a peer."""
-        if peer.name not in self._peers_by_name:
+        known = self._peers_by_name.get(peer.name)
+        if known is None or known.is_pressed != peer.is_pressed:
             self._ranked_by_pool.clear()
         self._peers_by_name[peer.name] = peer
 
@@ -114,7 +123,9 @@
         ready = [each for each in ready if each.capacity >= MINIMUM_CAPACITY_RATIO * largest]
         ready.sort(key=lambda each: rank(pool, each.name))
         settled = [each for each in ready if each.uptime + now - each.heard_at >= SETTLED_AFTER]
-        ranked = (_names(settled or ready), _names(ready))
+        # The hysteresis is in the pressure that an entry reports, so all entries avoid the same.
+        calm = [each for each in settled if not each.is_pressed]
+        ranked = (_names(calm or settled or ready), _names(ready))
         self._ranked_by_pool[pool] = (now + CHOICE_LIFETIME, *ranked)
         return ranked
 
@@ -129,5 +140,9 @@
         return candidate is self._own or now - candidate.heard_at < PEER_SILENCE
 
 
+def _is_pressed(candidate: Candidate | None) -> bool:
+    return candidate is not None and candidate.is_pressed
+
+
 def _names(candidates: list[Candidate]) -> tuple[str, ...]:
     return tuple(each.name for each in candidates)
