Relay answers through a bounded buffer and shed load under pressure

A caller that read slowly held the engine's slot until it had read the last event, and a backend server aborts an answer that remains unread for some seconds. With the platform's rules on memory in force the entry reads as fast as the engine sends. What the caller's connection does not take at once is held, up to 256 KB for an answer and a tenth of the process's memory for all answers and request bodies; beyond a bound the entry stops reading. While a caller reads, nothing is held and no task runs. The engine's slot and the run end with the engine's last event. At the deadline a caller that has not read is reset.

The kernel's user timeout also ended connections of callers that paused for 2.5 s; caller connections now have none in this mode, as the request's deadline bounds the wait, and a send buffer of 64 KB.

A request larger than an engine's memory is refused at once.

Without the setting nothing changes.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
@@ -7,6 +7,8 @@
 
 import trio
 
+from ragwortwing_policy.direct.memory_guard import RETAINED_AFTER_LOSS
+
 from .decision_log import decided, warned
 from .engine_pool import EnginePool
 from .entry_counters import EntryCounters
@@ -22,10 +24,12 @@
     report_of,
 )
 from .plain_admission import PlainAdmission
+from .pressure_meter import PressureMeter
 from .request_task import RequestTask
 from .run_reporting import RunReporting
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
     from random import Random
 
     from ragwortwing_entry.duties.fleet_duties import FleetDuties
@@ -87,6 +91,8 @@
             nursery.start_soon(self._drop_missing_backends)
             nursery.start_soon(self._reporting.run)
             nursery.start_soon(self._expire_runs)
+            if self.state.pressure is not None:
+                nursery.start_soon(PressureMeter(self.state, self.state.pressure).run)
             if self.duties is not None:
                 nursery.start_soon(self.duties.run)
             task_status.started()
@@ -103,6 +109,11 @@
         finally:
             self.in_flight -= 1
 
+    def start_task(self, task: Callable[[], Awaitable[None]]) -> None:
+        """Start a task that runs until it ends or the entry stops."""
+        assert self._nursery is not None, "the entry is not running"
+        self._nursery.start_soon(task)
+
     def new_ticket(self, request_id: str) -> str:
         """Return an identifier for a send that is unique in this process."""
         self._tickets += 1
@@ -161,7 +172,8 @@
             return
         load = self.state.placement.loads_by_id.get(backend_id)
         if load is not None:
-            load.end(ticket, self.state.clock.monotonic())
+            retain_for = RETAINED_AFTER_LOSS if failed else 0.0
+            load.end(ticket, self.state.clock.monotonic(), retain_for)
         self._reporting.end(service, ticket, failed=failed)
         self._notify(service)
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
@@ -62,6 +62,16 @@
             buckets=SECONDS_BUCKETS,
             registry=self.registry,
         )
+        self.slow_callers = Counter(
+            "ragwortwing_slow_callers_reset",
+            "Answers ended by a reset while a part waited for the caller to read.",
+            registry=self.registry,
+        )
+        self.shed = Counter(
+            "ragwortwing_requests_shed",
+            "New requests of the least urgent tier refused under pressure.",
+            registry=self.registry,
+        )
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -125,6 +135,7 @@
         yield self._rate_limits()
         yield self._fencing_tokens()
         yield self._waiting_by_urgency()
+        yield from self._pressure()
 
     def _feed_ages(self, now: Instant) -> Metric:
         family = GaugeMetricFamily(
@@ -190,6 +201,41 @@
             family.add_metric((str(urgency),), count)
         return family
 
+    def _pressure(self) -> Iterator[Metric]:
+        """Yield the gauges of memory and pressure if the entry guards them."""
+        state = self._entry.state
+        memory, pressure = state.memory, state.pressure
+        if memory is None or pressure is None:
+            return
+        yield _gauge("ragwortwing_held_bytes", "Bytes held for callers.", memory.held.total)
+        yield _gauge(
+            "ragwortwing_held_bytes_highest", "Most bytes held for callers.", memory.held.highest
+        )
+        yield _gauge(
+            "ragwortwing_held_bytes_bound",
+            "Bound of the bytes held for callers.",
+            memory.held.bounds.total_bytes,
+        )
+        yield _gauge(
+            "ragwortwing_slow_answers", "Answers held for a slow caller.", memory.slow_answers
+        )
+        yield _gauge(
+            "ragwortwing_pressure",
+            "Shortage of processor or memory, 0 to 1.",
+            pressure.current,
+        )
+        yield _gauge(
+            "ragwortwing_loop_lag_seconds", "Smoothed lag of the event loop.", state.lag.seconds
+        )
+        family = CounterMetricFamily(
+            "ragwortwing_backpressure",
+            "How often reading stopped at a memory bound, by the bound.",
+            labels=("bound",),
+        )
+        for cause, count in memory.backpressure_by_cause.items():
+            family.add_metric((cause,), count)
+        yield family
+
     def _by_service(self, name: str, text: str, value: Callable[[str], float]) -> Metric:
         family = GaugeMetricFamily(name, text, labels=("service",))
         table = self._entry.state.table
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -9,8 +9,10 @@
 
 from ragwortwing_policy.direct.backend_list import BackendList
 from ragwortwing_policy.direct.backoff import Backoffs
+from ragwortwing_policy.direct.entry_pressure import EntryPressure, LoopLag
 from ragwortwing_policy.direct.failure_tracker import FailureTracker
 from ragwortwing_policy.direct.feed_watch import FeedWatch
+from ragwortwing_policy.direct.memory_guard import MemoryShares
 from ragwortwing_policy.direct.peer_status import StatusExchange
 from ragwortwing_policy.direct.placement import Placement
 from ragwortwing_policy.direct.rate_limits import LimitNotice, RateLimits
@@ -23,10 +25,12 @@
 from .decision_log import decided
 from .feed_relay import FeedRelay
 from .peer_link import PeerLink
+from .relay_buffer import CallerMemory
 
 if TYPE_CHECKING:
     from ragwortwing_policy.clock import Clock, Instant
     from ragwortwing_policy.direct.backend_list import BackendServer
+    from ragwortwing_policy.direct.memory_guard import MemoryBounds
     from ragwortwing_policy.direct.routing_table import EngineTraits, RoutingTable
 
     from .peer_messages import StatusMessage
@@ -51,7 +55,18 @@
         allowance: RepeatAllowance,
         clock: Clock,
         random: Random | None = None,
+        memory_bounds: MemoryBounds | None = None,
     ) -> None:
+        """Create the state of an entry.
+
+        Args:
+            identity: The entry.
+            allowance: The retry budget of each service.
+            clock: The clock.
+            random: Source of jitter.
+            memory_bounds: Bounds of the bytes held for callers. With them the entry also guards the
+                memory of engines and sheds load under pressure; None switches all of this off.
+        """
         self.identity = identity
         self.clock = clock
         self.table: RoutingTable | None = None
@@ -77,7 +92,14 @@
             self.limits,
             self.backends,
         )
+        self.statuses = statuses
         self.peers = PeerLink(statuses, clock)
+        self.memory = CallerMemory(memory_bounds, clock) if memory_bounds is not None else None
+        """Bytes held for callers; None if they are not bounded."""
+        self.pressure = EntryPressure() if memory_bounds is not None else None
+        """This entry's shortage of processor time and memory; None if it is not measured."""
+        self.lag = LoopLag()
+        self._memory_shares = MemoryShares()
         self.relay = FeedRelay(identity.name, self.peers, self.watch, clock)
         self.peers.on_status(
             lambda status: self.relay.repair(status.sender, status.positions_by_feed)
@@ -217,6 +239,23 @@
             return 1.0
         return 1.0 / (self._entries or 1 + len(self.peers.members))
 
+    def memory_share(self, pool: str) -> float | None:
+        """Return the fraction of an engine's free memory that this entry may commit.
+
+        Returns None if the memory of engines is not guarded.
+        """
+        if self.memory is None:
+            return None
+        now = self.clock.monotonic()
+        return self._memory_shares.share(
+            pool,
+            now,
+            entries=self._entries or 1 + len(self.peers.members),
+            heard=self.peers.heard(now),
+            reported=self.ledger.reported(pool, now),
+            schedules=self.choice.scheduler(pool, now) == self.identity.name,
+        )
+
     def engine_traits(self, service: str) -> EngineTraits | None:
         """Return the traits of a service's engines; None if the service has no engines."""
         found = self.table.services_by_name.get(service) if self.table else None
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
@@ -12,6 +12,8 @@
 import msgspec
 import trio
 
+from ragwortwing_policy.direct.scheduler_choice import PEER_SILENCE
+
 from .decision_log import decided, warned
 from .peer_messages import (
     MAX_DATAGRAM_BYTES,
@@ -94,6 +96,11 @@
         """Return whether a peer's address is known."""
         return peer in self._addresses_by_name
 
+    def heard(self, now: Instant) -> frozenset[str]:
+        """Return the peers whose status has been received recently."""
+        heard = self._heard_at_by_name.items()
+        return frozenset(name for name, at in heard if now - at < PEER_SILENCE)
+
     def send(self, message: PeerMessage, peer: str) -> None:
         """Send a message to a peer; it is dropped if it cannot be sent now."""
         address = self._addresses_by_name.get(peer)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
@@ -178,6 +178,22 @@
         """Send the end of the body."""
         ...
 
+    def send_now(self, data: bytes, *, last: bool = False) -> bool:
+        """Send a part of the body as far as the connection takes it without waiting.
+
+        Args:
+            data: The part.
+            last: Whether the body ends after it.
+
+        Returns:
+            Whether the connection has taken all of it; if not, `drain` has to send the rest first.
+        """
+        ...
+
+    async def drain(self) -> None:
+        """Send the rest of the last `send_now`."""
+        ...
+
     def abort(self) -> None:
         """End an answer so that the caller can tell that it is incomplete."""
         ...
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/queue_dispatcher.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/queue_dispatcher.py
@@ -13,11 +13,15 @@
     WaitingRequest,
 )
 
+from .decision_log import decided
+
 if TYPE_CHECKING:
     from collections import Counter
     from collections.abc import Callable, Sequence
 
+    from ragwortwing_policy.clock import Instant
     from ragwortwing_policy.direct.backend_list import BackendServer
+    from ragwortwing_policy.direct.routing_table import EngineTraits
 
     from .entry_state import EntryState
 
@@ -39,6 +43,7 @@
         self._queue = AdmissionQueue(service, state.placement, state.limits)
         self._callbacks_by_ticket: dict[str, OnDecision] = {}
         self._load_changed = trio.Event()
+        self._memory_share: float | None = None
 
     def __len__(self) -> int:
         return len(self._queue)
@@ -89,6 +94,7 @@
         now = self._state.clock.monotonic()
         ready = self._state.backends.ready(self._service)
         traits = self._state.engine_traits(self._service)
+        self._set_memory_share(ready, traits, now)
         engines_by_unusable: dict[frozenset[str], Sequence[BackendServer]] = {}
 
         def usable_engines(unusable: frozenset[str]) -> Sequence[BackendServer]:
@@ -109,3 +115,22 @@
         share = self._state.rate_share(self._service)
         for decision in self._queue.dispatch(traits, engines_for, now, only, share):
             self._callbacks_by_ticket.pop(decision.request.ticket)(decision)
+
+    def _set_memory_share(
+        self, engines: Sequence[BackendServer], traits: EngineTraits | None, now: Instant
+    ) -> None:
+        share = self._state.memory_share(self._service)
+        if share is None or traits is None:
+            return
+        if share != self._memory_share:
+            decided(
+                "memory_share_changed",
+                pool=self._service,
+                share=round(share, 4),
+                before=self._memory_share,
+            )
+            self._memory_share = share
+        for each in engines:
+            load = self._state.placement.load(each, traits)
+            load.memory_share = share
+            load.retained.expire(now)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -11,6 +11,7 @@
 
 from ragwortwing_policy.direct.admission_queue import WaitingRequest
 from ragwortwing_policy.direct.backend_list import BackendServer
+from ragwortwing_policy.direct.entry_pressure import SHED_RETRY_AFTER
 from ragwortwing_policy.direct.queue_order import Waiter
 from ragwortwing_policy.direct.routing_table import Repetition
 from ragwortwing_policy.direct.send_state import Send, SendHistory, SendState
@@ -18,6 +19,7 @@
 
 from .decision_log import decided, warned
 from .ports import AnswerKind, BackendLostError, Denial, Refused, SendOrder, Unresolved
+from .relay_buffer import RelayBuffer
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -33,6 +35,7 @@
 
     from .direct_entry import DirectEntry
     from .ports import BackendAnswer, CallerAnswer, CallerRequest
+    from .relay_buffer import CallerMemory
 
 TIMEOUT_MARGIN = 0.05
 """Seconds before the caller's deadline at which it is answered; the answer takes a few ms."""
@@ -68,6 +71,8 @@
         self._tried: set[str] = set()
         self._delivered_event = request.resume_after
         self._answer_begun = False
+        self._buffer: RelayBuffer | None = None
+        """Holds what the caller has not taken yet; None if the answer is not decoupled from it."""
         self._send: Send | None = None
         self._repeat_spent_at: Instant | None = None
         """When the budget was charged for a repeat that has not been sent yet."""
@@ -76,6 +81,7 @@
         self._service = ""
         self._urgency = 0
         self._deadline: Instant = 0.0
+        self._answer_kind: AnswerKind | None = None
         self._first_event_at: Instant | None = None
         self._last_event_at: Instant | None = None
         self._longest_pause = 0.0
@@ -86,11 +92,24 @@
         if denial is not None:
             await self._conclude(denial)
             return
-        with trio.CancelScope() as scope:
-            scope.deadline = trio.current_time() + self._deadline - self._now()
-            await self._serve()
-        if scope.cancelled_caught:
-            await self._time_out()
+        try:
+            with trio.CancelScope() as scope:
+                scope.deadline = trio.current_time() + self._deadline - self._now()
+                self._buffer = self._create_buffer(scope)
+                await self._serve()
+            if self._buffer is not None and self._buffer.error is not None:
+                raise self._buffer.error
+            if scope.cancelled_caught:
+                await self._time_out()
+        finally:
+            if self._buffer is not None:
+                self._buffer.close()
+
+    def _create_buffer(self, scope: trio.CancelScope) -> RelayBuffer | None:
+        memory = self._state.memory
+        if memory is None:
+            return None
+        return RelayBuffer(self._answer, memory, self._entry.start_task, on_lost=scope.cancel)
 
     @property
     def _route(self) -> Route:
@@ -123,10 +142,32 @@
         self._service = self._entry.pick_service(route)
         self._urgency = table.urgency_of(route, self._account)
         self._deadline = self._deadline_of(route)
+        if self._sheds(table):
+            return Refused(NotRunReason.ENTRY_PRESSURE, SHED_RETRY_AFTER)
         self._state.budget(self._service).count_request(self._now())
         self._log_accepted(table)
         return None
 
+    def _sheds(self, table: RoutingTable) -> bool:
+        """Return whether to refuse the request because this entry is under pressure."""
+        pressure = self._state.pressure
+        if pressure is None or not pressure.shed_share or self._request.resume_after is not None:
+            return False
+        tier = table.tier_of(self._route, self._account)
+        if tier < table.least_urgent_tier or not pressure.sheds():
+            return False
+        self._entry.counters.shed.inc()
+        decided(
+            "request_shed",
+            self._request.id,
+            tier=tier,
+            pressure=pressure.current,
+            share=round(pressure.shed_share, 2),
+            lag_ms=round(1000 * self._state.lag.seconds),
+            held_bytes=self._state.memory.held.total if self._state.memory is not None else 0,
+        )
+        return True
+
     @property
     def _rate_limit_wait_until(self) -> Instant:
         """Latest time to wait for a rate-limited server and still answer on time."""
@@ -166,6 +207,8 @@
                 return
             failure = await self._try_destination(placed)
             if failure is None:
+                if self._buffer is not None:
+                    await self._finish_delivery(self._buffer, placed.backend)
                 return
             if not self._may_send_again():
                 await self._give_up(failure)
@@ -192,6 +235,16 @@
                 self._service, self._tried, self._rate_limit_wait_until
             )
             return found if isinstance(found, Refused) else _Destination(found)
+        engine_tokens = service.engine.memory_tokens
+        if self._state.memory is not None and prompt.memory_tokens > engine_tokens:
+            decided(
+                "request_refused",
+                self._request.id,
+                reason=NotRunReason.TOO_LARGE,
+                tokens=prompt.memory_tokens,
+                engine_tokens=engine_tokens,
+            )
+            return Refused(NotRunReason.TOO_LARGE)
         self._ticket = self._entry.new_ticket(self._request.id)
         granted = await self._entry.pool(self._service).admission.admit(
             self._waiting_request(prompt, table.pause_targets(self._service))
@@ -331,7 +384,9 @@
         else:
             self._state.failure_tracker.succeeded(backend.id)
         self._count_send(backend_answer.kind)
-        self._log_end("answered", backend=backend.id, kind=backend_answer.kind)
+        self._answer_kind = backend_answer.kind
+        if self._buffer is None:
+            self._log_end("answered", backend=backend.id, kind=backend_answer.kind)
         return None
 
     def _may_retry_failed_run(self) -> bool:
@@ -353,20 +408,76 @@
             await self._begin_answer(backend_answer)
             if piece.event is not None:
                 self._note_event(backend, piece.event)
-            await self._answer.write(piece.data)
+            await self._write(piece.data)
         if delivered_before is not None and delivered_before == self._delivered_event:
             # It is unknown whether the stream was complete or the engine lost its position.
             raise BackendLostError("the resumed stream ended without a new event")
         await self._begin_answer(backend_answer)
-        await self._answer.end()
+        await self._end_answer()
 
     async def _relay_whole(self, backend_answer: BackendAnswer) -> None:
         """Relay a non-streaming answer once it is complete: until then another can be fetched."""
+        if self._state.memory is not None:
+            await self._relay_whole_within(self._state.memory, backend_answer)
+            return
         pieces = [piece.data async for piece in backend_answer.pieces()]
         await self._begin_answer(backend_answer)
         await self._answer.write(b"".join(pieces))
         await self._answer.end()
 
+    async def _relay_whole_within(
+        self, memory: CallerMemory, backend_answer: BackendAnswer
+    ) -> None:
+        """Relay a non-streaming answer once it is complete or as large as the bounds allow."""
+        kept = memory.account()
+        pieces: list[bytes] = []
+        try:
+            async for piece in backend_answer.pieces():
+                if not self._answer_begun and kept.try_hold(len(piece.data)):
+                    pieces.append(piece.data)
+                    continue
+                await self._begin_whole(backend_answer, pieces)
+                kept.release()
+                await self._write(piece.data)
+            await self._begin_whole(backend_answer, pieces)
+        finally:
+            kept.release()
+        await self._end_answer()
+
+    async def _begin_whole(self, backend_answer: BackendAnswer, pieces: list[bytes]) -> None:
+        if not self._answer_begun:
+            await self._begin_answer(backend_answer)
+            await self._write(b"".join(pieces))
+            pieces.clear()
+
+    async def _write(self, data: bytes) -> None:
+        if self._buffer is None:
+            await self._answer.write(data)
+        else:
+            await self._buffer.write(data)
+
+    async def _end_answer(self) -> None:
+        """Send the end of the answer; a buffer sends it later if the caller is slow."""
+        if self._buffer is None:
+            await self._answer.end()
+        else:
+            self._buffer.end()
+
+    async def _finish_delivery(self, buffer: RelayBuffer, backend: BackendServer) -> None:
+        """Deliver what is still held of a complete answer, until the caller's deadline.
+
+        The call to the backend server has ended: the delivery occupies no slot.
+        """
+        held, ended_at = buffer.held, self._now()
+        await buffer.flush()
+        self._log_end(
+            "answered",
+            backend=backend.id,
+            kind=self._answer_kind,
+            held_bytes=held or None,
+            delivered_ms=round(1000 * (self._now() - ended_at)) if held else None,
+        )
+
     def _is_delivered(self, event: int) -> bool:
         return self._delivered_event is not None and event <= self._delivered_event
 
@@ -448,8 +559,18 @@
         self, conclusion: Refused | Unresolved | Denial, failure: str | None = None
     ) -> None:
         if self._answer_begun:
+            held = self._buffer.held if self._buffer is not None else 0
+            if self._buffer is not None:
+                self._buffer.close()
+            if held:
+                self._entry.counters.slow_callers.inc()
             self._answer.abort()
-            self._log_end("broken_off", conclusion=str(conclusion), failure=failure)
+            self._log_end(
+                "broken_off",
+                conclusion=str(conclusion),
+                failure=failure,
+                **({"held_bytes": held} if held else {}),
+            )
             return
         self._entry.counters.refusals.labels(_cause_label(conclusion)).inc()
         await self._answer.conclude(conclusion)
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/platform_site.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/platform_site.py
@@ -264,6 +264,8 @@
     store_address: str
     grace: float = 3.0
     """Seconds that an entry may take to shut down, as `grace_s` in its settings."""
+    settings: dict[str, Any] = field(default_factory=dict)
+    """Top-level settings of the entries, beside or instead of the usual ones."""
     cloud: PublishedCloud | None = None
     """Receives the usage reports; None if the entries have no duties."""
     cloud_address: str = ""
@@ -291,7 +293,7 @@
     async def add_entry(self, name: str = "entry-1", store: str | None = None) -> EntryProcess:
         """Start an entry and wait until it listens, which can be before it is ready."""
         ip = self._ip_by_name.setdefault(name, f"127.0.0.{2 + len(self._ip_by_name)}")
-        settings = _settings(name, ip, store or self.store_address, self.grace)
+        settings = _settings(name, ip, store or self.store_address, self.grace) | self.settings
         settings["inner_ports"] = [self.peer_port, self.peer_port]
         if self.cloud is not None:
             settings["cloud_api"] = {"address": self.cloud_address, "duties": ["usage_report"]}
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
@@ -98,6 +98,8 @@
     """Seconds between two events."""
     slots: int = 8
     """Requests that run at the same time; further ones are refused."""
+    event_bytes: int = 0
+    """Bytes by which each event is padded."""
 
 
 @dataclass(slots=True)
@@ -228,7 +230,8 @@
         head = (*self._answer_headers(request_id), (b"content-type", b"text/event-stream"))
         await exchange.start(200, (*head, (b"transfer-encoding", b"chunked")))
         for number in range(first, self.pace.events):
-            event = b"id: %d\ndata: %s-%d\n\n" % (number, request_id.encode(), number)
+            padding = b"." * self.pace.event_bytes
+            event = b"id: %d\ndata: %s-%d%s\n\n" % (number, request_id.encode(), number, padding)
             if number - first == 3 and self.misbehaviour in STREAM_RESETTING:
                 await exchange.write(event[: len(event) // 2])
                 raise ConnectionCutError
--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/tcp_sockets.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/tcp_sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import select
 import socket
 import struct
@@ -28,6 +29,20 @@
 """Maximum number of bytes read from a socket at once."""
 
 
+SEND_BUFFER_BYTES = 65536
+"""Size of a limited send buffer. It suffices for 32 MB/s at a round trip of 2 ms."""
+
+
+def allow_slow_reading(sock: trio.socket.SocketType) -> None:
+    """Set the options for a peer that may stop reading, while its own deadline bounds the wait.
+
+    The user timeout also ends the connection of a peer that acknowledges everything but has a full
+    receive buffer. By default a send buffer grows to several MB for each peer that does not read.
+    """
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+
+
 def set_socket_options(sock: trio.socket.SocketType) -> None:
     """Set the socket options that all connections use."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -77,6 +92,21 @@
         sent += await sock.send(view[sent:])
 
 
+def send_now(sock: trio.socket.SocketType, data: bytes) -> int:
+    """Send what the connection takes without waiting; return the number of bytes sent.
+
+    trio's own `send` always waits until the connection is writable, so it cannot tell whether a
+    peer reads.
+
+    Raises:
+        OSError: The connection is closed or broken.
+    """
+    try:
+        return os.write(sock.fileno(), data) if data else 0
+    except BlockingIOError:
+        return 0
+
+
 def is_idle(sock: trio.socket.SocketType) -> bool:
     """Return whether an idle connection has no unread data, end of stream or error."""
     poll = select.poll()
