--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -345,6 +345,7 @@
         cost = RunCost.on(load, found.reading, request.prompt)
         self._shares.granted(request.ticket, cost, now)
         load.begin(request.ticket, request.prompt, found.reading, now, request.waiter.urgency)
+        load.placed(request.ticket)
         self._limits.spend(found.backend.id)
         return granted
 
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -88,11 +88,18 @@
         rate = sum(load.tokens_per_second for load in loads) / len(loads)
         return RunCost(unread_tokens / rate, prompt.output_tokens, loads[0].traits.slots)
 
-    def end(self, backend_id: str, ticket: str, now: Instant) -> None:
-        """Remove a request that no longer runs, and correct what its account was charged."""
+    def end(self, backend_id: str, ticket: str, now: Instant, retain_for: float = 0.0) -> None:
+        """Remove a request that no longer runs, and correct what its account was charged.
+
+        Args:
+            backend_id: The engine.
+            ticket: The request's name on the engine.
+            now: The current instant.
+            retain_for: Seconds for which the engine may still hold the request's memory.
+        """
         load = self.loads_by_id.get(backend_id)
         if load is not None:
-            load.end(ticket, now)
+            load.end(ticket, now, retain_for)
         self.shares.ended(ticket, now)
 
     def stretch(self, service: str) -> FirstEventRatioEstimator:
