Compare start-time fair queueing with the usage window for account shares

The logic of start-time fair queueing moves from fair_queue.py to fair_share.py, which the agents' gate and the comparison use.

Start-time fair queueing does not remember usage while an account is the only one that waits, and it then fills the engines. The window is kept.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/registry.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/registry.py
@@ -23,6 +23,7 @@
     "ragwortwing_lab.experiments.order_claims",
     "ragwortwing_lab.experiments.relay",
     "ragwortwing_lab.experiments.direct_entry",
+    "ragwortwing_lab.experiments.account_shares",
 )
 """Modules that register experiments on import."""
 
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/account_shares.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/account_shares.py
@@ -633,9 +633,12 @@
     def _window(self, urgency: int) -> UsageWindow:
         found = self._windows.get(urgency)
         if found is None:
-            found = self._windows[urgency] = UsageWindow()
+            found = self._windows[urgency] = self._new_window()
         return found
 
+    def _new_window(self) -> UsageWindow:
+        return UsageWindow()
+
     def _rate(self, urgency: int) -> _GrantRate:
         found = self._rates.get(urgency)
         if found is None:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/fair_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/fair_queue.py
@@ -10,19 +10,16 @@
 from bisect import insort
 from collections import OrderedDict
 from dataclasses import dataclass, field
-from heapq import heapify, heappop, heappush, heapreplace
 from itertools import chain
 from typing import TYPE_CHECKING
 
 from .clock import Instant
 from .configuration import RequestClass
+from .fair_share import FairShare
 from .reservations import Reservation
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Mapping
-
-MINIMUM_WEIGHT = 1e-3
-"""Minimum weight of a flow, so that no share is zero."""
+    from collections.abc import Iterator
 
 
 @dataclass(slots=True, eq=False)
@@ -63,114 +60,11 @@
         return self.work + 1.0
 
 
-class _FairShare:
-    """Start-time fair queueing between named members.
-
-    A member that has become idle keeps its finish tag until the virtual time passes it, which takes
-    about one round. Until then it cannot return as if it had not been served, and its weight still
-    counts when the share of a queued request is estimated.
-    """
-
-    def __init__(self) -> None:
-        self._virtual_time = 0.0
-        self._heap: list[tuple[float, str]] = []
-        self._start_by_name: dict[str, float] = {}
-        self._finish_by_name: dict[str, float] = {}
-        self._weight_by_active_name: dict[str, float] = {}
-        self._weight_by_idle_name: dict[str, float] = {}
-        self._idle_heap: list[tuple[float, str]] = []
-        self._round_weight = 0.0
-
-    def activate(self, name: str, weight: float) -> None:
-        """Activate a member that has queued requests."""
-        if name in self._weight_by_active_name:
-            return
-        weight = max(weight, MINIMUM_WEIGHT)
-        self._weight_by_active_name[name] = weight
-        self._round_weight += weight - self._weight_by_idle_name.pop(name, 0.0)
-        self._push(name, max(self._virtual_time, self._finish_by_name.get(name, 0.0)))
-
-    def deactivate(self, name: str) -> None:
-        """Deactivate a member without queued requests; its heap item is removed lazily."""
-        weight = self._weight_by_active_name.pop(name)
-        if not self._weight_by_active_name:
-            self._reset()
-        elif name in self._finish_by_name:
-            self._weight_by_idle_name[name] = weight
-            heappush(self._idle_heap, (self._finish_by_name[name], name))
-            self._remove_expired_members()
-        else:
-            self._round_weight -= weight
-
-    def first(self) -> str:
-        """Return the member to serve next; ties are broken by name."""
-        while self._is_stale(*self._heap[0]):
-            start, name = heappop(self._heap)
-            if self._start_by_name.get(name) == start:
-                del self._start_by_name[name]
-        return self._heap[0][1]
-
-    def charge(self, name: str, work: float) -> None:
-        """Charge an active member for work."""
-        start = self._start_by_name.get(name, self._virtual_time)
-        self._virtual_time = max(self._virtual_time, min(start, self._heap[0][0]))
-        self._finish_by_name[name] = start + work / self._weight_by_active_name[name]
-        self._push(name, self._finish_by_name[name])
-        self._remove_expired_members()
-
-    def in_service_order(
-        self, requests_by_name: Mapping[str, Iterator[QueuedRequest]]
-    ) -> Iterator[QueuedRequest]:
-        """Yield the members' requests in service order."""
-        heap = [(self._start_by_name[each], each) for each in self._weight_by_active_name]
-        heapify(heap)
-        while heap:
-            start, name = heap[0]
-            request = next(requests_by_name[name], None)
-            if request is None:
-                heappop(heap)
-                continue
-            yield request
-            finish = start + request.charged_work / self._weight_by_active_name[name]
-            heapreplace(heap, (finish, name))
-
-    def share_ratio(self, name: str, weight: float) -> float:
-        """Return the total weight of a round, including this member, divided by its own weight."""
-        own = max(weight, MINIMUM_WEIGHT)
-        counted = self._weight_by_active_name.get(name) or self._weight_by_idle_name.get(name, 0.0)
-        return (self._round_weight - counted + own) / own
-
-    def _push(self, name: str, start: float) -> None:
-        if self._start_by_name.get(name) == start:
-            return
-        self._start_by_name[name] = start
-        heappush(self._heap, (start, name))
-
-    def _is_stale(self, start: float, name: str) -> bool:
-        return name not in self._weight_by_active_name or self._start_by_name.get(name) != start
-
-    def _remove_expired_members(self) -> None:
-        while self._idle_heap and self._idle_heap[0][0] <= self._virtual_time:
-            finish, name = heappop(self._idle_heap)
-            if name in self._weight_by_idle_name and self._finish_by_name.get(name) == finish:
-                self._round_weight -= self._weight_by_idle_name.pop(name)
-                del self._finish_by_name[name]
-
-    def _reset(self) -> None:
-        self._virtual_time = 0.0
-        self._round_weight = 0.0
-        self._heap.clear()
-        self._idle_heap.clear()
-        self._start_by_name.clear()
-        self._finish_by_name.clear()
-        self._weight_by_idle_name.clear()
-
-
 class _ClassQueue:
     """Requests of one class: begun ones first, then fair sharing between accounts."""
 
     def __init__(self) -> None:
-        self.share = _FairShare()
+        self.share = FairShare()
         self.begun_by_id: OrderedDict[str, QueuedRequest] = OrderedDict()
         self.flow_by_account: dict[str, OrderedDict[str, QueuedRequest]] = {}
         self.count = 0
@@ -214,7 +108,7 @@
     """Requests of one tier, with fair sharing between classes."""
 
     def __init__(self) -> None:
-        self.share = _FairShare()
+        self.share = FairShare()
         self.queue_by_class: dict[str, _ClassQueue] = {}
         self.count = 0
         self.work = 0.0
