Show usage and share of accounts in decisions and metrics

Usage in log lines and gauges was that of the last pass in which requests waited, so it was wrong while nothing waited. The total is now kept with each charge. Tests of the entry: the standing passes from the scheduler in its decision, a decision of the previous version has none, a new scheduler and an entry that decides alone know the usage of what runs, and an invalid weight is logged once and counted. A charge that coincided with a rescaling of the sums was added to the value before it.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
@@ -125,7 +125,7 @@
         yield self._rate_limits()
         yield self._fencing_tokens()
         yield self._waiting_by_urgency()
-        yield from self._account_shares()
+        yield from self._account_shares(now)
 
     def _feed_ages(self, now: Instant) -> Metric:
         family = GaugeMetricFamily(
@@ -191,7 +191,7 @@
             family.add_metric((str(urgency),), count)
         return family
 
-    def _account_shares(self) -> Iterator[Metric]:
+    def _account_shares(self, now: Instant) -> Iterator[Metric]:
         """Yield the use of each pool's engines by the accounts that use most of them."""
         labels = ("service", "urgency", "account")
         usage = GaugeMetricFamily(
@@ -215,7 +215,7 @@
             labels=("service",),
         )
         for service, pool in self._entry.state.placement.shares.by_pool.items():
-            for urgency, standing in pool.largest():
+            for urgency, standing in pool.largest(now):
                 names = (service, str(urgency), standing.account)
                 usage.add_metric(names, standing.usage)
                 share.add_metric(names, standing.share)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/queue_dispatcher.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/queue_dispatcher.py
@@ -77,7 +77,9 @@
     def _log_invalid_weights(self) -> None:
         shares = self._state.placement.shares.by_pool.get(self._service)
         for account, weight in shares.take_invalid_weights().items() if shares else ():
-            warned("account_weight_ignored", pool=self._service, account=account, weight=str(weight))
+            warned(
+                "account_weight_ignored", pool=self._service, account=account, weight=str(weight)
+            )
 
     async def run(self) -> None:
         """Dispatch repeatedly while requests wait, until cancelled."""
--- a/packages/ragwortwing-entry/tests/direct/test_engine_admission.py
+++ b/packages/ragwortwing-entry/tests/direct/test_engine_admission.py
@@ -5,19 +5,26 @@
 from collections.abc import Callable
 from dataclasses import replace
 from datetime import UTC, datetime, timedelta
+from math import inf, nan
 from random import Random
 from typing import TYPE_CHECKING, Any
 
+import logbook
+import msgspec
 import pytest
 import trio
 
 from ragwortwing_entry.direct.direct_entry import DirectEntry
+from ragwortwing_entry.direct.entry_counters import EntryGauges
 from ragwortwing_entry.direct.entry_state import EntryIdentity, EntryState
 from ragwortwing_entry.direct.peer_messages import (
     Decision,
     DecisionMessage,
     PlaceMessage,
     ReportMessage,
+    decode,
+    encode,
+    rejection_of,
 )
 from ragwortwing_entry.direct.ports import Refused
 from ragwortwing_policy.direct.admission_queue import Granted, WaitingRequest
@@ -25,8 +32,13 @@
 from ragwortwing_policy.direct.prompt_parts import Prompt, PromptPart
 from ragwortwing_policy.direct.queue_order import Waiter
 from ragwortwing_policy.direct.repeat_budget import RepeatAllowance
-from ragwortwing_policy.direct.routing_table import EngineTraits, RoutingTable, Service
-from ragwortwing_policy.direct.run_ledger import GRANT_EXPIRY
+from ragwortwing_policy.direct.routing_table import (
+    ClientAccount,
+    EngineTraits,
+    RoutingTable,
+    Service,
+)
+from ragwortwing_policy.direct.run_ledger import GRANT_EXPIRY, RunLedger
 from ragwortwing_policy.direct.scheduler_choice import Candidate
 
 if TYPE_CHECKING:
@@ -340,3 +352,103 @@
     assert isinstance(refused, Refused)
     assert refused.retry_after is not None
     assert refused.retry_after > timedelta(seconds=3.9)
+
+
+def accept_accounts(fleet: EntryAndScheduler) -> None:
+    """Let both entries accept a configuration with a client account."""
+    accounts = {"key": ClientAccount("litia")}
+    table = RoutingTable(2, (), {POOL: Service(POOL, TRAITS)}, accounts)
+    for each in (fleet.entry, fleet.scheduler):
+        each.state.accept_table(table)
+
+
+async def admit_for(
+    fleet: EntryAndScheduler, ticket: str, account: str, weight: float = 1.0
+) -> Granted | Refused:
+    request = replace(waiting_request(ticket, 500), account=account, weight=weight)
+    return await fleet.entry.pool(POOL).admission.admit(request)
+
+
+def usage(entry: DirectEntry, account: str) -> float:
+    """Return an account's part of the engine time that an entry knows to be granted."""
+    pool = entry.state.placement.shares.by_pool.get(POOL)
+    found = dict(pool.usage()) if pool is not None else {}
+    return found.get(account, 0.0) / (sum(found.values()) or 1.0)
+
+
+async def test_scheduler_and_entry_log_usage_and_share(fleet: EntryAndScheduler) -> None:
+    """Guards against an operator who cannot see why an account's requests wait."""
+    accept_accounts(fleet)
+    with logbook.TestHandler() as handler:
+        await admit_for(fleet, "r-1", "litia")
+        await admit_for(fleet, "r-2", "other")
+    placed = [each for each in handler.records if each.message == "request_placed"]
+    assert [each.kwargs["account"] for each in placed] == ["litia", "other"]
+    assert all("account_usage" in each.kwargs for each in placed)
+
+
+async def test_accounts_have_no_share_without_client_accounts(fleet: EntryAndScheduler) -> None:
+    """Guards against fields and state in a deployment whose configuration has no accounts."""
+    granted = await admit_for(fleet, "r-1", "litia")
+    assert isinstance(granted, Granted)
+    assert granted.standing is None
+    assert not fleet.scheduler.state.placement.shares.by_pool
+
+
+async def test_an_entry_that_loses_its_scheduler_knows_its_own_usage(
+    fleet: EntryAndScheduler,
+) -> None:
+    """Guards against an entry that decides alone and starts without any usage."""
+    accept_accounts(fleet)
+    for number in range(3):
+        await admit_for(fleet, f"r-{number}", "litia")
+    await admit_for(fleet, "r-other", "other")
+    assert usage(fleet.scheduler, "litia") == pytest.approx(0.75, abs=0.05)
+    assert usage(fleet.entry, "litia") == pytest.approx(0.75, abs=0.05)
+    fleet.network.drop = lambda sender, _: sender == "scheduler"
+    await admit_for(fleet, "r-alone", "litia")
+    assert usage(fleet.entry, "litia") == pytest.approx(0.8, abs=0.05)
+
+
+async def test_a_new_scheduler_knows_the_usage_of_running_requests(
+    fleet: EntryAndScheduler,
+) -> None:
+    """Guards against a restarted scheduler that gives the account of a burst a fresh start."""
+    accept_accounts(fleet)
+    for number in range(3):
+        await admit_for(fleet, f"r-{number}", "litia")
+    await admit_for(fleet, "r-other", "other")
+    state = fleet.scheduler.state
+    state.ledger = RunLedger(state.placement, state.failure_tracker, state._engine)
+    state.placement.loads_by_id.clear()
+    state.placement.shares.by_pool.clear()
+    await trio.sleep(1.5)
+    assert usage(fleet.scheduler, "litia") == pytest.approx(0.75, abs=0.05)
+
+
+async def test_an_invalid_weight_is_logged_once_and_counted(fleet: EntryAndScheduler) -> None:
+    """Guards against an account that stops being served because of its configured weight."""
+    accept_accounts(fleet)
+    with logbook.TestHandler() as handler:
+        for number, weight in enumerate((nan, 0.0, inf)):
+            assert isinstance(await admit_for(fleet, f"r-{number}", "litia", weight), Granted)
+    ignored = [each for each in handler.records if each.message == "account_weight_ignored"]
+    assert [each.kwargs["weight"] for each in ignored] == ["nan"]
+    metrics = {
+        sample.name: sample.value
+        for family in EntryGauges(fleet.scheduler, dict, int).collect()
+        for sample in family.samples
+    }
+    assert metrics["ragwortwing_account_weights_ignored_total"] == 3
+    assert metrics["ragwortwing_account_usage"] == pytest.approx(1.0)
+
+
+def test_a_decision_of_the_previous_version_has_no_standing() -> None:
+    """Guards against decisions of processes of the previous version that cannot be read."""
+    message = DecisionMessage("scheduler", POOL, "r-1", Decision.REJECTED, waiting=3)
+    fields = msgspec.msgpack.decode(encode(message))
+    before = decode(msgspec.msgpack.encode(fields[:-2]))
+    assert isinstance(before, DecisionMessage)
+    request = WaitingRequest("r-1", "r-1", Prompt("m", (), 1, 1), Waiter(0, 0.4, 5.0, 0.0))
+    rejected = rejection_of(before, request)
+    assert (rejected.standing, rejected.waiting) == (None, 3)
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/start_time_shares.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/start_time_shares.py
@@ -65,7 +65,7 @@
                 ranks[ticket] = lead
         return ranks
 
-    def standing(self, account: str) -> Standing:
+    def standing(self, account: str, now: Instant) -> Standing:
         """Return the lead of an account; shares are not known."""
         return Standing(account, self._share.lead(account), 0.0)
 
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/account_shares.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/account_shares.py
@@ -173,7 +173,7 @@
         self._level = inf
         self._level_at: Instant = -inf
         self._total = 0.0
-        """Granted engine seconds of all accounts when the level was computed, scaled."""
+        """Granted engine seconds of all accounts, scaled; summed anew with each level."""
 
     def __len__(self) -> int:
         return len(self._accounts)
@@ -184,13 +184,15 @@
 
     def demanded(self, account: str, seconds: float, at: Instant) -> None:
         """Add requested engine time; a negative value takes back an earlier one of that time."""
-        found = self._account(account)
-        found.demand = max(0.0, found.demand + seconds * self._scale(at))
+        scale, found = self._scale(at), self._account(account)
+        found.demand = max(0.0, found.demand + seconds * scale)
 
     def used(self, account: str, seconds: float, at: Instant) -> None:
         """Add granted engine time; a negative value takes back an earlier one of that time."""
-        found = self._account(account)
-        found.usage = max(0.0, found.usage + seconds * self._scale(at))
+        scale, found = self._scale(at), self._account(account)
+        before = found.usage
+        found.usage = max(0.0, before + seconds * scale)
+        self._total += found.usage - before
 
     def level(self, now: Instant) -> float:
         """Return the engine seconds of the decayed window that each unit of weight may use.
@@ -232,16 +234,21 @@
                 ranks[ticket] = start / level
         return ranks
 
-    def standing(self, account: str) -> Standing:
-        """Return an account's usage and share as of the last computed level."""
+    def standing(self, account: str, now: Instant) -> Standing:
+        """Return an account's usage and share."""
+        self._refresh(now)
         found = self._accounts.get(account, _Account())
         total = self._total or 1.0
         return Standing(account, found.usage / total, found.weight * self._level / total)
 
-    def largest(self, count: int) -> list[Standing]:
+    def usage(self) -> Iterator[tuple[str, float]]:
+        """Return each account's usage, in scaled engine seconds."""
+        return ((name, each.usage) for name, each in self._accounts.items())
+
+    def largest(self, count: int, now: Instant) -> list[Standing]:
         """Return the standings of the accounts with the largest usage."""
         names = nlargest(count, self._accounts, key=lambda each: self._accounts[each].usage)
-        return [self.standing(each) for each in names]
+        return [self.standing(each, now) for each in names]
 
     def _account(self, account: str) -> _Account:
         found = self._accounts.get(account)
@@ -383,7 +390,7 @@
     def granted(self, ticket: str, cost: RunCost, now: Instant) -> None:
         """Charge a waiting request's account with its run."""
 
-    def refused(self, ticket: str) -> Standing | None:
+    def refused(self, ticket: str, now: Instant) -> Standing | None:
         """Count the refusal of a waiting request; return the standing of its account."""
 
     def ranks(self, tickets: Iterable[str], now: Instant) -> Mapping[str, float]:
@@ -394,7 +401,7 @@
             now: The current instant.
         """
 
-    def standing(self, account: str | None, urgency: int) -> Standing | None:
+    def standing(self, account: str | None, urgency: int, now: Instant) -> Standing | None:
         """Return an account's standing; None if shares are off."""
 
     def passed(self, waiting: Mapping[int, int], now: Instant) -> None:
@@ -430,7 +437,7 @@
     def granted(self, ticket: str, cost: RunCost, now: Instant) -> None:
         """Do nothing."""
 
-    def refused(self, ticket: str) -> Standing | None:
+    def refused(self, ticket: str, now: Instant) -> Standing | None:
         """Return None."""
         return None
 
@@ -438,7 +445,7 @@
         """Return no rank: the order stays as it is."""
         return {}
 
-    def standing(self, account: str | None, urgency: int) -> Standing | None:
+    def standing(self, account: str | None, urgency: int, now: Instant) -> Standing | None:
         """Return None."""
         return None
 
@@ -549,13 +556,13 @@
             window.used(found.account, -unused, found.sent_at)
             window.demanded(found.account, -unused, found.sent_at)
 
-    def refused(self, ticket: str) -> Standing | None:
+    def refused(self, ticket: str, now: Instant) -> Standing | None:
         """Count the refusal of a waiting request; return the standing of its account."""
         found = self._waiting.pop(ticket, None)
         if found is None:
             return None
         self.refusals["beyond" if found.beyond else "within"] += 1
-        return self._window(found.urgency).standing(found.account)
+        return self._window(found.urgency).standing(found.account, now)
 
     def ranks(self, tickets: Iterable[str], now: Instant) -> Mapping[str, float]:
         """Return the ranks of those waiting requests that are beyond their account's share."""
@@ -572,9 +579,9 @@
             self._waiting[ticket].beyond = True
         return ranks
 
-    def standing(self, account: str | None, urgency: int) -> Standing | None:
-        """Return an account's standing as of the last pass in which requests waited."""
-        return self._window(urgency).standing(account or SHARED_ACCOUNT)
+    def standing(self, account: str | None, urgency: int, now: Instant) -> Standing | None:
+        """Return an account's usage and share in an urgency."""
+        return self._window(urgency).standing(account or SHARED_ACCOUNT, now)
 
     def passed(self, waiting: Mapping[int, int], now: Instant) -> None:
         """Record how many requests of each urgency wait after a pass over the queue."""
@@ -601,10 +608,17 @@
         """Return the predicted engine seconds of a waiting request."""
         return self._waiting[ticket].seconds
 
-    def largest(self, count: int = REPORTED_ACCOUNTS) -> Iterator[tuple[int, Standing]]:
+    def usage(self) -> Iterator[tuple[str, float]]:
+        """Return each account's usage, in units that are comparable within an urgency."""
+        for window in self._windows.values():
+            yield from window.usage()
+
+    def largest(
+        self, now: Instant, count: int = REPORTED_ACCOUNTS
+    ) -> Iterator[tuple[int, Standing]]:
         """Return urgency and standing of the accounts with the largest usage in each urgency."""
         for urgency, window in sorted(self._windows.items()):
-            for standing in window.largest(count):
+            for standing in window.largest(count, now):
                 yield urgency, standing
 
     def take_invalid_weights(self) -> Mapping[str, float]:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -334,7 +334,7 @@
             backlog=load.backlog(now, request.waiter.urgency),
             running=load.running,
             first_event_after=found.first_event_after,
-            standing=self._shares.standing(request.account, request.waiter.urgency),
+            standing=self._shares.standing(request.account, request.waiter.urgency, now),
         )
         cost = RunCost.on(load, found.reading, request.prompt)
         self._shares.granted(request.ticket, cost, now)
@@ -348,7 +348,7 @@
             retry_after=retry_after_of(request.waiter, now),
             no_engine=no_engine,
             waiting=len(self._waiting),
-            standing=self._shares.refused(request.ticket),
+            standing=self._shares.refused(request.ticket, now),
         )
 
     def _due(self, request: WaitingRequest) -> Instant:
--- a/packages/ragwortwing-policy/tests/direct/test_account_shares.py
+++ b/packages/ragwortwing-policy/tests/direct/test_account_shares.py
@@ -177,8 +177,7 @@
     assert list(shares.take_invalid_weights()) == ["a"]
     assert not shares.take_invalid_weights()
     shares.began("run", "b", 0, COST, 0.0)
-    shares.ranks(["r-1", "r-2"], 0.0)
-    assert 0.0 < shares.standing("a", 0).share < inf
+    assert 0.0 < shares.standing("a", 0, 0.0).share < inf
 
 
 def test_requests_without_an_account_share_one() -> None:
@@ -190,14 +189,14 @@
         queue.enter(request(f"public-more-{number}", None, 0.0), 0.0)
     queue.enter(request("small-1", "small", 0.1), 0.1)
     assert order_of(queue, 0.1)[0] == "small-1"
-    assert shares.standing(None, 1).account == SHARED_ACCOUNT
+    assert shares.standing(None, 1, 0.1).account == SHARED_ACCOUNT
 
 
 def test_usage_is_charged_at_the_grant() -> None:
     queue, shares = queue_with()
     queue.enter(request("r", "a"), 0.0)
     order_of(queue)
-    ((_, standing),) = shares.largest()
+    ((_, standing),) = shares.largest(0.0)
     assert standing.account == "a"
     assert shares.charges == 1
 
@@ -208,8 +207,7 @@
     shares.arrived("r", "a", 1.0, 0, COST, 0.0)
     shares.granted("r", COST, 0.0)
     shares.ended("r", 0.0)
-    shares.ranks([], 0.0)
-    assert shares.standing("a", 0).usage == pytest.approx(0.0)
+    assert shares.standing("a", 0, 0.0).usage == pytest.approx(0.0)
     assert shares.charges == 0
 
 
@@ -374,10 +372,7 @@
         self.ledger = RunLedger(self.placement, FailureTracker(), by_id.get)
 
     def usage(self, account: str) -> float:
-        shares = self.placement.shares.by_pool[POOL]
-        window = shares._window(1)
-        window.level(0.0)
-        return window._account(account).usage
+        return dict(self.placement.shares.by_pool[POOL].usage()).get(account, 0.0)
 
 
 def run_of(account: str, number: int) -> ReportedRun:
