--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_admission.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_admission.py
@@ -235,6 +235,7 @@
                 scheduler=scheduler,
                 waiting=decision.waiting,
                 retry_after=retry_after,
+                zone=decision.request.zone,
                 **_retry_fields(decision),
             )
             return Refused(reason, retry_after)
@@ -295,8 +296,6 @@
         return {}
     after = rejected.retry_after
     return {
-        "account": rejected.request.account,
-        "zone": rejected.request.zone,
         "retry_recognized": rejected.recognition.value,
         "assigned_ms": None if after is None else round(1000 * after.total_seconds()),
         "within_limit": basis.within_limit,
