--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
@@ -19,6 +19,7 @@
 from ragwortwing_policy.direct.prompt_parts import Prompt, PromptPart
 from ragwortwing_policy.direct.queue_order import Waiter
 from ragwortwing_policy.direct.rate_limits import LimitNotice
+from ragwortwing_policy.direct.return_times import Recognition, RetryBasis
 from ragwortwing_policy.direct.run_report import EndedRun, ReportedRun, RunReport
 from ragwortwing_policy.duties.usage_counts import UsageReport
 
@@ -187,6 +188,9 @@
     waiting: int = 0
     account_usage: float | None = None
     account_share: float | None = None
+    recognition: str = Recognition.UNKNOWN.value
+    retry_basis: tuple[float | None, float | None, float, int, bool] | None = None
+    """The fields of a `RetryBasis`; None if the scheduler assigns no times."""
 
 
 PeerMessage = (
@@ -359,6 +363,8 @@
             waiting=decision.waiting,
             account_usage=standing.usage if standing else None,
             account_share=standing.share if standing else None,
+            recognition=decision.recognition.value,
+            retry_basis=_basis_body(decision.basis),
         )
     reading = decision.reading
     return DecisionMessage(
@@ -387,6 +393,8 @@
         no_engine=message.no_engine,
         waiting=message.waiting,
         standing=_standing_of(message, request),
+        recognition=_recognition_of(message.recognition),
+        basis=RetryBasis(*message.retry_basis) if message.retry_basis is not None else None,
     )
 
 
@@ -416,6 +424,25 @@
     return Standing(request.account or SHARED_ACCOUNT, usage, share)
 
 
+def _basis_body(
+    basis: RetryBasis | None,
+) -> tuple[float | None, float | None, float, int, bool] | None:
+    if basis is None:
+        return None
+    return (
+        _rounded(basis.placed_rate),
+        _rounded(basis.free_rate),
+        round(basis.waiting_work, 4),
+        basis.pending,
+        basis.within_limit,
+    )
+
+
+def _recognition_of(value: str) -> Recognition:
+    """Return the recognition of a message; a value of a newer version counts as unknown."""
+    return Recognition(value) if value in set(Recognition) else Recognition.UNKNOWN
+
+
 def _prompt_body(prompt: Prompt) -> PromptBody:
     parts = tuple((each.id, each.tokens) for each in prompt.parts)
     return PromptBody(
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/queue_order.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/queue_order.py
@@ -30,6 +30,11 @@
 """The same fraction for a long prompt. Past it, an engine that is late with its tokens serves
 the caller better than no engine."""
 
+LATE_BACKLOG = 0.1
+"""Fraction of its latency target that a retry which can only be late may find as backlog. Requests
+that can be on time accept 0.6 and more, so what it adds to a backlog does not make them late. In
+replays of bursts, 0.3 gave 1.3% fewer answers on time, and 0 left 7% more callers unanswered."""
+
 MINIMUM_RETRY_DELAY = timedelta(milliseconds=200)
 """Minimum delay after which a refused caller is asked to retry."""
 
@@ -56,9 +61,23 @@
     arrived_at: Instant
     resumed: bool = False
     """Whether the caller has already received part of the answer."""
+    first_target_at: Instant | None = None
+    """Latency target of the caller's first attempt; None if this is the first one. The caller's
+    latency counts from there, so a retry after it can only be late."""
+    retries_on_time: bool = False
+    """Whether the request is a retry at the time that its caller was told."""
+
+    def is_late(self, now: Instant) -> bool:
+        """Return whether the first event can no longer be on time."""
+        return now > (self.target_at if self.first_target_at is None else self.first_target_at)
+
+    @property
+    def is_early_retry(self) -> bool:
+        """Whether the request is a retry before the time that its caller was told."""
+        return self.first_target_at is not None and not self.retries_on_time
 
 
-QueueOrder = tuple[int, bool, bool, float, bool, float]
+QueueOrder = tuple[int, bool, int, float, bool, float]
 """Sort key of a waiting request."""
 
 
@@ -89,9 +108,10 @@
     """Return the sort key of a waiting request; the lowest is served first.
 
     Urgency is strict. Within an urgency, resumed answers come first. Requests whose target has not
-    passed follow, by target, and then late requests, by deadline. Among either, requests within
-    their account's share precede those beyond it, which follow by how far they are beyond it, and
-    requests that can still be on time precede those that no engine could answer before the target.
+    passed follow, by target, and then late requests, by deadline. Retries before the time that
+    their callers were told come last. Among each of these, requests within their account's share
+    precede those beyond it, which follow by how far they are beyond it, and requests that can still
+    be on time precede those that no engine could answer before the target.
 
     Args:
         waiter: The waiting request.
@@ -107,10 +127,13 @@
         >>> queue_order(fresh, now=1.9) < queue_order(fresh, now=1.9, first_event_after=0.2)
         True
     """
-    late = now > waiter.target_at
-    until = waiter.deadline if late else waiter.target_at
+    rank, until = 0, waiter.target_at
+    if waiter.is_early_retry:
+        rank, until = 2, waiter.deadline
+    elif waiter.is_late(now):
+        rank, until = 1, waiter.deadline
     unreachable = now > latest_start(waiter, first_event_after)
-    return (waiter.urgency, not waiter.resumed, late, beyond_share, unreachable, until)
+    return (waiter.urgency, not waiter.resumed, rank, beyond_share, unreachable, until)
 
 
 def due_at(waiter: Waiter, first_event_when_idle: float) -> Instant:
@@ -184,6 +207,22 @@
     return due + LATE_WAIT_TARGETS * (waiter.target_at - waiter.arrived_at)
 
 
+def latest_late_first_event(
+    waiter: Waiter, first_event_when_idle: float, start_until: Instant, now: Instant
+) -> Instant:
+    """Return the latest predicted first event of a placement of a retry that can only be late.
+
+    Args:
+        waiter: The waiting retry.
+        first_event_when_idle: Seconds to its first event on an otherwise idle engine.
+        start_until: Latest instant at which an idle engine can begin it and still finish in time.
+        now: The current instant.
+    """
+    target = waiter.target_at - waiter.arrived_at
+    # The time until the end is a rough prediction: past it, an idle engine may still be in time.
+    return max(now, min(now + LATE_BACKLOG * target, start_until)) + first_event_when_idle
+
+
 def must_refuse(waiter: Waiter, until: Instant, now: Instant) -> bool:
     """Return whether a waiting request is unlikely to be placed in time."""
     if now >= waiter.deadline - REFUSAL_LEAD_SECONDS:
