Learn the fixed time, rate and event gaps of each engine

Cause: the fixed time to a first event was assumed as 35 ms. On engines with 83 to 100 ms the rest was learned as a slow prefill rate, and the backlog counted it twice. Engines that prefill in small chunks were split into lanes although their streams keep their pause targets.

Change: entries measure the time from send to first event and the gaps of streams, and report them. The scheduler learns fixed time and seconds per token together, and the gap between events without and with continuous prefill, by engine with the pool as prior. The constants stay in force until a pool differs from them. Estimates are logged and exported as gauges, prediction errors as a histogram.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
@@ -140,13 +140,35 @@
         if self.duties is not None and account is not None:
             self.duties.count(account, began_at)
 
-    def engine_first_event(self, backend_id: str, service: str, ticket: str) -> None:
-        """Record the first event of a request: the engine has finished reading its prompt."""
+    def engine_first_event(
+        self, backend_id: str, service: str, ticket: str, after: float | None
+    ) -> None:
+        """Record the first event of a request: the engine has finished reading its prompt.
+
+        Args:
+            backend_id: The engine.
+            service: Its pool.
+            ticket: The request's name on it.
+            after: Measured seconds from the send to the event; None if not measured.
+        """
         now = self.state.clock.monotonic()
-        if self.state.placement.first_event(backend_id, ticket, now) is not None:
-            self._reporting.first_event(service, ticket)
+        if after is not None and self._reporting.was_suspended(after):
+            self._reporting.measurements_discarded += 1
+            after = None
+        if self.state.placement.first_event(backend_id, ticket, now, after) is not None:
+            self._reporting.first_event(service, ticket, after)
             self._notify(service)
 
+    def stream_gap(self, service: str, ticket: str, seconds: float) -> None:
+        """Record the time between two events of a stream; plain services have no ticket."""
+        if ticket:
+            self._reporting.gap(service, ticket, seconds)
+
+    @property
+    def measurements_discarded(self) -> int:
+        """Measurements of engines that span a suspension of this process."""
+        return self._reporting.measurements_discarded
+
     def stream_pause_exceeded(self, backend_id: str, service: str, ticket: str) -> None:
         """Record that a stream paused for longer than its target."""
         now = self.state.clock.monotonic()
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
@@ -18,12 +18,16 @@
     from prometheus_client.core import Metric
 
     from ragwortwing_policy.clock import Instant
+    from ragwortwing_policy.direct.engine_model import EngineEstimate
 
     from .direct_entry import DirectEntry
 
 SECONDS_BUCKETS = (0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 3.0, 5.0, 10.0, 15.0)
 """Bucket bounds in seconds; they include the targets and timeouts of the current routes."""
 
+ERROR_BUCKETS = (-0.4, -0.2, -0.1, -0.05, -0.025, 0.0, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8)
+"""Bucket bounds in seconds of prediction errors."""
+
 
 class EntryCounters:
     """The counters and histograms of one entry."""
@@ -62,6 +66,13 @@
             buckets=SECONDS_BUCKETS,
             registry=self.registry,
         )
+        self.first_event_errors = Histogram(
+            "ragwortwing_first_event_error_seconds",
+            "Actual minus predicted time from a send to its first event.",
+            ("service",),
+            buckets=ERROR_BUCKETS,
+            registry=self.registry,
+        )
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -125,6 +136,7 @@
         yield self._rate_limits()
         yield self._fencing_tokens()
         yield self._waiting_by_urgency()
+        yield from self._engine_estimates(now)
 
     def _feed_ages(self, now: Instant) -> Metric:
         family = GaugeMetricFamily(
@@ -190,6 +202,48 @@
             family.add_metric((str(urgency),), count)
         return family
 
+    def _engine_estimates(self, now: Instant) -> Iterator[Metric]:
+        placement = self._entry.state.placement
+        estimates = placement.estimates(now)
+        values_by_name: dict[str, tuple[str, Callable[[EngineEstimate], float | None]]] = {
+            "ragwortwing_engine_tokens_per_second": (
+                "Measured prompt tokens that an engine reads per second.",
+                lambda each: each.tokens_per_second,
+            ),
+            "ragwortwing_engine_fixed_seconds": (
+                "Measured time to the first event besides all prefill.",
+                lambda each: each.fixed_time,
+            ),
+            "ragwortwing_engine_gap_seconds": (
+                "Expected gap between two events without prefill.",
+                lambda each: each.gap,
+            ),
+            "ragwortwing_engine_gap_under_prefill_seconds": (
+                "Expected gap between two events during continuous prefill.",
+                lambda each: each.gap_under_prefill,
+            ),
+            "ragwortwing_engine_margin_ratio": (
+                "Margin kept for prediction errors, relative to the mean error of the pool.",
+                lambda each: each.margin_ratio,
+            ),
+            "ragwortwing_engine_slowdown": (
+                "Factor by which an engine takes longer than estimated.",
+                lambda each: each.slowdown,
+            ),
+        }
+        for name, (text, value_of) in values_by_name.items():
+            family = GaugeMetricFamily(name, text, labels=("backend",))
+            for estimate in estimates:
+                value = value_of(estimate)
+                if value is not None:
+                    family.add_metric((estimate.backend_id,), value)
+            yield family
+        yield CounterMetricFamily(
+            "ragwortwing_measurements_ignored",
+            "Measurements of engines ignored as implausible or as spanning a suspension.",
+            value=placement.measurements_rejected + self._entry.measurements_discarded,
+        )
+
     def _by_service(self, name: str, text: str, value: Callable[[str], float]) -> Metric:
         family = GaugeMetricFamily(name, text, labels=("service",))
         table = self._entry.state.table
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -40,6 +40,10 @@
 RATE_LIMIT_WAIT_SHARE = 0.5
 """Share of its latency target for which a request waits for a rate-limited server."""
 
+SLOW_WRITE = 0.01
+"""Seconds for writing an event from which the caller reads more slowly than the engine sends. An
+event of a few hundred bytes otherwise fits the socket's buffer and takes microseconds."""
+
 DRAINING_RETRY_AFTER = timedelta(milliseconds=20)
 """Wait before a caller of a draining entry should retry: another entry is available at once."""
 
@@ -79,6 +83,13 @@
         self._first_event_at: Instant | None = None
         self._last_event_at: Instant | None = None
         self._longest_pause = 0.0
+        self._sent_at: Instant = 0.0
+        self._gap_from: Instant | None = None
+        """When the last event of the current send arrived; None if the next gap is not measured."""
+        self._predicted: float | None = None
+        """Predicted seconds from the current send to its first event; None if not predicted."""
+        self._first_event_after: float | None = None
+        """Measured seconds from the send to the first event."""
 
     async def run(self) -> None:
         """Serve the request; on every return the caller has been told the outcome."""
@@ -187,7 +198,7 @@
         prompt = self._request.prompt
         service = table.services_by_name.get(self._service) if table else None
         if table is None or service is None or service.engine is None or prompt is None:
-            self._ticket = ""
+            self._ticket, self._predicted = "", None
             found = await self._entry.plain.admit(
                 self._service, self._tried, self._rate_limit_wait_until
             )
@@ -199,6 +210,7 @@
         if isinstance(granted, Refused):
             return granted
         self._ticket = granted.request.ticket
+        self._predicted = granted.first_event_after
         return _Destination(granted.backend, granted.reading.fetch_from)
 
     def _waiting_request(self, prompt: Prompt, pauses: PauseTargets | None) -> WaitingRequest:
@@ -231,7 +243,8 @@
         backend, order = destination.backend, self._order(destination)
         self._tried.add(backend.id)
         send = self._send = Send()
-        sent_at = self._now()
+        sent_at = self._sent_at = self._now()
+        self._gap_from = None
         decided(
             "request_sent",
             self._request.id,
@@ -354,6 +367,7 @@
             if piece.event is not None:
                 self._note_event(backend, piece.event)
             await self._answer.write(piece.data)
+            self._note_written()
         if delivered_before is not None and delivered_before == self._delivered_event:
             # It is unknown whether the stream was complete or the engine lost its position.
             raise BackendLostError("the resumed stream ended without a new event")
@@ -378,13 +392,29 @@
     def _note_event(self, backend: BackendServer, event: int) -> None:
         now = self._now()
         self._delivered_event = event
+        # An engine that resumes an answer may first repeat events, so its first event is unknown.
+        after = now - self._sent_at if self._first_event_at is None else None
         if self._first_event_at is None:
             self._first_event_at = now
+            self._note_first_event_after(now - self._sent_at)
             self._entry.run_began(self._account_name, now)
         elif self._last_event_at is not None:
             self._note_pause(backend, now - self._last_event_at)
-        self._last_event_at = now
-        self._entry.engine_first_event(backend.id, self._service, self._ticket)
+        if self._gap_from is not None:
+            self._entry.stream_gap(self._service, self._ticket, now - self._gap_from)
+        self._last_event_at = self._gap_from = now
+        self._entry.engine_first_event(backend.id, self._service, self._ticket, after)
+
+    def _note_first_event_after(self, after: float) -> None:
+        if self._predicted is not None:
+            self._first_event_after = after
+            errors = self._entry.counters.first_event_errors
+            errors.labels(self._service).observe(after - self._predicted)
+
+    def _note_written(self) -> None:
+        """Skip the next gap if the caller reads slowly: the engine's events wait meanwhile."""
+        if self._gap_from is not None and self._now() - self._gap_from > SLOW_WRITE:
+            self._gap_from = None
 
     def _note_pause(self, backend: BackendServer, pause: float) -> None:
         target = _seconds(self._route.pause_target)
@@ -468,6 +498,8 @@
             took_ms=round(1000 * (now - arrived_at)),
             first_event_ms=None if first is None else round(1000 * (first - arrived_at)),
             longest_pause_ms=round(1000 * self._longest_pause),
+            after_send_ms=_rounded_ms(self._first_event_after),
+            predicted_ms=_rounded_ms(self._predicted),
             **inputs,
         )
 
@@ -491,5 +523,9 @@
     return None if span is None else span.total_seconds()
 
 
+def _rounded_ms(seconds: float | None) -> int | None:
+    return None if seconds is None else round(1000 * seconds)
+
+
 def _milliseconds(span: timedelta | None) -> int | None:
     return None if span is None else round(1000 * span.total_seconds())
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/batching_engine.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/batching_engine.py
@@ -62,6 +62,10 @@
     """A simulated engine; call `step` again at the time that it returned while `busy`."""
 
     pace: EnginePace
+    speed: float = 1.0
+    """Speed of its steps relative to the pace."""
+    slowdown: Callable[[float], float] = lambda _: 1.0
+    """Returns the factor by which a step that begins at some time takes longer."""
     waiting: list[EngineRun] = field(default_factory=list)
     prefilling: list[EngineRun] = field(default_factory=list)
     running: list[EngineRun] = field(default_factory=list)
@@ -90,7 +94,7 @@
         pace = self.pace
         duration = pace.step + pace.step_per_run * len(self.running)
         duration += read / pace.tokens_per_second + pairs * pace.seconds_per_pair
-        ends_at = now + duration
+        ends_at = now + duration * self.slowdown(now) / self.speed
         self._generate_tokens(ends_at)
         return ends_at
 
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/burst_replay.py
@@ -29,7 +29,13 @@
 from ragwortwing_policy.direct.queue_order import Waiter
 from ragwortwing_policy.direct.routing_table import EngineTraits, PauseTargets
 from ragwortwing_policy.direct.run_ledger import RunLedger, run_key
-from ragwortwing_policy.direct.run_report import ReportedRun, RunReport, RunReporter
+from ragwortwing_policy.direct.run_report import (
+    WHOLE_INTERVAL,
+    ReportedRun,
+    RunReport,
+    RunReporter,
+    learn_own_gaps,
+)
 
 from .batching_engine import BatchingEngine, EnginePace, EngineRun
 
@@ -114,6 +120,25 @@
     factor: float
 
 
+@dataclass(frozen=True, slots=True)
+class SpeedNoise:
+    """Random slowdowns: an engine is slow in a share of the intervals, drawn for each one."""
+
+    share: float
+    factor: float
+    interval: float
+
+
+@dataclass(frozen=True, slots=True)
+class SlowPeriod:
+    """A period in which one engine takes longer."""
+
+    engine: int
+    begins: float
+    ends: float
+    factor: float
+
+
 @dataclass(frozen=True, slots=True)
 class Replay:
     """Workload and fleet of one simulation."""
@@ -136,6 +161,11 @@
     """Maximum retries of a caller that is refused with a retry time."""
     pauses_declared: bool = True
     """Whether the placement decisions are given the pause targets."""
+    speeds: tuple[float, ...] = (1.0,)
+    """Relative speeds of the engines, in turn."""
+    noise: SpeedNoise | None = None
+    """Random slowdowns of each engine."""
+    slow_periods: tuple[SlowPeriod, ...] = ()
 
     def pause_targets(self) -> PauseTargets | None:
         """Return the pause targets given to the placement decisions, or None."""
@@ -250,6 +280,12 @@
     first_event_after: float = 0.0
     longest_pause: float = 0.0
     is_served: bool = False
+    backend: str = ""
+    """Engine of its last send."""
+    predicted: float = 0.0
+    """Predicted seconds from the send to the first event."""
+    prediction_error: float | None = None
+    """Actual minus predicted seconds; None before the first event."""
 
 
 @dataclass(slots=True)
@@ -292,6 +328,8 @@
         fleet.at(0.0, _arrivals(fleet, kind))
     for entry in fleet.entries:
         fleet.at(0.0, _dispatch_loop(fleet, entry))
+        if not replay.scheduled or entry is fleet.entries[0]:
+            fleet.at(WHOLE_INTERVAL, _own_gap_loop(fleet, entry))
         if replay.scheduled and entry is not fleet.entries[0]:
             first = fleet.random.random() * replay.report_interval
             fleet.at(first, _run_report_loop(fleet, entry))
@@ -306,7 +344,8 @@
 def _make_fleet(replay: Replay) -> _Fleet:
     fleet = _Fleet(replay, Random(replay.seed), {kind.name: KindResult() for kind in replay.kinds})
     for number in range(replay.engines):
-        fleet.engines.append(BatchingEngine(replay.pace))
+        speed = replay.speeds[number % len(replay.speeds)]
+        fleet.engines.append(BatchingEngine(replay.pace, speed, _slowdown(replay, number)))
         fleet.servers.append(BackendServer(f"i-{number}", SERVICE, "", "", replay.pace.slots))
         fleet.reported_loads.append(0)
     for number in range(replay.entries):
@@ -314,6 +353,24 @@
     return fleet
 
 
+def _slowdown(replay: Replay, number: int) -> Callable[[float], float]:
+    noise = replay.noise
+    periods = [each for each in replay.slow_periods if each.engine == number]
+
+    def factor(now: float) -> float:
+        found = 1.0
+        if noise is not None:
+            interval = int(now / noise.interval)
+            drawn = Random(f"{replay.seed}/{number}/{interval}").random()
+            found = noise.factor if drawn < noise.share else 1.0
+        for period in periods:
+            if period.begins <= now < period.ends:
+                found *= period.factor
+        return found
+
+    return factor
+
+
 def _make_entry(fleet: _Fleet, name: str) -> _Entry:
     placement = Placement()
     servers_by_id = {each.id: each for each in fleet.servers}
@@ -426,14 +483,18 @@
         prompt, urgency = decision.request.prompt, decision.request.waiter.urgency
         load = entry.placement.load(decision.backend, _traits(fleet.replay))
         load.begin(ticket, prompt, decision.reading, now, urgency)
-        run = ReportedRun(ticket, decision.backend.id, prompt, decision.reading, urgency)
-        entry.reporter.begin(run, now)
         _start(fleet, entry, ticket, decision, now)
 
     return take
 
 
 def _start(fleet: _Fleet, entry: _Entry, ticket: str, decision: Granted, now: float) -> None:
+    prompt, urgency = decision.request.prompt, decision.request.waiter.urgency
+    run = ReportedRun(ticket, decision.backend.id, prompt, decision.reading, urgency)
+    entry.reporter.begin(run, now)
+    request = fleet.requests_by_ticket[ticket]
+    request.predicted = decision.first_event_after
+    request.backend = decision.backend.id
     number = fleet.servers.index(decision.backend)
     source = decision.reading.fetch_from
     fetch_from = None if source is None else fleet.engines[fleet.servers.index(source)]
@@ -470,6 +531,16 @@
     return send
 
 
+def _own_gap_loop(fleet: _Fleet, entry: _Entry) -> Callable[[float], None]:
+    """Let an entry that decides learn from the gaps of its own streams."""
+
+    def learn(now: float) -> None:
+        learn_own_gaps(entry.placement, entry.reporter.report(now), now)
+        fleet.at(now + WHOLE_INTERVAL, learn)
+
+    return learn
+
+
 def _report_received(fleet: _Fleet, report: RunReport) -> Callable[[float], None]:
     def take(now: float) -> None:
         fleet.entries[0].ledger.take(report, now)
@@ -511,9 +582,12 @@
             result.useless_fetches += run.fetch_was_useless
             if entry is not None:
                 entry.placement.first_event(f"i-{number}", ticket, at)
-                entry.reporter.first_event(ticket)
+                entry.reporter.first_event(ticket, at - now)
+                request.prediction_error = at - now - request.predicted
         else:
             pause = at - request.last_event_at
+            if entry is not None:
+                entry.reporter.gap(ticket, pause, at)
             if entry is not None and pause > request.kind.pause >= request.longest_pause:
                 entry.placement.pause_exceeded(f"i-{number}", ticket, at)
                 entry.reporter.pause_exceeded(ticket)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/_engine_choice.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/_engine_choice.py
@@ -45,6 +45,7 @@
         *,
         stretch: float,
         budget: float | None,
+        shared: frozenset[str] = frozenset(),
     ) -> None:
         """Create the choice.
 
@@ -56,11 +57,13 @@
             stretch: Factor by which prefill takes longer than its tokens alone.
             budget: Seconds of prefill within a pause that streams like the request's tolerate; None
                 if not limited.
+            shared: Ids of the engines that take short and long prompts without limit.
         """
         self.placement_request = placement_request
         self._traits = traits
         self._stretch = stretch
         self._budget = budget
+        self._shared = shared
         self._now = now
         self._load_by_id = {each.id: load for each, load in load_by_engine.items()}
         prompt = placement_request.prompt
@@ -82,35 +85,68 @@
         ]
         if not fitting:
             return NotPlaced(None)
-        after_by_id = {each.id: self._first_event_after(each) for each in fitting}
-        earliest = min(after_by_id.values())
+        fitting = self._bearing_pauses(fitting)
+        cost_by_id = {each.id: self._cost(each) for each in fitting}
+        earliest = min(cost_by_id.values())
         best = self._home(fitting) if prefer_cached_engine else None
-        if best is None or after_by_id[best.id] > earliest + HOME_PREFERENCE_SECONDS:
+        if best is None or cost_by_id[best.id] > earliest + HOME_PREFERENCE_SECONDS:
             equal = [
-                each for each in fitting if after_by_id[each.id] <= earliest + EQUAL_WITHIN_SECONDS
+                each for each in fitting if cost_by_id[each.id] <= earliest + EQUAL_WITHIN_SECONDS
             ]
             best = min(
                 equal,
                 key=lambda each: self._preference(each, prefer_cached_engine=prefer_cached_engine),
             )
-        after = after_by_id[best.id]
-        if prefer_cached_engine and after > self.placement_request.latency_target:
-            return NotPlaced(after)
+        after = self._predicted(best, cost_by_id[best.id])
+        if prefer_cached_engine and after > self._latest_first_event(best):
+            # Another engine may be on time with its own margin.
+            on_time = [
+                each
+                for each in fitting
+                if self._predicted(each, cost_by_id[each.id]) <= self._latest_first_event(each)
+            ]
+            if not on_time:
+                return NotPlaced(after)
+            best = min(on_time, key=lambda each: cost_by_id[each.id])
+            after = self._predicted(best, cost_by_id[best.id])
         return Placed(best, self.reading(best), after)
 
+    def _latest_first_event(self, engine: BackendServer) -> float:
+        """Return the latest predicted first event on an engine that is on time with its margin."""
+        asked = self.placement_request
+        return asked.latency_target + self._load(engine).spare_margin(asked.margin, asked.urgency)
+
+    def _bearing_pauses(self, engines: list[BackendServer]) -> list[BackendServer]:
+        """Return the engines whose streams pause for less than the request's target, if any."""
+        target = self.placement_request.pause_target
+        if target is None:
+            return engines
+        bearing = [each for each in engines if self._load(each).stays_within(target, self._now)]
+        return bearing or engines
+
     def within_budget(self, engines: Sequence[BackendServer]) -> list[BackendServer]:
         """Return the engines whose prefill leaves streams like this one on time.
 
         An engine that prefills continuously generates one token per prefill chunk: every event
         of every stream on it is late, and long answers miss their deadline.
         """
-        budget, span = self._budget, self.placement_request.pause_target
-        if budget is None or span is None:
+        span = self.placement_request.pause_target
+        if span is None:
             return list(engines)
-        return [each for each in engines if self._is_within_budget(each, budget, span)]
+        budget_by_id = {
+            each.id: self._load(each).prefill_budget(span, self._budget) for each in engines
+        }
+        return [
+            each
+            for each in engines
+            if (budget := budget_by_id[each.id]) is None
+            or self._is_within_budget(each, budget, span)
+        ]
 
     def _is_within_budget(self, engine: BackendServer, budget: float, span: float) -> bool:
         load = self._load(engine)
+        if engine.id in self._shared:
+            return True
         planned = load.reading_within(span, self._now)
         if planned <= 0.0:
             return True
@@ -133,6 +169,8 @@
         A short prompt always fits on an engine without pending prefill.
         """
         load = self._load(engine)
+        if engine.id in self._shared:
+            return True
         pending = load.reading_within(self.placement_request.shortest_pause or 0.0, self._now)
         if pending <= 0.0 and not self.placement_request.prompt.is_long:
             return True
@@ -183,12 +221,22 @@
     def _load(self, engine: BackendServer) -> EngineLoad:
         return self._load_by_id[engine.id]
 
-    def _first_event_after(self, engine: BackendServer) -> float:
+    def _cost(self, engine: BackendServer) -> float:
+        """Return the predicted first event with the penalty for running requests."""
         load = self._load(engine)
         reading, urgency = self.reading(engine), self.placement_request.urgency
         after = load.first_event_after(reading, self._now, urgency, self._stretch)
         return after + _running_penalty(load)
 
+    def _predicted(self, engine: BackendServer, cost: float) -> float:
+        """Return the predicted first event.
+
+        The constants leave out the steps between prefill chunks, which the penalty stands for. A
+        measured rate includes them.
+        """
+        load = self._load(engine)
+        return cost - _running_penalty(load) if load.pool.in_force else cost
+
 
 def place_long_prompt(
     choice: EngineChoice, short: Sequence[BackendServer], long: Sequence[BackendServer]
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -21,6 +21,7 @@
     latest_first_event,
     may_wait,
     must_refuse,
+    prediction_margin,
     queue_order,
     refuse_after,
     retry_after_of,
@@ -90,8 +91,9 @@
     waiting: int
 
 
-_Bound = tuple[int, frozenset[str]]
-"""Requests with common bounds of placement: their urgency and the servers that they cannot use."""
+_Bound = tuple[int, frozenset[str], float]
+"""Requests with common bounds of placement: their urgency, the servers that they cannot use and the
+margin of their predictions."""
 
 
 class AdmissionQueue:
@@ -213,11 +215,11 @@
 
         In an overload hundreds of requests wait, and a single pass can place only few of them.
         """
-        bound = (placement_request.urgency, unusable)
+        bound = (placement_request.urgency, unusable, placement_request.margin)
         earliest = self._earliest_by_bound.get(bound)
         if earliest is None:
             earliest = self._placement.earliest_first_event(
-                engines, traits, placement_request.urgency, now
+                engines, traits, placement_request.urgency, now, placement_request.margin
             )
             self._earliest_by_bound[bound] = earliest
         if earliest == inf or not placement_request.prompt.is_long:
@@ -272,7 +274,8 @@
 
     def _placement_request(self, request: WaitingRequest, now: Instant) -> PlacementRequest:
         waiter = request.waiter
-        target = latest_first_event(waiter, self._due(request)) - now
+        due = self._due(request)
+        target = latest_first_event(waiter, due) - now
         return PlacementRequest(
             self._service,
             request.prompt,
@@ -282,4 +285,5 @@
             may_wait=may_wait(waiter, now, is_long=request.prompt.is_long),
             zone=request.zone,
             pause_target=request.pause_target,
+            margin=prediction_margin(waiter, due),
         )
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_load.py
@@ -9,15 +9,31 @@
 from ragwortwing_policy.clock import Instant
 
 from .backend_list import BackendServer
+from .engine_model import (
+    ASSUMED_FIXED_TIME,
+    ASSUMED_TOKENS_PER_SECOND,
+    CONTINUOUS_GAPS,
+    MARGIN_BOUNDS,
+    MAXIMUM_SLOWDOWN,
+    MINIMUM_EXPECTED_SECONDS,
+    OVERDUE_RATIO,
+    PLAUSIBLE_FIRST_EVENT_SECONDS,
+    PLAUSIBLE_GAP_SECONDS,
+    QUIET_FRACTION,
+    RATE_BOUNDS,
+    SHARED_FRACTION,
+    EngineModel,
+    PoolModel,
+    is_plausible,
+)
+from .prefill_spans import PrefillSpans
 from .prompt_parts import PartCache, Prompt, PromptPart
 from .routing_table import LEAST_URGENT_TIER, EngineTraits
 from .unread_prompts import UnreadPrompts
 
-INITIAL_TOKENS_PER_SECOND = 40_000.0
-"""Prefill rate in tokens per second before anything is learned; a conservative value."""
+INITIAL_TOKENS_PER_SECOND = ASSUMED_TOKENS_PER_SECOND
 
-FIRST_EVENT_OVERHEAD = 0.035
-"""Seconds from a send to the first event of a short prompt on an idle engine, network included."""
+FIRST_EVENT_OVERHEAD = ASSUMED_FIXED_TIME
 
 LEARNING_PROMPT_TOKENS = 1_500
 """Minimum unread tokens of a prompt from which the prefill rate is learned: in shorter prompts
@@ -26,10 +42,6 @@
 LEARNING_GAIN = 0.15
 """Weight of a new measurement in the learned rate."""
 
-RATE_BOUNDS = (4_000.0, 200_000.0)
-"""Minimum and maximum learned rate in tokens per second. A stalled engine is handled by its
-health, not by its rate."""
-
 RESERVED_PER_RANK = 1 / 48
 """Fraction of an engine that a request leaves free for each rank that is more urgent than its
 own."""
@@ -73,9 +85,14 @@
     is_long: bool
     fetched: bool = False
     """Whether part of its prompt is fetched from another engine."""
+    seen_from_start: bool = True
+    """Whether the state of the engine was known when it was sent. Its first event teaches nothing
+    otherwise."""
     read: bool = False
     exceeded: bool = False
     """Whether its stream had a pause longer than its target."""
+    begun_at: Instant = 0.0
+    """When it was added here; `sent_at` follows the report of its entry."""
 
 
 @dataclass(slots=True)
@@ -90,8 +107,11 @@
     backend_id: str
     service: str
     traits: EngineTraits
+    pool: PoolModel = field(default_factory=PoolModel)
+    """What is known of all engines of the service."""
+    model: EngineModel = field(init=False)
+    """What is known of the speed of this engine."""
     cache: PartCache = field(init=False)
-    tokens_per_second: float = INITIAL_TOKENS_PER_SECOND
     runs_by_ticket: dict[str, RunOnEngine] = field(default_factory=dict)
     short_running: int = 0
     """Running requests with short prompts."""
@@ -102,10 +122,31 @@
     """Recent sends with their seconds of prefill."""
     _progress_at: Instant = 0.0
     """When the engine last finished reading a prompt, or began to read after being idle."""
+    _assumed_rate: float = INITIAL_TOKENS_PER_SECOND
+    """Prefill rate in tokens per second, learned with the assumed fixed time."""
+    _pending: dict[str, RunOnEngine] = field(default_factory=dict)
+    """Requests without a first event, in the order in which they were sent."""
+    _available_at: Instant = 0.0
+    """When the engine could begin with the prompt that it reads now, without the fixed time."""
+    _is_interrupted: bool = False
+    """Whether a prompt was cancelled since the last first event: the time that the engine spent
+    on it is unknown."""
+    _spans: PrefillSpans = field(default_factory=PrefillSpans)
 
     def __post_init__(self) -> None:
+        self.model = self.pool.engine(self.backend_id)
         self.cache = PartCache(int(self.traits.memory_tokens * CACHE_FRACTION))
 
+    @property
+    def tokens_per_second(self) -> float:
+        """Prompt tokens that the engine reads per second."""
+        return 1.0 / self.model.seconds_per_token if self.pool.in_force else self._assumed_rate
+
+    @property
+    def fixed_time(self) -> float:
+        """Seconds from a send to the first event besides all prefill."""
+        return self.model.fixed_time if self.pool.in_force else FIRST_EVENT_OVERHEAD
+
     def kept_tokens(self, prompt: Prompt) -> int:
         """Return the tokens of a prompt that this engine has probably cached."""
         return self.cache.kept_tokens(prompt.parts)
@@ -119,7 +160,23 @@
         ahead = self._unread.seconds(urgency)
         if ahead <= 0.0:
             return 0.0
-        return max(0.0, ahead - self._current_reading_seconds(now))
+        if not self.pool.in_force:
+            return max(0.0, ahead - self._current_reading_seconds(now))
+        # The first event of a prompt arrives a fixed time after the engine has read it. Meanwhile
+        # the engine reads the next prompt, so the progress includes the fixed time.
+        mean = self._unread.seconds() / max(1, self._unread.prompts)
+        elapsed = now - self._available_at
+        factor = self._slowdown(mean, elapsed, now)
+        return max(0.0, factor * ahead - min(elapsed, factor * mean + self.model.fixed_time))
+
+    def _slowdown(self, mean: float, elapsed: float, now: Instant) -> float:
+        """Return the factor by which pending prefill takes longer than estimated.
+
+        A prompt whose first event is overdue shows a slowdown before any event does.
+        """
+        factor = self.model.slowdown(now)
+        overdue = (elapsed - self.model.fixed_time) / max(mean, MINIMUM_EXPECTED_SECONDS)
+        return max(factor, min(MAXIMUM_SLOWDOWN, overdue)) if overdue > OVERDUE_RATIO else factor
 
     def reading_within(self, span: float, now: Instant) -> float:
         """Return the seconds of prefill that fall into the same pause as a new prompt.
@@ -163,8 +220,58 @@
             urgency: The request's urgency.
             stretch: Factor by which prefill takes longer than its tokens alone.
         """
-        ahead = self.backlog(now, urgency) + self.predicted_prefill_seconds(reading)
-        return stretch * ahead + FIRST_EVENT_OVERHEAD
+        own = self.predicted_prefill_seconds(reading)
+        if self.pool.in_force:
+            own *= self.model.slowdown(now)
+        return stretch * (self.backlog(now, urgency) + own) + self.fixed_time
+
+    def spare_margin(self, margin: float, urgency: int) -> float:
+        """Return the part of a safety margin that this engine's predictions do not need.
+
+        Args:
+            urgency: Urgency of the request.
+            margin: Seconds that a request's target keeps for prediction errors. They suffice for
+                any engine whose errors are unknown.
+
+        Returns:
+            Seconds; negative if the engine needs a wider margin.
+        """
+        needed = self.model.margin(urgency) if self.pool.in_force else None
+        if needed is None:
+            return 0.0
+        low, high = MARGIN_BOUNDS
+        return margin - min(high * margin, max(low * margin, needed))
+
+    def is_shared(self, shortest_pause: float | None) -> bool:
+        """Return whether the engine takes short and long prompts, by its measured gaps."""
+        return self.model.is_shared(shortest_pause, self.running + 1)
+
+    def stays_within(self, pause_target: float, now: Instant) -> bool:
+        """Return whether a stream that begins now probably keeps to a pause target."""
+        if not self.pool.in_force or not self.pool.knows_gaps:
+            return True
+        running = self.running + 1
+        if self.model.gap_under_prefill(running) <= pause_target:
+            return True
+        return self.model.longest_gap(running, self.backlog(now)) <= pause_target
+
+    def prefill_budget(self, pause_target: float, learned: float | None) -> float | None:
+        """Return the seconds of prefill in a pause that streams with a pause target tolerate.
+
+        Args:
+            pause_target: The pause target in seconds.
+            learned: The limit that late streams of the pool have taught; None for no limit.
+
+        Returns:
+            Seconds; None if even continuous prefill keeps to the target.
+        """
+        if not self.pool.in_force or not self.pool.knows_gaps:
+            return learned
+        running = self.running + 1
+        if self.model.gap_under_prefill(running) <= SHARED_FRACTION * pause_target:
+            return None
+        left = max(MINIMUM_EXPECTED_SECONDS, pause_target - self.model.gap(running))
+        return left if learned is None else min(left, learned)
 
     @property
     def running(self) -> int:
@@ -199,6 +306,7 @@
         urgency: int = LEAST_URGENT_TIER,
         *,
         is_read: bool = False,
+        seen_from_start: bool = True,
     ) -> None:
         """Add a request to the engine.
 
@@ -209,6 +317,7 @@
             now: When it was sent.
             urgency: Its urgency.
             is_read: Whether its first event has already arrived.
+            seen_from_start: Whether the state of the engine was known when it was sent.
         """
         self.short_running += not prompt.is_long
         seconds = self.predicted_prefill_seconds(reading)
@@ -219,11 +328,12 @@
             self.cache.read(prompt.parts)
         else:
             if not self._unread.prompts:
-                self._progress_at = now
+                self._progress_at = self._available_at = now
+                self._is_interrupted = False
             self._unread.add(urgency, seconds)
             self._sent.append((now, seconds))
         self.memory_tokens += prompt.memory_tokens
-        self.runs_by_ticket[ticket] = RunOnEngine(
+        run = self.runs_by_ticket[ticket] = RunOnEngine(
             prompt.parts,
             reading.unread_tokens,
             prompt.memory_tokens,
@@ -234,12 +344,28 @@
             queued,
             prompt.is_long,
             reading.fetch_from is not None,
+            seen_from_start,
             is_read,
+            begun_at=now,
         )
+        if not is_read:
+            self._pending[ticket] = run
 
-    def first_event(self, ticket: str, now: Instant) -> RunOnEngine | None:
+    def first_event(
+        self,
+        ticket: str,
+        now: Instant,
+        after: float | None = None,
+        sent_at: Instant | None = None,
+    ) -> RunOnEngine | None:
         """Record that a request's prompt has been read, and learn the prefill rate from it.
 
+        Args:
+            ticket: The request's name on this engine.
+            now: The current instant.
+            after: Measured seconds from the send to the event; None if not measured.
+            sent_at: When its entry sent it; None if that was when it was added here.
+
         Returns:
             The request, or None if the event was already known.
         """
@@ -249,10 +375,58 @@
         run.read = True
         self.cache.read(run.parts)
         self._unread.remove(run.urgency, run.predicted_prefill_seconds)
+        self._pending.pop(ticket, None)
         self._progress_at = now
         self._learn_rate(run, now)
+        self._measure_prefill(run, sent_at if sent_at is not None else run.sent_at, now, after)
         return run
 
+    def _measure_prefill(
+        self, run: RunOnEngine, sent_at: Instant, now: Instant, after: float | None
+    ) -> None:
+        """Learn from a first event how long the engine took for the prompt."""
+        elapsed = now - sent_at if after is None else after
+        if not is_plausible(elapsed, PLAUSIBLE_FIRST_EVENT_SECONDS):
+            self.pool.rejected += 1
+            elapsed, run.seen_from_start = max(0.0, now - sent_at), False
+        model, read_at = self.model, sent_at + elapsed
+        includes_fixed_time = self._available_at == run.begun_at
+        finished_at = read_at - model.fixed_time
+        seconds = elapsed if includes_fixed_time else max(0.0, finished_at - self._available_at)
+        is_known = run.seen_from_start and not run.fetched and not self._is_interrupted
+        if is_known:
+            model.learn_first_event(
+                run.unread_tokens, seconds, now, includes_fixed_time=includes_fixed_time
+            )
+        spent = max(0.0, seconds - (model.fixed_time if includes_fixed_time else 0.0))
+        self._spans.add(read_at - spent, read_at)
+        self._is_interrupted = False
+        oldest = next(iter(self._pending.values()), None)
+        idle_until = oldest.begun_at if oldest is not None else finished_at
+        self._available_at = max(finished_at, idle_until)
+
+    def stream_gaps(self, longest: float, mean: float, events: int, now: Instant) -> None:
+        """Learn from the gaps between the events of a stream on this engine.
+
+        Args:
+            longest: The longest gap in seconds.
+            mean: The mean gap.
+            events: Number of gaps.
+            now: When the last one ended.
+        """
+        is_valid = is_plausible(longest, PLAUSIBLE_GAP_SECONDS) and is_plausible(mean, longest)
+        if not is_valid or events < 1:
+            self.pool.rejected += 1
+            return
+        span = mean * events
+        busy, continuous = self._spans.within(now - span, now)
+        if self._pending:
+            busy += max(0.0, now - max(now - span, self._available_at + self.model.fixed_time))
+        if busy <= QUIET_FRACTION * span:
+            self.model.learn_quiet_gap(mean, self.running, busy / span if span else 0.0)
+        elif continuous >= CONTINUOUS_GAPS * longest:
+            self.model.learn_prefill_gap(longest, self.running)
+
     def end(self, ticket: str, now: Instant) -> None:
         """Remove a request that no longer runs; its prefill is cancelled if it was not read."""
         run = self.runs_by_ticket.pop(ticket, None)
@@ -261,6 +435,8 @@
         self.memory_tokens -= run.memory_tokens
         self.short_running -= not run.is_long
         if not run.read:
+            self._is_interrupted = True
+            self._pending.pop(ticket, None)
             self.cache.drop_unread(run.parts)
             self._unread.remove(run.urgency, run.predicted_prefill_seconds)
 
@@ -273,4 +449,4 @@
             return
         low, high = RATE_BOUNDS
         measured = min(high, max(low, run.unread_tokens / reading))
-        self.tokens_per_second += LEARNING_GAIN * (measured - self.tokens_per_second)
+        self._assumed_rate += LEARNING_GAIN * (measured - self._assumed_rate)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -12,6 +12,7 @@
     EngineLoad,
     RunOnEngine,
 )
+from .engine_model import PoolModel
 from .first_event_stretch import FirstEventRatioEstimator
 from .lanes import Lanes
 from .placement_request import MinPendingPrefill, NotPlaced, Placed, PlacementRequest
@@ -23,6 +24,7 @@
     from ragwortwing_policy.clock import Instant
 
     from .backend_list import BackendServer
+    from .engine_model import EngineEstimate
     from .prompt_parts import Prompt
     from .routing_table import EngineTraits
 
@@ -38,15 +40,23 @@
         self.loads_by_id: dict[str, EngineLoad] = {}
         self._lanes_by_service: dict[str, Lanes] = {}
         self._stretch_by_service: dict[str, FirstEventRatioEstimator] = {}
+        self._stretch_by_model: dict[str, FirstEventRatioEstimator] = {}
+        self._pool_models_by_service: dict[str, PoolModel] = {}
         self._budgets: dict[tuple[str, int], PrefillBudget] = {}
 
     def load(self, backend: BackendServer, traits: EngineTraits) -> EngineLoad:
         """Return the load of an engine; a new engine is idle."""
         found = self.loads_by_id.get(backend.id)
         if found is None:
-            found = self.loads_by_id[backend.id] = EngineLoad(backend.id, backend.service, traits)
+            found = self.loads_by_id[backend.id] = EngineLoad(
+                backend.id, backend.service, traits, self.pool_model(backend.service)
+            )
         return found
 
+    def pool_model(self, service: str) -> PoolModel:
+        """Return the performance model of a service's engines."""
+        return self._pool_models_by_service.setdefault(service, PoolModel())
+
     def short_running(self, service: str) -> int:
         """Return the number of short requests on the engines of a service."""
         return sum(
@@ -61,7 +71,9 @@
 
     def forget(self, backend_id: str) -> None:
         """Remove an engine that is gone."""
-        self.loads_by_id.pop(backend_id, None)
+        load = self.loads_by_id.pop(backend_id, None)
+        if load is not None:
+            load.pool.forget(backend_id)
 
     @property
     def lanes_by_service(self) -> Mapping[str, Lanes]:
@@ -76,24 +88,87 @@
         """Return the seconds to the first event on an idle engine without cached parts."""
         rate = self._tokens_per_second(service) or INITIAL_TOKENS_PER_SECOND
         stretch = self.stretch(service).factor(urgency)
-        return stretch * prompt.prompt_tokens / rate + FIRST_EVENT_OVERHEAD
+        model = self.pool_model(service)
+        fixed = model.first_event.fixed_time if model.in_force else FIRST_EVENT_OVERHEAD
+        return stretch * prompt.prompt_tokens / rate + fixed
 
     def stretch(self, service: str) -> FirstEventRatioEstimator:
-        """Return the learned delay of first events on a service's engines."""
-        return self._stretch_by_service.setdefault(service, FirstEventRatioEstimator())
+        """Return the learned delay of first events on a service's engines.
 
-    def first_event(self, backend_id: str, ticket: str, now: Instant) -> RunOnEngine | None:
+        The delay relative to the assumed constants differs from that relative to the model.
+        """
+        in_force = self.pool_model(service).in_force
+        known = self._stretch_by_model if in_force else self._stretch_by_service
+        return known.setdefault(service, FirstEventRatioEstimator())
+
+    def first_event(
+        self,
+        backend_id: str,
+        ticket: str,
+        now: Instant,
+        after: float | None = None,
+        sent_at: Instant | None = None,
+    ) -> RunOnEngine | None:
         """Record that a request's prompt has been read, and learn from the time it took.
 
+        Args:
+            backend_id: The engine.
+            ticket: The request's name on it.
+            now: The current instant.
+            after: Measured seconds from the send to the event; None if not measured.
+            sent_at: When its entry sent it; None if that was when it was added here.
+
         Returns:
             The request, or None if the event was already known.
         """
         load = self.loads_by_id.get(backend_id)
-        run = load.first_event(ticket, now) if load is not None else None
-        if load is not None and run is not None:
+        run = load.runs_by_ticket.get(ticket) if load is not None else None
+        if load is None or run is None:
+            return None
+        fixed = load.fixed_time
+        found = load.first_event(ticket, now, after, sent_at)
+        if found is None:
+            return None
+        stretch, in_force = self.stretch(load.service), load.pool.in_force
+        if not in_force:
             took = now - run.sent_at - FIRST_EVENT_OVERHEAD
-            self.stretch(load.service).learn(run.urgency, run.predicted, took)
-        return run
+            stretch.learn(run.urgency, run.predicted, took)
+        elif run.seen_from_start and not run.fetched:
+            took = (now - run.sent_at if after is None else after) - fixed
+            load.model.learn_error(run.urgency, took - stretch.factor(run.urgency) * run.predicted)
+            stretch.learn(run.urgency, run.predicted, took)
+        return found
+
+    def stream_gaps(
+        self,
+        backend_id: str,
+        ticket: str,
+        *,
+        longest: float,
+        mean: float,
+        events: int,
+        now: Instant,
+    ) -> None:
+        """Learn from the gaps between the events of a stream that runs on an engine."""
+        load = self.loads_by_id.get(backend_id)
+        if load is not None and ticket in load.runs_by_ticket:
+            load.stream_gaps(longest, mean, events, now)
+
+    def estimates(self, now: Instant) -> list[EngineEstimate]:
+        """Return what is known of the speed of each engine."""
+        return [each.model.estimate(each.running, now) for each in self.loads_by_id.values()]
+
+    @property
+    def measurements_rejected(self) -> int:
+        """Measurements ignored as implausible."""
+        return sum(each.rejected for each in self._pool_models_by_service.values())
+
+    def changed_estimates(self, now: Instant) -> list[EngineEstimate]:
+        """Return the estimates that differ notably from those returned last."""
+        changed = (
+            each.model.changed_estimate(each.running, now) for each in self.loads_by_id.values()
+        )
+        return [each for each in changed if each is not None]
 
     def pause_exceeded(self, backend_id: str, ticket: str, now: Instant) -> None:
         """Record that a stream on an engine had a pause longer than its target."""
@@ -153,9 +228,22 @@
             for lane, span in zip((short, long or short), spans, strict=True)
         ]
         rate = max((self.load(each, traits).tokens_per_second for each in engines), default=1.0)
-        return MinPendingPrefill(
-            least[0], least[1], rate, self.budget_seconds(placement_request, now)
-        )
+        budget = self.budget_seconds(placement_request, now)
+        if self._shared(placement_request, engines, traits):
+            budget = None
+        return MinPendingPrefill(least[0], least[1], rate, budget)
+
+    def _shared(
+        self,
+        placement_request: PlacementRequest,
+        engines: Sequence[BackendServer],
+        traits: EngineTraits,
+    ) -> frozenset[str]:
+        """Return the ids of the engines that take short and long prompts without limit."""
+        shortest = placement_request.shortest_pause
+        if shortest is None or not self.pool_model(placement_request.service).knows_gaps:
+            return frozenset()
+        return frozenset(each.id for each in engines if self.load(each, traits).is_shared(shortest))
 
     def _split(
         self,
@@ -170,22 +258,40 @@
         return lanes.split(engines, service, traits.slots, now)
 
     def earliest_first_event(
-        self, engines: Sequence[BackendServer], traits: EngineTraits, urgency: int, now: Instant
+        self,
+        engines: Sequence[BackendServer],
+        traits: EngineTraits,
+        urgency: int,
+        now: Instant,
+        margin: float = 0.0,
     ) -> float:
         """Return a lower bound on the first event of all engines; infinite if none has a slot.
 
+        An engine whose predictions need a narrower margin than the one that the request's target
+        keeps counts as earlier by the difference, and one that needs a wider one as later.
+
         Args:
             engines: Available engines, all of one service.
             traits: The configured properties of the engines.
             urgency: Urgency of the request.
             now: The current instant.
+            margin: Seconds that the request's target keeps for prediction errors.
         """
         loads = [self.load(each, traits) for each in engines]
-        backlogs = [each.backlog(now, urgency) for each in loads if each.has_slot(urgency)]
-        if not backlogs:
+        loads = [each for each in loads if each.has_slot(urgency)]
+        if not loads:
             return inf
         stretch = self.stretch(engines[0].service).factor(urgency)
-        return stretch * min(backlogs) + FIRST_EVENT_OVERHEAD
+        if not loads[0].pool.in_force:
+            return (
+                stretch * min(each.backlog(now, urgency) for each in loads) + FIRST_EVENT_OVERHEAD
+            )
+        return min(
+            stretch * each.backlog(now, urgency)
+            + each.fixed_time
+            - each.spare_margin(margin, urgency)
+            for each in loads
+        )
 
     def place(
         self,
@@ -203,6 +309,12 @@
             now: The current instant.
         """
         short, long = self._split(placement_request.service, engines, traits, now)
+        shared = self._shared(placement_request, engines, traits)
+        if shared:
+            short, long = (
+                [*short, *(each for each in long if each.id in shared)],
+                [*long, *(each for each in short if each.id in shared)],
+            )
         choice = EngineChoice(
             placement_request,
             {each: self.load(each, traits) for each in engines},
@@ -210,6 +322,7 @@
             now,
             stretch=self.stretch(placement_request.service).factor(placement_request.urgency),
             budget=self.budget_seconds(placement_request, now),
+            shared=shared,
         )
         if placement_request.prompt.is_long:
             return place_long_prompt(choice, short, long)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement_request.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement_request.py
@@ -39,6 +39,8 @@
     """Availability zone of the entry that received the request; preferred among equal engines."""
     pause_target: float | None = None
     """Maximum pause in seconds between the request's own events; None if not configured."""
+    margin: float = 0.0
+    """Seconds that `latency_target` keeps for prediction errors of any engine."""
 
     @property
     def prefill_allowance(self) -> float:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/queue_order.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/queue_order.py
@@ -91,6 +91,12 @@
     return min(due - margin, waiter.deadline - REFUSAL_LEAD_SECONDS)
 
 
+def prediction_margin(waiter: Waiter, due: Instant) -> float:
+    """Return the seconds that `latest_first_event` keeps for prediction errors."""
+    latest = min(due, waiter.deadline - REFUSAL_LEAD_SECONDS)
+    return latest - latest_first_event(waiter, due)
+
+
 def may_wait(waiter: Waiter, now: Instant, *, is_long: bool = False) -> bool:
     """Return whether a request is early enough to wait for a better placement."""
     fraction = EARLY_FRACTION_LONG if is_long else EARLY_FRACTION
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/run_ledger.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/run_ledger.py
@@ -23,6 +23,10 @@
 GRANT_EXPIRY = 0.5
 """Seconds after which a grant that its entry has not reported is revoked."""
 
+SEEN_WITHIN = 0.1
+"""Age in seconds up to which a run counts as known from its start. Entries report a new run within
+0.02 s, so an older one was on its engine before this entry knew of it."""
+
 
 def run_key(sender: str, ticket: str) -> str:
     """Return a key for another entry's run that is unique among all entries."""
@@ -137,7 +141,22 @@
         key = run_key(report.sender, run.ticket)
         if run.exceeded:
             self._placement.pause_exceeded(known_run.backend_id, key, now)
-        return self._placement.first_event(known_run.backend_id, key, now) is not None
+        self._learn_gaps(known_run.backend_id, key, run, now)
+        found = self._placement.first_event(
+            known_run.backend_id, key, now, run.first_event_after, now - run.age
+        )
+        return found is not None
+
+    def _learn_gaps(self, backend_id: str, key: str, run: ReportedRun, now: Instant) -> None:
+        if run.longest_gap is not None and run.mean_gap is not None:
+            self._placement.stream_gaps(
+                backend_id,
+                key,
+                longest=run.longest_gap,
+                mean=run.mean_gap,
+                events=run.events,
+                now=now,
+            )
 
     def _adopt(self, report: RunReport, sender: _Sender, run: ReportedRun, now: Instant) -> bool:
         """Add a run that another scheduler or the entry itself has placed."""
@@ -152,6 +171,7 @@
             now - run.age,
             run.urgency,
             is_read=run.is_read,
+            seen_from_start=run.age <= SEEN_WITHIN,
         )
         lanes = self._placement.lanes(report.pool)
         lanes.count(run.reading.unread_tokens, is_long=run.prompt.is_long, now=now)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/run_report.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/run_report.py
@@ -7,12 +7,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
 
 from ragwortwing_policy.clock import Instant
 
 from .engine_load import PrefillPlan
 from .prompt_parts import Prompt
 
+if TYPE_CHECKING:
+    from .placement import Placement
+
 WHOLE_INTERVAL = 1.0
 """Seconds between whole reports."""
 
@@ -37,7 +41,8 @@
     first_event_after: float | None = None
     """Measured seconds from the send to the first event; None before it."""
     longest_gap: float | None = None
-    """Longest gap in seconds between two events since the last report; None without two events."""
+    """Longest gap in seconds between two events since the last report, or the time since the last
+    event if that is longer; None without two events."""
     mean_gap: float | None = None
     """Mean of these gaps in seconds."""
     events: int = 0
@@ -71,10 +76,50 @@
     whole: bool = False
 
 
+def learn_own_gaps(placement: Placement, report: RunReport, now: Instant) -> None:
+    """Let the sender of a report learn from the gaps that it measured."""
+    for run in report.runs:
+        if run.longest_gap is not None and run.mean_gap is not None:
+            placement.stream_gaps(
+                run.backend_id,
+                run.ticket,
+                longest=run.longest_gap,
+                mean=run.mean_gap,
+                events=run.events,
+                now=now,
+            )
+
+
 @dataclass(slots=True)
 class _OwnRun:
     run: ReportedRun
     sent_at: Instant
+    longest_gap: float = 0.0
+    total_gap: float = 0.0
+    gaps: int = 0
+    last_gap_at: Instant = 0.0
+
+    def add_gap(self, seconds: float, now: Instant) -> None:
+        self.last_gap_at = now
+        self.longest_gap = max(self.longest_gap, seconds)
+        self.total_gap += seconds
+        self.gaps += 1
+
+    def clear_gaps(self) -> None:
+        self.longest_gap, self.total_gap, self.gaps = 0.0, 0.0, 0
+
+    def reported(self, now: Instant) -> ReportedRun:
+        age = now - self.sent_at
+        if not self.gaps:
+            return replace(self.run, age=age)
+        return replace(
+            self.run,
+            age=age,
+            # The gap that is still open counts: prefill that has just ended may lie within it.
+            longest_gap=max(self.longest_gap, now - self.last_gap_at),
+            mean_gap=self.total_gap / self.gaps,
+            events=self.gaps,
+        )
 
 
 class RunReporter:
@@ -101,13 +146,29 @@
         self._runs_by_ticket[run.ticket] = _OwnRun(run, now)
         self._record_change(run.ticket)
 
-    def first_event(self, ticket: str) -> None:
-        """Record that an engine has read a request's prompt."""
+    def first_event(self, ticket: str, after: float | None = None) -> None:
+        """Record that an engine has read a request's prompt.
+
+        Args:
+            ticket: The request's name on the engine.
+            after: Measured seconds from the send to the first event; None if not measured.
+        """
         own = self._runs_by_ticket.get(ticket)
         if own is not None and not own.run.is_read:
-            own.run = replace(own.run, is_read=True)
+            own.run = replace(own.run, is_read=True, first_event_after=after)
             self._record_change(ticket)
 
+    def gap(self, ticket: str, seconds: float, now: Instant) -> None:
+        """Record the time between two events of a stream, for the next report that names it."""
+        own = self._runs_by_ticket.get(ticket)
+        if own is not None:
+            own.add_gap(seconds, now)
+
+    def discard_gaps(self) -> None:
+        """Discard the measured gaps: this process was suspended while they were measured."""
+        for own in self._runs_by_ticket.values():
+            own.clear_gaps()
+
     def pause_exceeded(self, ticket: str) -> None:
         """Record that a stream had a pause longer than its target."""
         own = self._runs_by_ticket.get(ticket)
@@ -141,7 +202,10 @@
         if whole:
             self._changed_since_whole = False
             self._whole_at = now + WHOLE_INTERVAL
-        return self._numbered(tickets, ended, now, whole=whole)
+        report = self._numbered(tickets, ended, now, whole=whole)
+        for ticket in tickets:
+            self._runs_by_ticket[ticket].clear_gaps()
+        return report
 
     def full_report(self, now: Instant) -> RunReport:
         """Return all runs for a receiver without state; pending changes stay pending."""
@@ -156,5 +220,5 @@
     ) -> RunReport:
         self._number += 1
         runs = (self._runs_by_ticket[ticket] for ticket in tickets)
-        aged = tuple(replace(each.run, age=now - each.sent_at) for each in runs)
+        aged = tuple(each.reported(now) for each in runs)
         return RunReport(self._sender, self._started, self._number, self._pool, aged, ended, whole)
