Keep the target of prompts that can be on time, with a measured margin

Cause: with a measured model, predictions are no longer late by the double count of the backlog, which had hidden that the limit of long prompts lies beyond their target. The lab's engine also held back every waiting prompt while a more urgent one had its fixed time, which made shared engines look slow.

Change: a prompt that can be on time keeps half of the engine's margin to its target; margins follow the measured error by urgency. The lab's engine admits each request after its own fixed time.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/batching_engine.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/batching_engine.py
@@ -101,10 +101,12 @@
     def _admit(self, now: float) -> None:
         self.waiting = [each for each in self.waiting if not each.ended]
         self.waiting.sort(key=lambda each: (each.tier, each.sent_at))
-        while self.waiting and len(self.prefilling) + len(self.running) < self.pace.slots:
-            if now < self.waiting[0].sent_at + self._overhead(self.waiting[0]):
+        # Each request has its own overhead, so one that has just arrived does not delay others.
+        ready = [each for each in self.waiting if now >= each.sent_at + self._overhead(each)]
+        for run in ready:
+            if len(self.prefilling) + len(self.running) >= self.pace.slots:
                 return
-            run = self.waiting.pop(0)
+            self.waiting.remove(run)
             fetched = run.fetch_from.cached_tokens(run.prompt) if run.fetch_from else 0
             cached_here = self._cache(run.prompt)
             run.fetch_was_useless = run.fetch_from is not None and fetched <= cached_here
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/_engine_choice.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/_engine_choice.py
@@ -29,6 +29,9 @@
 """Minimum number of tokens to fetch from another engine's KV cache. Reading 1,000 tokens takes
 20 ms, as long as a fetch may take including its round trip."""
 
+ON_TIME_MARGIN = 0.5
+"""Fraction of an engine's margin that a prompt keeps to its target."""
+
 RUNNING_REQUEST_PENALTY = 0.002
 """Penalty in seconds for each request that runs on an engine."""
 
@@ -112,9 +115,19 @@
         return Placed(best, self.reading(best), after)
 
     def _latest_first_event(self, engine: BackendServer) -> float:
-        """Return the latest predicted first event on an engine that is on time with its margin."""
-        asked = self.placement_request
-        return asked.latency_target + self._load(engine).spare_margin(asked.margin, asked.urgency)
+        """Return the latest predicted first event on an engine that is on time with its margin.
+
+        `latency_target` lets a prompt be as much later than its target as its own prefill takes.
+        The assumed constants predict too late by about as much. With a measured model, a prompt
+        that can be on time has to be, with half of the margin: smaller prompts leave it the other
+        half.
+        """
+        asked, load = self.placement_request, self._load(engine)
+        spare = load.spare_margin(asked.margin, asked.urgency)
+        latest = asked.latency_target + spare
+        if not load.pool.in_force:
+            return latest
+        return min(latest, asked.on_time_within - ON_TIME_MARGIN * (asked.margin - spare))
 
     def _bearing_pauses(self, engines: list[BackendServer]) -> list[BackendServer]:
         """Return the engines whose streams pause for less than the request's target, if any."""
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -84,13 +84,26 @@
         """Return the lane split of a service's engines."""
         return self._lanes_by_service.setdefault(service, Lanes())
 
-    def first_event_when_idle(self, service: str, prompt: Prompt, urgency: int) -> float:
-        """Return the seconds to the first event on an idle engine without cached parts."""
+    def first_event_when_idle(
+        self, service: str, prompt: Prompt, urgency: int, unread_tokens: int | None = None
+    ) -> float:
+        """Return the seconds to the first event on an idle engine.
+
+        Args:
+            service: The service.
+            prompt: The prompt.
+            urgency: Urgency of the request.
+            unread_tokens: Minimum tokens that any engine has to read; None if unknown. With the
+                assumed constants all tokens count: their backlog is too long by about as much.
+        """
         rate = self._tokens_per_second(service) or INITIAL_TOKENS_PER_SECOND
         stretch = self.stretch(service).factor(urgency)
         model = self.pool_model(service)
         fixed = model.first_event.fixed_time if model.in_force else FIRST_EVENT_OVERHEAD
-        return stretch * prompt.prompt_tokens / rate + fixed
+        tokens = prompt.prompt_tokens
+        if model.in_force and unread_tokens is not None:
+            tokens = unread_tokens
+        return stretch * tokens / rate + fixed
 
     def stretch(self, service: str) -> FirstEventRatioEstimator:
         """Return the learned delay of first events on a service's engines.
