--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/_engine_choice.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/_engine_choice.py
@@ -29,6 +29,9 @@
 """Minimum number of tokens to fetch from another engine's KV cache. Reading 1,000 tokens takes
 20 ms, as long as a fetch may take including its round trip."""
 
+ON_TIME_MARGIN = 0.5
+"""Fraction of an engine's margin that a prompt keeps to its target."""
+
 RUNNING_REQUEST_PENALTY = 0.002
 """Penalty in seconds for each request that runs on an engine."""
 
@@ -45,6 +48,7 @@
         *,
         stretch: float,
         budget: float | None,
+        shared: frozenset[str] = frozenset(),
     ) -> None:
         """Create the choice.
 
@@ -56,11 +60,13 @@
             stretch: Factor by which prefill takes longer than its tokens alone.
             budget: Seconds of prefill within a pause that streams like the request's tolerate; None
                 if not limited.
+            shared: Ids of the engines that take short and long prompts without limit.
         """
         self.placement_request = placement_request
         self._traits = traits
         self._stretch = stretch
         self._budget = budget
+        self._shared = shared
         self._now = now
         self._load_by_id = {each.id: load for each, load in load_by_engine.items()}
         prompt = placement_request.prompt
@@ -82,8 +88,9 @@
         ]
         if not fitting:
             return NotPlaced(None)
-        after_by_id = {each.id: self._first_event_after(each) for each in fitting}
-        ranked_by_id = {each.id: after_by_id[each.id] + self._zone_cost(each) for each in fitting}
+        fitting = self._bearing_pauses(fitting)
+        cost_by_id = {each.id: self._cost(each) for each in fitting}
+        ranked_by_id = {each.id: cost_by_id[each.id] + self._zone_cost(each) for each in fitting}
         earliest = min(ranked_by_id.values())
         best = self._home(fitting) if prefer_cached_engine else None
         if best is None or ranked_by_id[best.id] > earliest + HOME_PREFERENCE_SECONDS:
@@ -94,24 +101,66 @@
                 equal,
                 key=lambda each: self._preference(each, prefer_cached_engine=prefer_cached_engine),
             )
-        after = after_by_id[best.id]
-        if prefer_cached_engine and after > self.placement_request.latency_target:
-            return NotPlaced(after)
+        after = self._predicted(best, cost_by_id[best.id])
+        if prefer_cached_engine and after > self._latest_first_event(best):
+            # Another engine may be on time with its own margin.
+            on_time = [
+                each
+                for each in fitting
+                if self._predicted(each, cost_by_id[each.id]) <= self._latest_first_event(each)
+            ]
+            if not on_time:
+                return NotPlaced(after)
+            best = min(on_time, key=lambda each: cost_by_id[each.id])
+            after = self._predicted(best, cost_by_id[best.id])
         return Placed(best, self.reading(best), after)
 
+    def _latest_first_event(self, engine: BackendServer) -> float:
+        """Return the latest predicted first event on an engine that is on time with its margin.
+
+        `latency_target` lets a prompt be as much later than its target as its own prefill takes.
+        The assumed constants predict too late by about as much. With a measured model, a prompt
+        that can be on time has to be, with half of the margin: smaller prompts leave it the other
+        half.
+        """
+        asked, load = self.placement_request, self._load(engine)
+        spare = load.spare_margin(asked.margin, asked.urgency)
+        latest = asked.latency_target + spare
+        if not load.pool.in_force:
+            return latest
+        return min(latest, asked.on_time_within - ON_TIME_MARGIN * (asked.margin - spare))
+
+    def _bearing_pauses(self, engines: list[BackendServer]) -> list[BackendServer]:
+        """Return the engines whose streams pause for less than the request's target, if any."""
+        target = self.placement_request.pause_target
+        if target is None:
+            return engines
+        bearing = [each for each in engines if self._load(each).stays_within(target, self._now)]
+        return bearing or engines
+
     def within_budget(self, engines: Sequence[BackendServer]) -> list[BackendServer]:
         """Return the engines whose prefill leaves streams like this one on time.
 
         An engine that prefills continuously generates one token per prefill chunk: every event
         of every stream on it is late, and long answers miss their deadline.
         """
-        budget, span = self._budget, self.placement_request.pause_target
-        if budget is None or span is None:
+        span = self.placement_request.pause_target
+        if span is None:
             return list(engines)
-        return [each for each in engines if self._is_within_budget(each, budget, span)]
+        budget_by_id = {
+            each.id: self._load(each).prefill_budget(span, self._budget) for each in engines
+        }
+        return [
+            each
+            for each in engines
+            if (budget := budget_by_id[each.id]) is None
+            or self._is_within_budget(each, budget, span)
+        ]
 
     def _is_within_budget(self, engine: BackendServer, budget: float, span: float) -> bool:
         load = self._load(engine)
+        if engine.id in self._shared:
+            return True
         planned = load.reading_within(span, self._now)
         if planned <= 0.0:
             return True
@@ -134,6 +183,8 @@
         A short prompt always fits on an engine without pending prefill.
         """
         load = self._load(engine)
+        if engine.id in self._shared:
+            return True
         pending = load.reading_within(self.placement_request.shortest_pause or 0.0, self._now)
         if pending <= 0.0 and not self.placement_request.prompt.is_long:
             return True
@@ -201,12 +252,22 @@
     def _load(self, engine: BackendServer) -> EngineLoad:
         return self._load_by_id[engine.id]
 
-    def _first_event_after(self, engine: BackendServer) -> float:
+    def _cost(self, engine: BackendServer) -> float:
+        """Return the predicted first event with the penalty for running requests."""
         load = self._load(engine)
         reading, urgency = self.reading(engine), self.placement_request.urgency
         after = load.first_event_after(reading, self._now, urgency, self._stretch)
         return after + _running_penalty(load)
 
+    def _predicted(self, engine: BackendServer, cost: float) -> float:
+        """Return the predicted first event.
+
+        The constants leave out the steps between prefill chunks, which the penalty stands for. A
+        measured rate includes them.
+        """
+        load = self._load(engine)
+        return cost - _running_penalty(load) if load.pool.in_force else cost
+
 
 def place_long_prompt(
     choice: EngineChoice, short: Sequence[BackendServer], long: Sequence[BackendServer]
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -26,6 +26,8 @@
     latest_late_first_event,
     may_wait,
     must_refuse,
+    on_time_until,
+    prediction_margin,
     queue_order,
     refuse_after,
     retry_after_of,
@@ -115,8 +117,9 @@
     """The load from which the retry time was computed; None where no times are assigned."""
 
 
-_Bound = tuple[int, frozenset[str]]
-"""Requests with common bounds of placement: their urgency and the servers that they cannot use."""
+_Bound = tuple[int, frozenset[str], float]
+"""Requests with common bounds of placement: their urgency, the servers that they cannot use and the
+margin of their predictions."""
 
 
 class AdmissionQueue:
@@ -175,7 +178,7 @@
         unread = self._placement.count_arrival(arrival, now)
         self._unread_by_ticket[request.ticket] = unread
         self._first_event_by_ticket[request.ticket] = self._placement.first_event_when_idle(
-            self._service, unread, request.waiter.urgency
+            self._service, request.prompt, request.waiter.urgency, unread
         )
         self._waiting[request.ticket] = self._recognized(request, unread, now)
         if self._placement.shares.enabled:
@@ -371,11 +374,11 @@
 
         In an overload hundreds of requests wait, and a single pass can place only few of them.
         """
-        bound = (placement_request.urgency, unusable)
+        bound = (placement_request.urgency, unusable, placement_request.margin)
         earliest = self._earliest_by_bound.get(bound)
         if earliest is None:
             earliest = self._placement.earliest_first_event(
-                engines, traits, placement_request.urgency, now
+                engines, traits, placement_request.urgency, now, placement_request.margin
             )
             self._earliest_by_bound[bound] = earliest
         if earliest == inf or not placement_request.prompt.is_long:
@@ -489,6 +492,8 @@
     ) -> PlacementRequest:
         waiter = request.waiter
         target = self._latest_first_event(request, traits, now) - now
+        due = self._due(request)
+        can_be_on_time = waiter.first_target_at is None or not waiter.is_late(now)
         return PlacementRequest(
             self._service,
             request.prompt,
@@ -499,4 +504,6 @@
             zone=request.zone,
             pause_target=request.pause_target,
             zone_cost=zone_cost(request.prompt) if self.zone_costs else 0.0,
+            margin=prediction_margin(waiter, due) if can_be_on_time else 0.0,
+            on_time_within=on_time_until(waiter, due) - now if can_be_on_time else inf,
         )
