--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/_engine_choice.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/_engine_choice.py
@@ -131,11 +131,14 @@
 
     def _bearing_pauses(self, engines: list[BackendServer]) -> list[BackendServer]:
         """Return the engines whose streams pause for less than the request's target, if any."""
+        return self.bearing_pauses(engines) or engines
+
+    def bearing_pauses(self, engines: Sequence[BackendServer]) -> list[BackendServer]:
+        """Return the engines whose streams pause for less than the request's target."""
         target = self.placement_request.pause_target
         if target is None:
-            return engines
-        bearing = [each for each in engines if self._load(each).stays_within(target, self._now)]
-        return bearing or engines
+            return list(engines)
+        return [each for each in engines if self._load(each).stays_within(target, self._now)]
 
     def within_budget(self, engines: Sequence[BackendServer]) -> list[BackendServer]:
         """Return the engines whose prefill leaves streams like this one on time.
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_model.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/engine_model.py
@@ -222,6 +222,7 @@
         self._gap_samples += 1
         if self._gap_samples % REVIEW_ROWS == 0:
             self.gap_version += 1
+            self._review()
 
     @property
     def knows_gaps(self) -> bool:
@@ -248,14 +249,15 @@
         scale = HYSTERESIS if self.in_force else 1.0
         allowed = max(scale * FIXED_TIME_DIFFERENCE, STANDARD_ERRORS * fit.fixed_error)
         differs = abs(fit.fixed_time - ASSUMED_FIXED_TIME) > allowed
-        self.in_force = differs or self._speeds_differ(scale)
-
-    def _speeds_differ(self, scale: float) -> bool:
-        known = [
-            each.relative_time
-            for each in self._engines.values()
-            if each.relative_time.samples >= MINIMUM_ENGINE_SAMPLES
-        ]
+        engines = self._engines.values()
+        self.in_force = (
+            differs
+            or self._speeds_differ([each.relative_time for each in engines], scale)
+            or self._speeds_differ([each.relative_gap for each in engines], scale)
+        )
+
+    def _speeds_differ(self, relative: list[RunningAverage], scale: float) -> bool:
+        known = [each for each in relative if each.samples >= MINIMUM_ENGINE_SAMPLES]
         if len(known) < 2:
             return False
         median = sorted(each.mean for each in known)[len(known) // 2]
@@ -279,7 +281,6 @@
         "_lateness",
         "_logged_at",
         "_relative_error",
-        "_own_gap",
         "_prefill_gap",
         "_recent_actual",
         "_recent_at",
@@ -292,6 +293,7 @@
         "fixed_time",
         "margin_ratio",
         "pool",
+        "relative_gap",
         "relative_time",
         "seconds_per_token",
     )
@@ -313,7 +315,7 @@
         """Margin for prediction errors relative to the pool's mean error."""
         self.fixed_time = ASSUMED_FIXED_TIME
         self.seconds_per_token = 1.0 / ASSUMED_TOKENS_PER_SECOND
-        self._own_gap = RunningAverage(gain=0.1, prior_samples=4.0)
+        self.relative_gap = RunningAverage(gain=0.1, prior_samples=4.0)
         """Ratio of gaps without prefill to the pool's estimate."""
         self._prefill_gap = RunningAverage(gain=0.15, prior_samples=2.0)
         """Seconds that continuous prefill adds to a gap."""
@@ -422,7 +424,7 @@
         gap = mean * (1.0 - prefill_fraction / 2)
         expected = self.pool.gaps.gap(running)
         if self.pool.gaps.samples >= MINIMUM_GAP_SAMPLES and expected > 0.0:
-            self._own_gap.learn(min(8.0, gap / expected))
+            self.relative_gap.learn(min(8.0, gap / expected))
         self.pool.learn_quiet_gap(running, gap)
         self._derive_gaps()
 
@@ -439,7 +441,7 @@
         """Derive what placement asks for from the measurements of the engine and its pool."""
         pool, compared = self.pool, self.relative_time
         by_speed = compared.mean if compared.samples >= MINIMUM_COMPARED else 1.0
-        relative = self._own_gap.shrunk(by_speed)
+        relative = self.relative_gap.shrunk(by_speed)
         self._gap_version = pool.gap_version
         self._gap_base = relative * pool.gaps.base
         self._gap_per_running = relative * pool.gaps.per_running
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -339,6 +339,10 @@
         )
         if placement_request.prompt.is_long:
             return place_long_prompt(choice, short, long)
+        if short and long and not choice.bearing_pauses(short):
+            # No engine for short prompts keeps their streams on time: a slow engine, or all of them
+            # in a burst. One for long prompts that does is better.
+            short = choice.bearing_pauses(long) or short
         if placement_request.may_wait and short:
             quiet_engines = choice.within_allowance(short)
             return (
