--- a/packages/ragwortwing-entry/tests/direct/test_engine_admission.py
+++ b/packages/ragwortwing-entry/tests/direct/test_engine_admission.py
@@ -340,3 +340,44 @@
     assert isinstance(refused, Refused)
     assert refused.retry_after is not None
     assert refused.retry_after > timedelta(seconds=3.9)
+
+
+async def test_measured_events_reach_the_scheduler(fleet: EntryAndScheduler) -> None:
+    """Guards against a scheduler that learns speeds from the arrival of delayed reports."""
+    granted = await fleet.admit(tokens=3_000)
+    assert isinstance(granted, Granted)
+    ticket, backend = granted.request.ticket, granted.backend.id
+    await trio.sleep(0.3)
+    fleet.entry.engine_first_event(backend, POOL, ticket, 0.123)
+    for _ in range(30):
+        await trio.sleep(0.05)
+        fleet.entry.stream_gap(POOL, ticket, 0.05)
+    reports = [m for name, m in fleet.network.sent if isinstance(m, ReportMessage)]
+    runs = [run for report in reports for run in report.runs]
+    assert {run.first_event_after for run in runs} == {None, 0.123}
+    assert any(run.events and run.mean_gap == pytest.approx(0.05, abs=1e-3) for run in runs)
+    for each in (fleet.entry, fleet.scheduler):
+        model = each.state.placement.pool_model(POOL)
+        assert model.first_event.samples == 1.0
+        assert model.gaps.samples > 0.0
+
+
+async def test_measurements_over_a_suspension_are_discarded(fleet: EntryAndScheduler) -> None:
+    """Guards against a VM that was frozen for seconds and makes every engine look slow."""
+    granted = await fleet.admit(tokens=3_000)
+    assert isinstance(granted, Granted)
+    ticket, backend = granted.request.ticket, granted.backend.id
+    # The event loop had no turn for three seconds and one begins now.
+    fleet.entry._reporting._turn_at = trio.current_time() - 3.0  # noqa: SLF001
+    fleet.entry.stream_gap(POOL, ticket, 3.0)
+    fleet.entry.engine_first_event(backend, POOL, ticket, 3.0)
+    await trio.sleep(1.2)
+    assert fleet.entry.measurements_discarded == 2
+    runs = [
+        run
+        for _, message in fleet.network.sent
+        if isinstance(message, ReportMessage)
+        for run in message.runs
+    ]
+    assert any(run.is_read for run in runs)
+    assert all(run.first_event_after is None and not run.events for run in runs)
