--- a/packages/ragwortwing-policy/tests/direct/test_admission_queue.py
+++ b/packages/ragwortwing-policy/tests/direct/test_admission_queue.py
@@ -81,10 +81,10 @@
     load = queue._placement.loads_by_id[granted.backend.id]  # noqa: SLF001
     load.first_event("first", 0.2)
     load.end("first", 0.3)
+    queue._placement.pool_model("engines").in_force = True  # noqa: SLF001
     for number in range(40):
         queue.enter(request(f"other-{number}", 300, tier=0, arrived_at=0.3), 0.3)
     queue.enter(replace(request("again", 9_000, 1, 0.3), prompt=granted.request.prompt), 0.3)
-    queue._placement.pool_model("engines").in_force = True  # noqa: SLF001
     decided = [*dispatch(queue, 0.3), *dispatch(queue, 0.95)]
     assert [type(each) for each in decided if each.request.ticket == "again"] == [Rejected]
 
