--- a/packages/ragwortwing-lab/src/ragwortwing_lab/soak/injector.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/soak/injector.py
@@ -379,7 +379,9 @@
 
 @handles(SoakFault.ACCOUNT_BURST)
 async def _account_burst(injector: Injector, fault: PlannedFault) -> None:
-    await injector.callers.burst(BURST_SECONDS + fault.seconds)
+    # Several bursts at once would only show how many connections this process can open.
+    if not injector.callers.bursting:
+        await injector.callers.burst(BURST_SECONDS + fault.seconds)
 
 
 @handles(SoakFault.SLOW_READERS)
