Test the stand-in's cutoff of unread answers and its slowdown

The soak's checks of slow callers depend on a stand-in that aborts what remains unread, and on one that takes longer as told.

--- a/packages/ragwortwing-lab/tests/test_soak.py
+++ b/packages/ragwortwing-lab/tests/test_soak.py
@@ -8,6 +8,7 @@
 import pytest
 import trio
 
+from ragwortwing_lab.fault_proxy import FaultProxy
 from ragwortwing_lab.soak.callers import SLOW_PADDING
 from ragwortwing_lab.soak.checks import SoakPromise, check_answers, check_planned_stops, check_runs
 from ragwortwing_lab.soak.contention_checks import check_served, check_slots_freed
@@ -22,9 +23,10 @@
     SoakFault,
     draw_schedule,
 )
-from ragwortwing_lab.standins.platform_site import CallerResponse, platform_site
+from ragwortwing_lab.standins.platform_site import Caller, CallerResponse, platform_site
 from ragwortwing_lab.standins.published_backend import (
     DeclinedRequest,
+    Pace,
     PublishedBackend,
     RecordedRun,
     event_of,
@@ -161,17 +163,20 @@
     assert (list(check_slots_freed(attempts, [backend], others)) == []) is is_sound
 
 
+def make_slow_attempt(response: CallerResponse) -> Attempt:
+    return Attempt("r-1", Kind.CHAT, "entry-0/1", 0.0, 4.0, response, Role.SLOW)
+
+
 def test_answer_that_is_read_slowly_must_not_look_complete() -> None:
     """Guards against an answer that was aborted at its deadline and ends like a complete one."""
-    events = b"".join(event_of("r", number, SLOW_PADDING) for number in range(10))
+    events = b"".join(event_of("r-1", number, SLOW_PADDING) for number in range(10))
     for body, whole, is_sound in (
         (events, True, True),
         (events[:200_000], False, True),
         (events[: len(events) // 2], True, False),
     ):
         headers = {"x-server-stamp": "s"}
-        answer = CallerResponse(200, headers, body, whole, 0.1)
-        attempt = Attempt("r", Kind.CHAT, "entry-0/1", 0.0, 4.0, answer, Role.SLOW)
+        attempt = make_slow_attempt(CallerResponse(200, headers, body, whole, 0.1))
         assert (list(check_answers([attempt], frozenset())) == []) is is_sound
         # An answer that is read slowly may end at its deadline while its entry stops.
         assert list(check_planned_stops([attempt], {"entry-0/1": 2.0}, ())) == []
@@ -274,6 +279,30 @@
         assert backend_slot.backend.id.endswith("-2")
 
 
+@pytest.mark.parametrize(("stall", "slowdown"), [(0.0, 1.0), (0.0, 5.0), (0.5, 1.0)])
+async def test_backend_server_aborts_only_what_remains_unread(
+    stall: float, slowdown: float
+) -> None:
+    """Guards against a stand-in that holds an answer for a caller which does not read it."""
+    pace = Pace(events=10, event_gap=0.01, unread_cutoff=0.3)
+    backend = PublishedBackend(
+        "i-1", "engines", streams=True, pace=pace, slowdown=slowdown, send_buffer=16_384
+    )
+    async with trio.open_nursery() as nursery:
+        proxy = FaultProxy(await nursery.start(backend.serve), buffer=16_384)
+        caller = Caller(await nursery.start(proxy.serve))
+        await caller.open(receive_buffer=8_192)
+        await caller.send("/chat/padded-55000", "r-1")
+        await trio.sleep(stall)
+        response = await caller.receive()
+        await caller.leave()
+        await trio.sleep(0.05)
+        nursery.cancel_scope.cancel()
+    assert response.whole is (stall == 0.0)
+    assert list(check_answers([make_slow_attempt(response)], frozenset())) == []
+    assert backend.seconds_by_id["r-1"] >= (0.3 if stall else 0.1 * slowdown)
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 async def test_short_soak_has_no_violations(tmp_path: Path, seed: int) -> None:
     result = await run_soak(seed, SHORT, tmp_path)
