--- a/packages/ragwortwing-policy/tests/direct/share_replay.py
+++ b/packages/ragwortwing-policy/tests/direct/share_replay.py
@@ -17,7 +17,6 @@
 
 from .builders import engines, prompt
 
-TRAITS = EngineTraits(slots=32, memory_tokens=400_000, tokens_per_event=5)
 TARGET, DEADLINE = 0.6, 5.0
 PASS_INTERVAL = 0.02
 TOKENS_PER_SECOND = 40_000.0
@@ -50,6 +49,7 @@
     weight_by_account: Mapping[str, float] = field(default_factory=dict)
     new_shares: Callable[[], PoolShares] | None = PoolShares
     engines: int = 4
+    slots: int = 32
     seconds: float = 12.0
     shares: PoolShares | None = None
     idle_engine_seconds_while_waiting: float = 0.0
@@ -61,6 +61,7 @@
             placement.shares.enabled = True
             self.shares = placement.shares.by_pool["engines"] = self.new_shares()
         queue = AdmissionQueue("engines", placement)
+        traits = EngineTraits(self.slots, memory_tokens=400_000, tokens_per_event=5)
         servers = engines(self.engines)
         outcomes = {name: Outcome() for name in self.rate_by_account}
         free_at: Counter[str] = Counter()
@@ -86,7 +87,7 @@
                 outcome.late += 1
 
         def dispatch(now: float, only: str | None = None) -> None:
-            for decision in queue.dispatch(TRAITS, lambda _: servers, now, only):
+            for decision in queue.dispatch(traits, lambda _: servers, now, only):
                 if isinstance(decision, Granted):
                     granted(decision, now)
                 else:
--- a/packages/ragwortwing-policy/tests/direct/test_account_shares.py
+++ b/packages/ragwortwing-policy/tests/direct/test_account_shares.py
@@ -360,6 +360,27 @@
     assert found["shares"]["big"].on_time > 0
 
 
+def test_a_burst_of_short_prompts_does_not_take_all_slots() -> None:
+    """Guards against short prompts of others that wait for slots behind one account's burst."""
+    rates = dict.fromkeys((f"a{number}" for number in range(11)), 7.0)
+    rates["big"] = 70.0
+    short = dict.fromkeys(rates, 300)
+    today = Replay(rates, tokens_by_account=short, slots=8, new_shares=None).run()
+    shares = Replay(rates, tokens_by_account=short, slots=8).run()
+    assert together(today, without="big").missed > 0.5
+    assert together(shares, without="big").missed < 0.02
+    assert shares["big"].on_time + shares["big"].late > 0.25 * shares["big"].offered
+
+
+@pytest.mark.parametrize("starved", ["short", "long"])
+def test_no_kind_of_request_is_starved(starved: str) -> None:
+    """Guards against shares that serve only one kind of request of an urgency."""
+    rates = {f"a{number}": 4.0 for number in range(8)}
+    rates |= {"big": 40.0, "short": 4.0, "long": 2.0}
+    outcome = Replay(rates, tokens_by_account={"short": 300, "long": 6_000}).run()[starved]
+    assert outcome.on_time >= 0.9 * outcome.offered
+
+
 def test_shares_do_not_make_engines_idle() -> None:
     """Guards against a reserve for accounts within their share that idle engines pay for."""
     found = replays(4.0)
