Use one prediction of a run's engine time for shares and retry times

The two parts counted the engine time of a request by different constants. Both now use the cost that the placement predicts.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -41,7 +41,6 @@
     ReturnTimes,
     attempt_key,
     decode_seconds,
-    engine_seconds,
 )
 from .zone_costs import zone_cost
 
@@ -180,25 +179,19 @@
         self._first_event_by_ticket[request.ticket] = self._placement.first_event_when_idle(
             self._service, request.prompt, request.waiter.urgency, unread
         )
-        self._waiting[request.ticket] = self._recognized(request, unread, now)
-        if self._placement.shares.enabled:
-            self._shares.arrived(
-                request.ticket,
-                request.account,
-                request.weight,
-                request.waiter.urgency,
-                self._placement.run_cost(self._service, request.prompt, unread),
-                now,
-            )
+        cost = self._placement.run_cost(self._service, request.prompt, unread)
+        self._waiting[request.ticket] = self._recognized(request, cost, now)
+        self._shares.arrived(
+            request.ticket, request.account, request.weight, request.waiter.urgency, cost, now
+        )
 
-    def _recognized(self, request: WaitingRequest, unread: int, now: Instant) -> WaitingRequest:
+    def _recognized(self, request: WaitingRequest, cost: RunCost, now: Instant) -> WaitingRequest:
         """Return a request with what is known of its caller's earlier attempt."""
         if self.return_times is None:
             return request
         prompt, waiter = request.prompt, request.waiter
         key = attempt_key(request.account, prompt)
-        work = engine_seconds(unread, prompt.output_tokens)
-        attempt = Attempt(key, request.request_id, request.account, waiter, work)
+        attempt = Attempt(key, request.request_id, request.account, waiter, cost.seconds)
         found = self.return_times.arrive(request.ticket, attempt, now)
         on_time = found.recognition is Recognition.ON_TIME
         waiter = replace(waiter, first_target_at=found.first_target_at, retries_on_time=on_time)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/return_times.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/return_times.py
@@ -66,14 +66,6 @@
 DECODE_SECONDS_PER_TOKEN = 0.015
 """Assumed seconds between two tokens of a stream, as measured on engines with dozens of streams."""
 
-WORK_PER_PROMPT_TOKEN = 25e-6
-"""Assumed engine seconds for a prompt token to be read: the prefill rate before anything is
-learned. Only the ratio to an output token matters, because the rate of placed work is measured in
-the same unit."""
-
-WORK_PER_OUTPUT_TOKEN = 10 * WORK_PER_PROMPT_TOKEN
-"""Assumed engine seconds for an output token: about 15 ms of one of 60 slots."""
-
 EVENT_GAP_FRACTION = 0.5
 """Assumed gap between two events of a stream as a fraction of its pause target."""
 
@@ -508,11 +500,6 @@
     return xxhash.xxh3_64_intdigest("\0".join((*names, counts)).encode())
 
 
-def engine_seconds(unread_tokens: int, output_tokens: int) -> float:
-    """Return the engine time of a request: its prefill, and its part of the decoding."""
-    return WORK_PER_PROMPT_TOKEN * unread_tokens + WORK_PER_OUTPUT_TOKEN * output_tokens
-
-
 def decode_seconds(output_tokens: int, tokens_per_event: int, pause_target: float | None) -> float:
     """Return the predicted seconds from the first event of an answer to its end."""
     if pause_target is None:
