--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -26,7 +26,6 @@
     latest_late_first_event,
     may_wait,
     must_refuse,
-    on_time_until,
     prediction_margin,
     queue_order,
     refuse_after,
@@ -177,7 +176,7 @@
         unread = self._placement.count_arrival(arrival, now)
         self._unread_by_ticket[request.ticket] = unread
         self._first_event_by_ticket[request.ticket] = self._placement.first_event_when_idle(
-            self._service, request.prompt, request.waiter.urgency, unread
+            self._service, unread, request.waiter.urgency
         )
         cost = self._placement.run_cost(self._service, request.prompt, unread)
         self._waiting[request.ticket] = self._recognized(request, cost, now)
@@ -445,7 +444,11 @@
         return waiter.deadline - answer - self._first_event_by_ticket[request.ticket]
 
     def _due(self, request: WaitingRequest) -> Instant:
-        return due_at(request.waiter, self._first_event_by_ticket[request.ticket])
+        waiter = request.waiter
+        first_event_when_idle = self._placement.first_event_when_idle(
+            self._service, request.prompt.prompt_tokens, waiter.urgency
+        )
+        return due_at(waiter, first_event_when_idle)
 
     def _order(
         self, request: WaitingRequest, now: Instant, beyond_share: float = WITHIN_SHARE
@@ -498,5 +501,4 @@
             pause_target=request.pause_target,
             zone_cost=zone_cost(request.prompt) if self.zone_costs else 0.0,
             margin=prediction_margin(waiter, due) if can_be_on_time else 0.0,
-            on_time_within=on_time_until(waiter, due) - now if can_be_on_time else inf,
         )
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement_request.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement_request.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from math import inf
 
 from .backend_list import BackendServer
 from .engine_load import PrefillPlan
@@ -44,8 +43,6 @@
     """Seconds of first event that an engine must save to be used in another zone."""
     margin: float = 0.0
     """Seconds that `latency_target` keeps for prediction errors of any engine."""
-    on_time_within: float = inf
-    """Seconds from now until the target; infinite if the request cannot be on time."""
 
     @property
     def prefill_allowance(self) -> float:
