Split the shares of accounts by their jobs

Nothing else changes; the tests of shares, the doctests of the direct policy and the entry's admission tests pass.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/decision_log.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/decision_log.py
@@ -12,7 +12,7 @@
 import logbook
 
 if TYPE_CHECKING:
-    from ragwortwing_policy.direct.account_shares import Standing
+    from ragwortwing_policy.direct.usage_window import Standing
 
 _log = logbook.Logger("decision")
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_admission.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_admission.py
@@ -12,8 +12,8 @@
 
 import trio
 
-from ragwortwing_policy.direct.account_shares import RunCost
 from ragwortwing_policy.direct.admission_queue import Granted, Rejected, WaitingRequest
+from ragwortwing_policy.direct.run_cost import RunCost
 from ragwortwing_policy.direct.run_report import ReportedRun
 from ragwortwing_policy.outcomes import NotRunReason
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from ragwortwing_policy.direct.account_shares import SHARED_ACCOUNT, Standing
+from ragwortwing_policy.direct.account_shares import SHARED_ACCOUNT
 from ragwortwing_policy.direct.admission_queue import Granted, Rejected, WaitingRequest
 from ragwortwing_policy.direct.engine_load import PrefillPlan
 from ragwortwing_policy.direct.peer_status import PeerStatus
@@ -21,6 +21,7 @@
 from ragwortwing_policy.direct.rate_limits import LimitNotice
 from ragwortwing_policy.direct.return_times import Recognition, RetryBasis
 from ragwortwing_policy.direct.run_report import EndedRun, ReportedRun, RunReport
+from ragwortwing_policy.direct.usage_window import Standing
 from ragwortwing_policy.duties.usage_counts import UsageReport
 
 if TYPE_CHECKING:
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/account_shares.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/experiments/account_shares.py
@@ -14,13 +14,14 @@
     run_replay,
 )
 from ragwortwing_lab.model.start_time_shares import StartTimeShares
-from ragwortwing_policy.direct.account_shares import PoolShares, RunCost
+from ragwortwing_policy.direct.account_shares import PoolShares
 from ragwortwing_policy.direct.admission_queue import AdmissionQueue, WaitingRequest
 from ragwortwing_policy.direct.backend_list import BackendServer
 from ragwortwing_policy.direct.placement import Placement
 from ragwortwing_policy.direct.prompt_parts import Prompt, PromptPart
 from ragwortwing_policy.direct.queue_order import Waiter
 from ragwortwing_policy.direct.routing_table import EngineTraits
+from ragwortwing_policy.direct.run_cost import RunCost
 
 from .registry import experiment
 from .slopes import cpu_microseconds
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/model/start_time_shares.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/model/start_time_shares.py
@@ -8,7 +8,8 @@
 
 from typing import TYPE_CHECKING
 
-from ragwortwing_policy.direct.account_shares import PoolShares, Standing, UsageWindow
+from ragwortwing_policy.direct.account_shares import PoolShares
+from ragwortwing_policy.direct.usage_window import Standing, UsageWindow
 from ragwortwing_policy.fair_share import FairShare
 
 if TYPE_CHECKING:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -11,7 +11,6 @@
 
 from ragwortwing_policy.clock import Instant
 
-from .account_shares import RunCost, Standing
 from .backend_list import BackendServer
 from .engine_load import PrefillPlan
 from .placement_request import MinPendingPrefill, NotPlaced, Placed, PlacementRequest
@@ -41,6 +40,8 @@
     attempt_key,
     decode_seconds,
 )
+from .run_cost import RunCost
+from .usage_window import Standing
 from .zone_costs import zone_cost
 
 if TYPE_CHECKING:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/placement.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ._engine_choice import EngineChoice, earlier, place_long_prompt
-from .account_shares import AccountShares, RunCost
+from .account_shares import AccountShares
 from .engine_load import (
     FIRST_EVENT_OVERHEAD,
     INITIAL_TOKENS_PER_SECOND,
@@ -18,6 +18,7 @@
 from .lanes import Lanes
 from .placement_request import MinPendingPrefill, NotPlaced, Placed, PlacementRequest
 from .prefill_budget import PrefillBudget
+from .run_cost import RunCost
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/run_ledger.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/run_ledger.py
@@ -7,8 +7,8 @@
 
 from ragwortwing_policy.clock import Instant
 
-from .account_shares import RunCost
 from .memory_guard import REPORTS_WITHIN, RETAINED_AFTER_LOSS
+from .run_cost import RunCost
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/ragwortwing-policy/tests/direct/test_account_shares.py
+++ b/packages/ragwortwing-policy/tests/direct/test_account_shares.py
@@ -8,15 +8,11 @@
 import pytest
 
 from ragwortwing_policy.direct.account_shares import (
-    DECAY_SECONDS,
     MAXIMUM_CHARGE_AGE,
     NO_SHARES,
-    RESCALE_EXPONENT,
     SHARED_ACCOUNT,
     AccountShares,
     PoolShares,
-    RunCost,
-    UsageWindow,
 )
 from ragwortwing_policy.direct.admission_queue import (
     AdmissionQueue,
@@ -27,8 +23,10 @@
 from ragwortwing_policy.direct.failure_tracker import FailureTracker
 from ragwortwing_policy.direct.placement import Placement
 from ragwortwing_policy.direct.queue_order import Waiter
+from ragwortwing_policy.direct.run_cost import RunCost
 from ragwortwing_policy.direct.run_ledger import SENDER_SILENCE, RunLedger
 from ragwortwing_policy.direct.run_report import ReportedRun, RunReporter
+from ragwortwing_policy.direct.usage_window import DECAY_SECONDS, RESCALE_EXPONENT, UsageWindow
 
 from .builders import TRAITS, engines, prompt
 from .share_replay import Replay, together
