Reserve time for the first event only where it is measured

The order by latest start and the shorter wait for a quiet engine also applied with the assumed constants.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -456,11 +456,18 @@
     ) -> QueueOrder:
         # A long prompt is only placed where it can be on time, so its place in the order need not
         # take the time to its first event into account.
-        first_event_after = (
-            0.0 if request.prompt.is_long else self._first_event_by_ticket[request.ticket]
-        )
+        first_event_after = 0.0 if request.prompt.is_long else self._measured_first_event(request)
         return queue_order(request.waiter, now, first_event_after, beyond_share)
 
+    def _measured_first_event(self, request: WaitingRequest) -> float:
+        """Return the seconds to the first event on an idle engine; 0 if not measured.
+
+        The assumed constants are close to the time of a message, so they reserve nothing.
+        """
+        if not self._placement.pool_model(self._service).in_force:
+            return 0.0
+        return self._first_event_by_ticket[request.ticket]
+
     def _latest_first_event(
         self, request: WaitingRequest, traits: EngineTraits | None, now: Instant
     ) -> Instant:
@@ -481,7 +488,7 @@
         if waiter.retries_on_time and traits is not None and waiter.is_late(now):
             target = waiter.target_at - waiter.arrived_at
             return now < self._start_until(request, traits) - target
-        first_event_after = self._first_event_by_ticket[request.ticket]
+        first_event_after = self._measured_first_event(request)
         return may_wait(waiter, now, first_event_after, is_long=request.prompt.is_long)
 
     def _placement_request(
