Keep one margin for prompts beyond their account's share

The limit leaves 0.35 of the spare time, and the wide margin of a measured model was taken off that again.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -331,8 +331,11 @@
         if beyond and request.prompt.is_long:
             spent = now - request.waiter.arrived_at
             most = target_beyond_share(placement_request.latency_target + spent, idle)
+            # What an account beyond its share leaves free is margin enough for prediction errors.
             placement_request = replace(
-                placement_request, latency_target=min(placement_request.latency_target, most)
+                placement_request,
+                latency_target=min(placement_request.latency_target, most),
+                margin=0.0,
             )
         unread = self._unread_by_ticket[request.ticket]
         if not request.avoid and self._cannot_be_placed(
