Compute the due time of a waiting request once for its placement

Each pass computed it twice for every request that it considers, and each time sums the rates of all engines of the pool. The value and all decisions are the same; the tests of the admission queue, the overload of slots, rate limits and placement pass, and lint.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/admission_queue.py
@@ -472,10 +472,10 @@
         return self._first_event_by_ticket[request.ticket]
 
     def _latest_first_event(
-        self, request: WaitingRequest, traits: EngineTraits | None, now: Instant
+        self, request: WaitingRequest, traits: EngineTraits | None, now: Instant, due: Instant
     ) -> Instant:
         waiter = request.waiter
-        usual = latest_first_event(waiter, self._due(request))
+        usual = latest_first_event(waiter, due)
         if waiter.first_target_at is None or traits is None or not waiter.is_late(now):
             return usual
         idle = self._first_event_by_ticket[request.ticket]
@@ -498,8 +498,8 @@
         self, request: WaitingRequest, now: Instant, traits: EngineTraits | None = None
     ) -> PlacementRequest:
         waiter = request.waiter
-        target = self._latest_first_event(request, traits, now) - now
         due = self._due(request)
+        target = self._latest_first_event(request, traits, now, due) - now
         can_be_on_time = waiter.first_target_at is None or not waiter.is_late(now)
         return PlacementRequest(
             self._service,
