Tell in the log how a connection to a server was lost, after how many events and with which parts

The record of the incident has lines for every failed send, but none tells a closed connection from a refused one or from invalid bytes except by a free text, none names the parts of the prompt, and none says how far the call was. With these three fields the hypotheses can be told apart: whether the calls that end with a server have a part in common, and which of them had begun to answer.

No decision reads them yet.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
@@ -11,6 +11,7 @@
 from ragwortwing_policy.direct.backend_list import BackendServer
 from ragwortwing_policy.direct.prompt_parts import Prompt
 from ragwortwing_policy.outcomes import NotRunReason, UnknownReason
+from ragwortwing_runtime.http_client import ConnectionLoss
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -114,9 +115,10 @@
 class BackendLostError(Exception):
     """A call ended without a complete answer."""
 
-    def __init__(self, cause: str) -> None:
+    def __init__(self, cause: str, loss: ConnectionLoss = ConnectionLoss.INVALID) -> None:
         super().__init__(cause)
         self.cause = cause
+        self.loss = loss
 
 
 class BackendCalls(Protocol):
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -42,6 +42,7 @@
         RoutingTable,
     )
     from ragwortwing_policy.direct.stream_origins import StreamOrigin
+    from ragwortwing_runtime.http_client import ConnectionLoss
 
     from .direct_entry import DirectEntry
     from .ports import BackendAnswer, CallerAnswer, CallerRequest
@@ -377,7 +378,7 @@
         except BackendLostError as error:
             if send.state in (SendState.SENT, SendState.ANSWERING):
                 send.advance("lose")
-            return self._note_failure(backend, send, error.cause)
+            return self._note_failure(backend, send, error.cause, error.loss)
         finally:
             if not self._route.streaming and not send.certainly_not_run:
                 self._entry.run_began(self._account_name, sent_at)
@@ -579,12 +580,24 @@
         decided("send_declined", self._request.id, backend=backend.id, kind=kind)
         return kind
 
-    def _note_failure(self, backend: BackendServer, send: Send, cause: str) -> str:
+    def _note_failure(
+        self, backend: BackendServer, send: Send, cause: str, loss: ConnectionLoss | None = None
+    ) -> str:
         self._history = self._history.after(send)
         self._count_send("ambiguous" if self._history.may_have_run else "not_sent")
         if self._state.failure_tracker.failed(backend.id, self._now()):
             decided("backend_rests", backend=backend.id, cause=cause)
-        warned("send_failed", self._request.id, backend=backend.id, state=send.state, cause=cause)
+        prompt = self._request.prompt
+        warned(
+            "send_failed",
+            self._request.id,
+            backend=backend.id,
+            state=send.state,
+            cause=cause,
+            loss=loss,
+            events=self._timing.events_of_send,
+            parts=[each.id for each in prompt.parts] if prompt is not None else None,
+        )
         return cause
 
     def _may_send_again(self) -> bool:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/stream_timing.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/stream_timing.py
@@ -29,6 +29,8 @@
         self.first_event_at: Instant | None = None
         self.longest_pause = 0.0
         """Seconds."""
+        self.events_of_send = 0
+        """Events that the current send has brought."""
         self.predicted: float | None = None
         """Predicted seconds from the current send to its first event; None if not predicted."""
         self.first_event_after: float | None = None
@@ -39,6 +41,7 @@
         self._backend_id, self._service, self._ticket = backend_id, service, ticket
         self._sent_at = now
         self._gap_from = None
+        self.events_of_send = 0
 
     def event_arrived(self, now: Instant, pause_target: float | None) -> None:
         """Record an event that the caller has not had yet.
@@ -49,6 +52,7 @@
         """
         # An engine that resumes an answer may first repeat events, so its first event is unknown.
         after = now - self._sent_at if self.first_event_at is None else None
+        self.events_of_send += 1
         if self.first_event_at is None:
             self.first_event_at = now
             self._record_first_event(now - self._sent_at)
--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/http_client.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/http_client.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 import h11
@@ -19,9 +21,39 @@
 KEEP_ALIVE = b"keep-alive"
 
 
+class ConnectionLoss(StrEnum):
+    """How a connection was lost."""
+
+    REFUSED = "refused"
+    """Nothing listens at the address."""
+    CLOSED = "closed"
+    """The peer closed or reset the connection."""
+    INVALID = "invalid"
+    """The peer sent bytes that are not a valid answer."""
+    FAILED = "failed"
+    """Any other failure of the network, such as a timeout."""
+
+
+CLOSED_BY_PEER = frozenset({errno.ECONNRESET, errno.EPIPE})
+
+
 class ConnectionLostError(Exception):
     """The connection failed or closed, or it received bytes that are not a valid answer."""
 
+    def __init__(self, cause: str, loss: ConnectionLoss = ConnectionLoss.INVALID) -> None:
+        super().__init__(cause)
+        self.loss = loss
+
+    @classmethod
+    def of(cls, step: str, error: OSError) -> ConnectionLostError:
+        """Return the error for a step that failed in the operating system."""
+        loss = ConnectionLoss.FAILED
+        if error.errno == errno.ECONNREFUSED:
+            loss = ConnectionLoss.REFUSED
+        elif error.errno in CLOSED_BY_PEER:
+            loss = ConnectionLoss.CLOSED
+        return cls(f"{step}: {error.strerror or error}", loss)
+
 
 class ClientConnection:
     """A client connection that carries one request at a time."""
@@ -46,7 +78,7 @@
         try:
             return cls(await connect(host, port), f"{host}:{port}")
         except OSError as error:
-            raise ConnectionLostError(f"connect: {error.strerror or error}") from error
+            raise ConnectionLostError.of("connect", error) from error
 
     async def send_request(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Send a request; after any failure the peer may or may not have received it.
@@ -63,7 +95,7 @@
             data += self._h11.send(h11.EndOfMessage()) or b""
             await send_all(self._sock, head + data)
         except OSError as error:
-            raise ConnectionLostError(f"send: {error.strerror or error}") from error
+            raise ConnectionLostError.of("send", error) from error
         self._body_sent = True
 
     async def receive_head(self) -> h11.Response:
@@ -78,7 +110,9 @@
                 self._read_idle_limit(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
-                raise ConnectionLostError("connection closed before an answer")
+                raise ConnectionLostError(
+                    "connection closed before an answer", ConnectionLoss.CLOSED
+                )
 
     async def receive_body(self) -> AsyncIterator[bytes]:
         """Yield the body of the answer.
@@ -93,7 +127,9 @@
             elif isinstance(event, h11.EndOfMessage):
                 return
             else:
-                raise ConnectionLostError("connection closed in the middle of an answer")
+                raise ConnectionLostError(
+                    "connection closed in the middle of an answer", ConnectionLoss.CLOSED
+                )
 
     def expect_another_answer(self) -> None:
         """Prepare to receive another answer, after one that belongs to an earlier request.
@@ -144,13 +180,15 @@
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as error:
-                raise ConnectionLostError(f"invalid answer: {error}") from error
+                closed = self._h11.trailing_data[1]
+                loss = ConnectionLoss.CLOSED if closed else ConnectionLoss.INVALID
+                raise ConnectionLostError(f"invalid answer: {error}", loss) from error
             if event is not h11.NEED_DATA:
                 return event  # type: ignore[return-value]
             try:
                 self._h11.receive_data(await self._sock.recv(RECEIVE_BYTES))
             except OSError as error:
-                raise ConnectionLostError(f"receive: {error.strerror or error}") from error
+                raise ConnectionLostError.of("receive", error) from error
 
     def _read_idle_limit(self, response: h11.Response) -> None:
         values = [value for name, value in response.headers if name == KEEP_ALIVE]
