Keep prompt parts on which engines crash from them

What callers saw: chats failed for half a minute, twice, because engine after engine ended under requests with one part in their prompts; most that failed were sound and ran beside them.

Cause: a failed send was put down to the server alone. Nothing knew that a server had ended, under which prompts, or that the next one ended under the same part. Class: evidence about a request that is kept by server, so that it is lost with the server and the request goes on to the next.

Now an entry whose call a server closes checks whether the server still listens. If not, the process has ended, and the prompts of its calls that had not begun are suspects; all entries are told. A pure ledger relates crashes to parts: any run that goes on after its first event clears its parts, three crashes at different times (five at once) without one block a part, more if it was known as sound. A crash that a blocked part explains counts against no other part. Requests with a blocked part are told at once, with the time of the next trial; grants are checked when they arrive; a request on which two servers may have ended isn't sent again. Ended processes get no requests until their registration changes.

The status server moves from the adapter to the runtime package, where it belongs: it knows nothing of the platform. test_status_without_pressure cut the last field of a status, which now is another one; it cuts the same field by name.

--- /dev/null
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/crash_watch.py
@@ -0,0 +1,335 @@
+"""Notices server processes that end under requests, and keeps prompts that cause it from engines.
+
+All entries tell each other which processes ended and under which prompts, so that each of them
+draws the same conclusions. Each status lists the blocked parts, from which a new entry learns them.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from math import inf
+from typing import TYPE_CHECKING
+
+import trio
+
+from ragwortwing_policy.clock import Instant
+from ragwortwing_policy.direct.backend_list import BackendServer
+from ragwortwing_policy.direct.crash_ledger import SURVIVAL_SECONDS, CrashLedger, Software
+from ragwortwing_runtime.http_client import ConnectionLoss
+
+from .decision_log import decided, warned
+from .peer_messages import CrashMessage, SurvivalMessage, block_body, block_of
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from ragwortwing_policy.direct.crash_ledger import Block
+    from ragwortwing_policy.direct.prompt_parts import Prompt
+
+    from .entry_state import EntryState
+    from .peer_messages import BlockBody, StatusMessage
+    from .ports import BackendCalls
+
+CHECK_DELAYS = (0.0, 0.15)
+"""Seconds before each check whether a server that closed a connection still listens. The listening
+socket of a process that ends may close a little later than its connections."""
+
+RESTART_SECONDS = 10.0
+"""Seconds after a lost call in which a new process at the address shows that the former one
+ended."""
+
+MAX_PROMPTS = 16
+"""Maximum suspect prompts in a message."""
+
+NEW_PEER_SECONDS = 2.0
+"""Uptime in seconds up to which a peer is sent the blocks in reply to its status."""
+
+
+@dataclass(slots=True)
+class _LostCalls:
+    """Calls to one server process that the server closed."""
+
+    backend: BackendServer
+    at: Instant
+    """When the first of them was lost."""
+    prompts: list[tuple[str, ...]] = field(default_factory=list)
+    """Ids of the parts of the prompts whose answers had not or had only just begun."""
+    has_ended: bool = False
+
+
+def process_name(backend_id: str, started_at: int | None) -> str:
+    """Return a name of a server process that is the same at all entries."""
+    return backend_id if started_at is None else f"{backend_id}@{started_at}"
+
+
+def software_of(backend: BackendServer) -> Software:
+    """Return the software of a backend server."""
+    return Software(backend.service, backend.version)
+
+
+class CrashWatch:
+    """The crashes that one entry observes or is told of, and the parts that it keeps back."""
+
+    def __init__(self, state: EntryState, calls: BackendCalls) -> None:
+        self.ledger = CrashLedger()
+        self._state = state
+        self._calls = calls
+        self._lost_by_process: dict[str, _LostCalls] = {}
+        self._checks: list[_LostCalls] = []
+        self._check_due = trio.Event()
+        state.peers.blocks_to_report = self._blocks_to_report
+        state.peers.on_status(self._take_status)
+        state.on_listed = self._backend_listed
+
+    async def run(self) -> None:
+        """Check servers that closed connections until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await self._check_due.wait()
+                self._check_due = trio.Event()
+                checks, self._checks = self._checks, []
+                for lost in checks:
+                    nursery.start_soon(self._check, lost)
+                self._expire()
+
+    # Calls of this entry
+
+    def call_failed(
+        self,
+        backend: BackendServer,
+        prompt: Prompt | None,
+        loss: ConnectionLoss | None,
+        first_event_at: Instant | None,
+    ) -> bool:
+        """Record a failed call; return whether its request may have caused the end of the server.
+
+        Args:
+            backend: The server.
+            prompt: The prompt of the request; None without one.
+            loss: How the connection was lost; None if it was not.
+            first_event_at: When the first event of the call arrived; None before it.
+        """
+        now = self._state.clock.monotonic()
+        if loss is ConnectionLoss.REFUSED:
+            self._state.failure_tracker.refused(backend.id, now)
+            self._confirm(self._lost_by_process.get(_process(backend)))
+        if loss is not ConnectionLoss.CLOSED:
+            return False
+        lost = self._lost_by_process.get(_process(backend))
+        if lost is None:
+            lost = self._lost_by_process[_process(backend)] = _LostCalls(backend, now)
+            self._checks.append(lost)
+            self._check_due.set()
+        survived = first_event_at is not None and now - first_event_at >= SURVIVAL_SECONDS
+        if prompt is None or not prompt.parts or survived:
+            return False
+        lost.prompts.append(_part_ids(prompt))
+        if lost.has_ended:
+            self._report_crash(lost, lost.prompts[-1:])
+        return True
+
+    def survived(self, backend: BackendServer, prompt: Prompt, began_at: Instant) -> None:
+        """Record a run that has gone on after its first event, or whose answer is complete."""
+        software = software_of(backend)
+        cleared = self.ledger.record_survival(software, _part_ids(prompt), began_at)
+        if not cleared:
+            return
+        age = round(self._state.clock.monotonic() - began_at, 3)
+        self._state.peers.broadcast(
+            SurvivalMessage(self._state.identity.name, *software, cleared, age)
+        )
+        self._log_unblocked(software, cleared, reported_by=self._state.identity.name)
+
+    def blocked_until(self, backend: BackendServer, prompt: Prompt | None) -> Instant | None:
+        """Return until when a prompt must not be sent to a server; None if it may be sent now."""
+        if prompt is None or not self.ledger.blocks:
+            return None
+        now = self._state.clock.monotonic()
+        return self.ledger.blocked_until(software_of(backend), _part_ids(prompt), now)
+
+    def blocked_until_by_id(
+        self, backends: Iterable[BackendServer], prompt: Prompt | None
+    ) -> dict[str, Instant]:
+        """Return the servers to which a prompt must not be sent, and until when."""
+        if prompt is None or not self.ledger.blocks:
+            return {}
+        found = {each.id: self.blocked_until(each, prompt) for each in backends}
+        return {key: until for key, until in found.items() if until is not None}
+
+    def begin_send(self, backend: BackendServer, prompt: Prompt | None, request_id: str) -> None:
+        """Record that a request is sent to a server, which may be the trial of a blocked part."""
+        if prompt is None or not self.ledger.blocks:
+            return
+        now = self._state.clock.monotonic()
+        block = self.ledger.begin_trial(software_of(backend), _part_ids(prompt), now)
+        if block is None:
+            return
+        decided(
+            "blocked_part_tried",
+            request_id,
+            part=block.part,
+            backend=backend.id,
+            next_trial_s=_rounded_seconds(block.opens_at - now),
+        )
+        self._report_blocks()
+
+    def release(self, part: str, reason: str) -> bool:
+        """Unblock a part; return whether it was blocked."""
+        softwares = [each.software for each in self.ledger.blocks if each.part == part]
+        if not self.ledger.release(part, self._state.clock.monotonic()):
+            return False
+        for software in softwares:
+            message = SurvivalMessage(self._state.identity.name, *software, (part,), 0.0)
+            self._state.peers.broadcast(message)
+        decided("prompt_part_released", part=part, reason=reason)
+        return True
+
+    # Reports of other entries
+
+    def take_crash(self, message: CrashMessage) -> None:
+        """Handle the report of a crash."""
+        now = self._state.clock.monotonic()
+        process = process_name(message.backend_id, message.started_at)
+        self._leave_out(self._state.backends.by_id.get(message.backend_id), process)
+        software = Software(message.service, message.version)
+        self._record_crash(process, software, message.prompts, now - message.age, message.sender)
+
+    def take_survival(self, message: SurvivalMessage) -> None:
+        """Handle the report of a run that an engine has survived."""
+        software = Software(message.service, message.version)
+        began_at = self._state.clock.monotonic() - message.age
+        cleared = self.ledger.record_survival(software, message.parts, began_at)
+        self._log_unblocked(software, cleared, reported_by=message.sender)
+
+    def _take_status(self, status: StatusMessage) -> None:
+        now = self._state.clock.monotonic()
+        for body in status.blocks:
+            block = block_of(body, now)
+            if self.ledger.merge(block):
+                self._log_blocked(block, reported_by=status.sender)
+        is_new = status.uptime is None or status.uptime < NEW_PEER_SECONDS
+        if is_new and self.ledger.blocks and not status.blocks:
+            self._state.peers.send_status(status.sender)
+
+    def _blocks_to_report(self, now: Instant) -> tuple[BlockBody, ...]:
+        return tuple(block_body(each, now) for each in self.ledger.blocks)
+
+    def _report_blocks(self) -> None:
+        self._state.statuses.report_again()
+        self._state.peers.wake()
+
+    # Ends of processes
+
+    async def _check(self, lost: _LostCalls) -> None:
+        for delay in CHECK_DELAYS:
+            await trio.sleep(delay)
+            if lost.has_ended or await self._calls.is_listening(lost.backend) is False:
+                self._confirm(lost)
+                return
+        decided("backend_connection_closed", backend=lost.backend.id, calls=len(lost.prompts))
+
+    def _backend_listed(self, backend: BackendServer) -> None:
+        """Conclude from a new process at an address that the former one has ended."""
+        now = self._state.clock.monotonic()
+        for lost in list(self._lost_by_process.values()):
+            same_address = lost.backend.address == backend.address
+            is_recent = now - lost.at < RESTART_SECONDS
+            if same_address and is_recent and _process(lost.backend) != _process(backend):
+                self._confirm(lost)
+
+    def _confirm(self, lost: _LostCalls | None) -> None:
+        """Record that the process to which calls were lost has ended."""
+        if lost is None or lost.has_ended:
+            return
+        lost.has_ended = True
+        backend = lost.backend
+        listed = self._state.backends.by_id.get(backend.id)
+        is_planned = listed is None or listed.leaving
+        self._leave_out(listed, _process(backend))
+        decided(
+            "backend_ended",
+            backend=backend.id,
+            version=backend.version,
+            planned=is_planned,
+            prompts=lost.prompts[:MAX_PROMPTS],
+        )
+        if not is_planned:
+            self._report_crash(lost, lost.prompts)
+
+    def _leave_out(self, listed: BackendServer | None, process: str) -> None:
+        """Send nothing to a listed server if the process that has ended is its current one."""
+        if listed is not None and _process(listed) == process:
+            self._state.failure_tracker.ended(listed, self._state.clock.monotonic())
+
+    def _report_crash(self, lost: _LostCalls, prompts: Sequence[tuple[str, ...]]) -> None:
+        now, backend = self._state.clock.monotonic(), lost.backend
+        name = self._state.identity.name
+        message = CrashMessage(
+            name,
+            *software_of(backend),
+            backend.id,
+            backend.started_at,
+            round(now - lost.at, 3),
+            tuple(prompts[:MAX_PROMPTS]),
+        )
+        self._state.peers.broadcast(message)
+        self._record_crash(_process(backend), software_of(backend), prompts, lost.at, name)
+
+    def _record_crash(
+        self,
+        process: str,
+        software: Software,
+        prompts: Sequence[tuple[str, ...]],
+        at: Instant,
+        reported_by: str,
+    ) -> None:
+        suspects = [each for each in prompts if each]
+        now = self._state.clock.monotonic()
+        blocks = self.ledger.record_crash(process, software, suspects, at, now)
+        for block in blocks:
+            self._log_blocked(block, reported_by)
+        if blocks:
+            self._report_blocks()
+
+    def _log_blocked(self, block: Block, reported_by: str) -> None:
+        now = self._state.clock.monotonic()
+        warned(
+            "prompt_part_blocked",
+            part=block.part,
+            service=block.software.service,
+            version=block.software.version,
+            crashes=block.processes,
+            last_crash_ms=round(1000 * (now - block.last_crash_at)),
+            next_trial_s=_rounded_seconds(block.opens_at - now),
+            reported_by=reported_by,
+        )
+
+    def _log_unblocked(self, software: Software, parts: Sequence[str], reported_by: str) -> None:
+        for part in parts:
+            decided(
+                "prompt_part_sound",
+                part=part,
+                service=software.service,
+                version=software.version,
+                reported_by=reported_by,
+            )
+
+    def _expire(self) -> None:
+        now = self._state.clock.monotonic()
+        for process, lost in list(self._lost_by_process.items()):
+            if now - lost.at > RESTART_SECONDS:
+                del self._lost_by_process[process]
+        for block in self.ledger.expire(now):
+            decided("prompt_part_expired", part=block.part)
+
+
+def _process(backend: BackendServer) -> str:
+    return process_name(backend.id, backend.started_at)
+
+
+def _part_ids(prompt: Prompt) -> tuple[str, ...]:
+    return tuple(each.id for each in prompt.parts)
+
+
+def _rounded_seconds(seconds: float) -> float | None:
+    return None if seconds == inf else round(seconds, 3)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
@@ -10,10 +10,12 @@
 
 from ragwortwing_policy.direct.memory_guard import RETAINED_AFTER_LOSS
 
+from .crash_watch import CrashWatch
 from .decision_log import decided, warned
 from .engine_pool import EnginePool
 from .entry_counters import EntryCounters
 from .peer_messages import (
+    CrashMessage,
     DecisionMessage,
     FeedMessage,
     OriginMessage,
@@ -23,6 +25,7 @@
     PlaceMessage,
     ReportMessage,
     StreamBegunMessage,
+    SurvivalMessage,
     UsageMessage,
     WithdrawMessage,
     report_of,
@@ -68,6 +71,7 @@
         self._random = random
         self.plain = PlainAdmission(state, random)
         self.resumption = StreamResumption(state, self.counters)
+        self.crashes = CrashWatch(state, calls)
         self._pools_by_service: dict[str, EnginePool] = {}
         self._reporting = RunReporting(state)
         self._nursery: trio.Nursery | None = None
@@ -102,6 +106,7 @@
             nursery.start_soon(self._drop_missing_backends)
             nursery.start_soon(self._reporting.run)
             nursery.start_soon(self._expire_runs)
+            nursery.start_soon(self.crashes.run)
             if self.state.pressure is not None:
                 nursery.start_soon(PressureMeter(self.state, self.state.pressure).run)
             if self.duties is not None:
@@ -160,7 +165,7 @@
         """Return the pool of a service's engines; it is created and started on first use."""
         engine_pool = self._pools_by_service.get(service)
         if engine_pool is None:
-            engine_pool = EnginePool(service, self.state, self._reporting)
+            engine_pool = EnginePool(service, self.state, self._reporting, self.crashes)
             self._pools_by_service[service] = engine_pool
             assert self._nursery is not None, "the entry is not running"
             self._nursery.start_soon(engine_pool.run)
@@ -278,6 +283,12 @@
         if isinstance(message, StreamBegunMessage):
             self.resumption.take_begun(message)
             return
+        if isinstance(message, CrashMessage):
+            self.crashes.take_crash(message)
+            return
+        if isinstance(message, SurvivalMessage):
+            self.crashes.take_survival(message)
+            return
         if isinstance(message, (PlaceMessage, WithdrawMessage, DecisionMessage)):
             if self.state.engine_traits(message.pool) is None:
                 warned("message_for_unknown_pool", sender=message.sender, pool=message.pool)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_admission.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_admission.py
@@ -33,6 +33,7 @@
 
     from ragwortwing_policy.direct.backend_list import BackendServer
 
+    from .crash_watch import CrashWatch
     from .entry_state import EntryState
     from .queue_dispatcher import QueueDispatcher
     from .run_reporting import RunReporting
@@ -65,9 +66,15 @@
     """Admits the requests of one entry to the engines of one pool."""
 
     def __init__(
-        self, pool: str, state: EntryState, dispatcher: QueueDispatcher, reporting: RunReporting
+        self,
+        pool: str,
+        state: EntryState,
+        dispatcher: QueueDispatcher,
+        reporting: RunReporting,
+        crashes: CrashWatch,
     ) -> None:
         self._pool = pool
+        self._crashes = crashes
         self._state = state
         self._dispatcher = dispatcher
         self._reporting = reporting
@@ -78,6 +85,9 @@
         ticket = request.ticket
         refused_grants: list[str] = []
         while True:
+            blocked = self._refuse_blocked(request)
+            if blocked is not None:
+                return blocked
             request = self._with_unusable(request, refused_grants)
             scheduler = self._state.scheduler(self._pool)
             if scheduler is None:
@@ -107,7 +117,28 @@
         """Return a request that names the backend servers which this entry must not use."""
         ready = self._state.backends.ready(self._pool, request.version)
         backoffs = self._state.backoffs.until_by_id(ready, self._state.clock.monotonic())
-        return replace(request, unusable_until={**dict.fromkeys(refused_grants, inf), **backoffs})
+        blocked = self._crashes.blocked_until_by_id(ready, request.prompt)
+        refused = dict.fromkeys(refused_grants, inf)
+        return replace(request, unusable_until={**blocked, **refused, **backoffs})
+
+    def _refuse_blocked(self, request: WaitingRequest) -> Refused | None:
+        """Refuse a request whose prompt no engine may get."""
+        ready = self._state.backends.ready(self._pool, request.version)
+        until_by_id = self._crashes.blocked_until_by_id(ready, request.prompt)
+        if not ready or len(until_by_id) < len(ready):
+            return None
+        retry_after = min(until_by_id.values()) - self._state.clock.monotonic()
+        decided(
+            "request_refused",
+            request.request_id,
+            reason=NotRunReason.PROMPT_BLOCKED,
+            retry_after=None if retry_after == inf else round(retry_after, 3),
+            account=request.account,
+        )
+        return Refused(
+            NotRunReason.PROMPT_BLOCKED,
+            None if retry_after == inf else timedelta(seconds=retry_after),
+        )
 
     def take(self, message: DecisionMessage) -> None:
         """Handle a scheduler's decision; a grant that no request waits for is withdrawn."""
@@ -220,6 +251,8 @@
             return None
         if not found.has_version(request.version):
             return None
+        if self._crashes.blocked_until(found, request.prompt) is not None:
+            return None
         now = self._state.clock.monotonic()
         return None if self._state.backoffs.until_by_id((found,), now) else found
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_pool.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/engine_pool.py
@@ -11,6 +11,7 @@
 from .queue_dispatcher import QueueDispatcher
 
 if TYPE_CHECKING:
+    from .crash_watch import CrashWatch
     from .entry_state import EntryState
     from .run_reporting import RunReporting
 
@@ -21,10 +22,12 @@
 class EnginePool:
     """One entry's queue, scheduler and admission for one pool of engines."""
 
-    def __init__(self, name: str, state: EntryState, reporting: RunReporting) -> None:
+    def __init__(
+        self, name: str, state: EntryState, reporting: RunReporting, crashes: CrashWatch
+    ) -> None:
         self.dispatcher = QueueDispatcher(name, state)
         self.scheduler = PoolScheduler(name, state, self.dispatcher)
-        self.admission = EngineAdmission(name, state, self.dispatcher, reporting)
+        self.admission = EngineAdmission(name, state, self.dispatcher, reporting, crashes)
 
     async def run(self) -> None:
         """Run the pool's background tasks until cancelled."""
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -30,6 +30,8 @@
 from .relay_buffer import CallerMemory
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ragwortwing_policy.clock import Clock, Instant
     from ragwortwing_policy.direct.backend_list import BackendServer
     from ragwortwing_policy.direct.memory_guard import MemoryBounds
@@ -107,6 +109,8 @@
         self.pressure = EntryPressure() if memory_bounds is not None else None
         """This entry's shortage of processor time and memory; None if it is not measured."""
         self.lag = LoopLag()
+        self.on_listed: Callable[[BackendServer], None] = lambda _: None
+        """Called with each changed registration of a backend server."""
         self._memory_shares = MemoryShares()
         self._share_by_pool: dict[str, tuple[Instant, bool, float]] = {}
         self.relay = FeedRelay(identity.name, self.peers, self.watch, clock)
@@ -147,6 +151,7 @@
         backend = self.backends.put(backend)
         if backend == previous:
             return
+        self.on_listed(backend)
         if previous is not None:
             self.versions.left(previous, self.clock.monotonic())
         decided(
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
@@ -17,6 +17,7 @@
 from .decision_log import decided, failed, warned
 from .peer_messages import (
     MAX_DATAGRAM_BYTES,
+    BlockBody,
     PeerMessage,
     StatusMessage,
     decode,
@@ -63,6 +64,8 @@
         self._handler: Handler | None = None
         self._status_handlers: list[StatusHandler] = []
         self._can_schedule: Callable[[], bool] = lambda: False
+        self.blocks_to_report: Callable[[Instant], tuple[BlockBody, ...]] = lambda _: ()
+        """Returns the blocked prompt parts that each status lists."""
         self.unreadable = 0
         """Number of datagrams that were dropped because they could not be decoded."""
 
@@ -75,6 +78,8 @@
         """Set the addresses of the peers on the member list."""
         if dict(addresses_by_name) != self._member_addresses_by_name:
             decided("peers_changed", peers=sorted(addresses_by_name))
+            self._book.report_again()
+            self.wake()
         self._member_addresses_by_name = dict(addresses_by_name)
         self._addresses_by_name.update(addresses_by_name)
         self._forget_silent(self._clock.monotonic())
@@ -88,6 +93,11 @@
         """Add a handler for the statuses of peers."""
         self._status_handlers.append(handler)
 
+    def send_status(self, peer: str) -> None:
+        """Send the current status to one peer."""
+        now = self._clock.monotonic()
+        self.send(status_message(self._book.status(now), self.blocks_to_report(now)), peer)
+
     def wake(self) -> None:
         """Trigger a status without waiting for the next poll."""
         self._status_due.set()
@@ -142,7 +152,7 @@
             if status is None:
                 continue
             self._forget_silent(now)
-            self.broadcast(status_message(status))
+            self.broadcast(status_message(status, self.blocks_to_report(now)))
 
     async def _receive(self, sock: trio.socket.SocketType) -> None:
         while True:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
@@ -8,12 +8,14 @@
 
 from datetime import timedelta
 from enum import IntEnum
+from math import inf
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from ragwortwing_policy.direct.account_shares import SHARED_ACCOUNT
 from ragwortwing_policy.direct.admission_queue import Granted, Rejected, WaitingRequest
+from ragwortwing_policy.direct.crash_ledger import Block, Software
 from ragwortwing_policy.direct.engine_load import PrefillPlan
 from ragwortwing_policy.direct.peer_status import PeerStatus
 from ragwortwing_policy.direct.prompt_parts import Prompt, PromptPart
@@ -46,6 +48,20 @@
     bears_reading: bool | None = None
 
 
+class BlockBody(msgspec.Struct, frozen=True, array_like=True):
+    """A part of prompts that is kept from engines; times are in seconds relative to the sending."""
+
+    service: str
+    version: str
+    part: str
+    age: float
+    last_crash_age: float
+    processes: tuple[str, ...]
+    opens_in: float | None
+    """None if no trial is left."""
+    trial: int
+
+
 class StatusMessage(msgspec.Struct, frozen=True, array_like=True, tag="s"):
     """The periodic status of one entry."""
 
@@ -61,6 +77,7 @@
     limits_by_backend: dict[str, tuple[float | None, float]] = {}
     started_at_by_leaving_backend: dict[str, int | None] = {}
     pressure: float = 0.0
+    blocks: tuple[BlockBody, ...] = ()
 
 
 class RunBody(msgspec.Struct, frozen=True, array_like=True):
@@ -223,6 +240,31 @@
     seconds; None if unknown."""
 
 
+class CrashMessage(msgspec.Struct, frozen=True, array_like=True, tag="c"):
+    """A server process that has ended, and the prompts that may have caused it."""
+
+    sender: str
+    service: str
+    version: str
+    backend_id: str
+    started_at: int | None
+    age: float
+    """Seconds since its end."""
+    prompts: tuple[tuple[str, ...], ...]
+    """Ids of the parts of each prompt."""
+
+
+class SurvivalMessage(msgspec.Struct, frozen=True, array_like=True, tag="y"):
+    """Parts of prompts under suspicion on which an engine did not crash."""
+
+    sender: str
+    service: str
+    version: str
+    parts: tuple[str, ...]
+    age: float
+    """Seconds since the first event of the run."""
+
+
 class StreamBegunMessage(msgspec.Struct, frozen=True, array_like=True, tag="b"):
     """The origin of a stream that no run report names."""
 
@@ -245,13 +287,42 @@
     | OriginQueryMessage
     | OriginMessage
     | StreamBegunMessage
+    | CrashMessage
+    | SurvivalMessage
 )
 
 encode: Callable[[PeerMessage], bytes] = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(PeerMessage).decode
 
 
-def status_message(status: PeerStatus) -> StatusMessage:
+def block_body(block: Block, now: Instant) -> BlockBody:
+    """Return the part of a message that describes a blocked part."""
+    return BlockBody(
+        block.software.service,
+        block.software.version,
+        block.part,
+        round(now - block.since, 3),
+        round(now - block.last_crash_at, 3),
+        block.processes,
+        None if block.opens_at == inf else round(block.opens_at - now, 3),
+        block.trial,
+    )
+
+
+def block_of(body: BlockBody, now: Instant) -> Block:
+    """Return the blocked part that a message describes."""
+    return Block(
+        Software(body.service, body.version),
+        body.part,
+        now - body.age,
+        now - body.last_crash_age,
+        body.processes,
+        inf if body.opens_in is None else now + body.opens_in,
+        body.trial,
+    )
+
+
+def status_message(status: PeerStatus, blocks: tuple[BlockBody, ...] = ()) -> StatusMessage:
     """Return the message for a status."""
     return StatusMessage(
         status.sender,
@@ -266,6 +337,7 @@
         {key: (each.rate, round(each.age, 3)) for key, each in status.limits_by_backend.items()},
         dict(status.started_at_by_leaving_backend),
         status.pressure,
+        blocks,
     )
 
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
@@ -143,6 +143,10 @@
         """Release the resources kept for a backend server that was removed."""
         ...
 
+    async def is_listening(self, backend: BackendServer) -> bool | None:
+        """Return whether a server accepts connections; None if it does not answer."""
+        ...
+
 
 class Denial(StrEnum):
     """Why a request is rejected as invalid or unauthorized."""
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -5,12 +5,14 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
 from datetime import timedelta
+from math import inf
 from typing import TYPE_CHECKING
 
 import trio
 
 from ragwortwing_policy.direct.admission_queue import WaitingRequest
 from ragwortwing_policy.direct.backend_list import BackendServer
+from ragwortwing_policy.direct.crash_ledger import SURVIVAL_SECONDS
 from ragwortwing_policy.direct.entry_pressure import SHED_RETRY_AFTER
 from ragwortwing_policy.direct.queue_order import Waiter
 from ragwortwing_policy.direct.routing_table import Repetition
@@ -54,6 +56,9 @@
 RATE_LIMIT_WAIT_SHARE = 0.5
 """Share of its latency target for which a request waits for a rate-limited server."""
 
+MAX_POSSIBLE_CRASHES = 2
+"""Sends that a server may have ended on, after which a request is not sent again."""
+
 DRAINING_RETRY_AFTER = timedelta(milliseconds=20)
 """Wait before a caller of a draining entry should retry: another entry is available at once."""
 
@@ -95,6 +100,8 @@
         self._buffer: RelayBuffer | None = None
         """Holds what the caller has not taken yet; None if the answer is not decoupled from it."""
         self._send: Send | None = None
+        self._possible_crashes = 0
+        """Sends that a server may have ended on."""
         self._repeat_spent_at: Instant | None = None
         """When the budget was charged for a repeat that has not been sent yet."""
         self._matched_route: Route | None = None
@@ -306,7 +313,7 @@
             found = await self._entry.plain.admit(
                 self._service, self._tried, self._rate_limit_wait_until, self._version
             )
-            return found if isinstance(found, Refused) else _Destination(found)
+            return found if isinstance(found, Refused) else self._unless_blocked(found)
         engine_tokens = service.engine.memory_tokens
         if self._state.memory is not None and prompt.memory_tokens > engine_tokens:
             decided(
@@ -327,6 +334,14 @@
         self._timing.predicted = granted.first_event_after
         return _Destination(granted.backend, granted.reading.fetch_from)
 
+    def _unless_blocked(self, backend: BackendServer) -> _Destination | Refused:
+        """Refuse a request of a service without engine traits whose prompt is blocked there."""
+        until = self._entry.crashes.blocked_until(backend, self._request.prompt)
+        if until is None:
+            return _Destination(backend)
+        wait = until - self._now()
+        return Refused(NotRunReason.PROMPT_BLOCKED, timedelta(seconds=wait) if wait < inf else None)
+
     def _waiting_request(self, prompt: Prompt, pauses: PauseTargets | None) -> WaitingRequest:
         bears_reading = pauses.bears_reading(self._route.pause_target) if pauses else None
         return WaitingRequest(
@@ -357,6 +372,7 @@
         """Send to one backend server; return why another is needed, None after an answer."""
         backend, order = destination.backend, self._order(destination)
         self._tried.add(backend.id)
+        self._entry.crashes.begin_send(backend, self._request.prompt, self._request.id)
         send = self._send = Send()
         sent_at = self._now()
         self._timing.send_began(backend.id, self._service, self._ticket, sent_at)
@@ -461,6 +477,10 @@
             self._state.failure_tracker.succeeded(backend.id)
         self._count_send(backend_answer.kind)
         self._answer_kind = backend_answer.kind
+        if backend_answer.kind is AnswerKind.SUCCESS and self._request.prompt is not None:
+            began_at = self._timing.first_event_of_send
+            began_at = self._now() if began_at is None else began_at
+            self._entry.crashes.survived(backend, self._request.prompt, began_at)
         if self._buffer is None:
             self._log_end("answered", backend=backend.id, kind=backend_answer.kind)
         return None
@@ -569,6 +589,10 @@
             self._origin = self._entry.resumption.began(self._request.id, self._ticket, backend)
             self._entry.run_began(self._account_name, now)
         self._timing.event_arrived(now, _seconds(self._route.pause_target))
+        if self._timing.passed(SURVIVAL_SECONDS) and self._request.prompt is not None:
+            began_at = self._timing.first_event_of_send
+            assert began_at is not None, "an event has arrived"
+            self._entry.crashes.survived(backend, self._request.prompt, began_at)
 
     def _note_declined(self, kind: AnswerKind, backend: BackendServer, send: Send) -> str:
         send.advance("decline")
@@ -577,6 +601,7 @@
         if kind is AnswerKind.ANOTHER_SERVER:
             self._send_failed = True
             self._state.failure_tracker.failed(backend.id, self._now())
+            self._state.failure_tracker.refused(backend.id, self._now())
         decided("send_declined", self._request.id, backend=backend.id, kind=kind)
         return kind
 
@@ -588,6 +613,9 @@
         if self._state.failure_tracker.failed(backend.id, self._now()):
             decided("backend_rests", backend=backend.id, cause=cause)
         prompt = self._request.prompt
+        began_at = self._timing.first_event_of_send
+        if self._entry.crashes.call_failed(backend, prompt, loss, began_at):
+            self._possible_crashes += 1
         warned(
             "send_failed",
             self._request.id,
@@ -601,6 +629,8 @@
         return cause
 
     def _may_send_again(self) -> bool:
+        if self._possible_crashes >= MAX_POSSIBLE_CRASHES:
+            return False
         if self._answer.has_begun and self._route.repetition is not Repetition.RESUMABLE:
             return False
         if not self._history.may_send_again(self._route.repetition, self._route.maximum_sends):
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/stream_timing.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/stream_timing.py
@@ -31,6 +31,8 @@
         """Seconds."""
         self.events_of_send = 0
         """Events that the current send has brought."""
+        self.first_event_of_send: Instant | None = None
+        self._previous_event_at: Instant = 0.0
         self.predicted: float | None = None
         """Predicted seconds from the current send to its first event; None if not predicted."""
         self.first_event_after: float | None = None
@@ -42,6 +44,7 @@
         self._sent_at = now
         self._gap_from = None
         self.events_of_send = 0
+        self.first_event_of_send = None
 
     def event_arrived(self, now: Instant, pause_target: float | None) -> None:
         """Record an event that the caller has not had yet.
@@ -53,6 +56,10 @@
         # An engine that resumes an answer may first repeat events, so its first event is unknown.
         after = now - self._sent_at if self.first_event_at is None else None
         self.events_of_send += 1
+        if self.first_event_of_send is None:
+            self.first_event_of_send = now
+        else:
+            self._previous_event_at = self._last_event_at or now
         if self.first_event_at is None:
             self.first_event_at = now
             self._record_first_event(now - self._sent_at)
@@ -63,6 +70,13 @@
         self._last_event_at = self._gap_from = now
         self._entry.engine_first_event(self._backend_id, self._service, self._ticket, after)
 
+    def passed(self, seconds: float) -> bool:
+        """Return whether the last event is the first one so long after the send's first event."""
+        first, last = self.first_event_of_send, self._last_event_at
+        if first is None or last is None or self.events_of_send < 2:
+            return False
+        return self._previous_event_at - first < seconds <= last - first
+
     def event_written(self, now: Instant) -> None:
         """Skip the next gap if the caller reads slowly: the engine's events wait meanwhile."""
         if self._gap_from is not None and now - self._gap_from > SLOW_WRITE:
--- a/packages/ragwortwing-entry/tests/direct/test_memory_share.py
+++ b/packages/ragwortwing-entry/tests/direct/test_memory_share.py
@@ -53,6 +53,9 @@
     def on_message(self, handler: Callable[[Any, Any], None], _: Callable[[], bool]) -> None:
         self._handler = handler
 
+    def on_status(self, handler: Callable[[Any], None]) -> None:
+        pass
+
     @property
     def members(self) -> frozenset[str]:
         return frozenset(self._network.links_by_name) - {self.name}
@@ -233,6 +236,7 @@
     assert isinstance(received, StatusMessage)
     assert status_of(received).pressure == 0.7
     fields = msgspec.msgpack.decode(encode(status))
-    former = decode(msgspec.msgpack.encode(fields[:-1]))
+    before_pressure = 1 + StatusMessage.__struct_fields__.index("pressure")
+    former = decode(msgspec.msgpack.encode(fields[:before_pressure]))
     assert isinstance(former, StatusMessage)
     assert status_of(former).pressure == 0.0
--- /dev/null
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/crash_ledger.py
@@ -0,0 +1,344 @@
+"""Finds the parts of prompts on which engines crash, and blocks the requests that contain them.
+
+An engine that crashes on a part ends as it begins the answer, and every request on it ends too. A
+single crash therefore makes each part of each request that had not begun a suspect. A part is
+cleared by any run that goes on after its first event, and blocked if crashes repeat without one.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from math import inf
+from typing import TYPE_CHECKING, NamedTuple
+
+from ragwortwing_policy.clock import Instant
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping, Sequence, Set
+
+SURVIVAL_SECONDS = 0.25
+"""Seconds after its first event from which a run is no suspect of a crash: it would have crashed
+the engine when it began."""
+
+CRASH_SPACING = 0.25
+"""Seconds within which several crashes count as one. Servers that end together more likely have a
+cause in common that is no request."""
+
+SPACED_CRASHES_TO_BLOCK = 3
+"""Crashes at different times, without a surviving run between, after which a part is blocked."""
+
+CRASHES_TO_BLOCK = 5
+"""Crashes after which it is blocked even if they came together."""
+
+SPACED_CRASHES_TO_BLOCK_KNOWN = 5
+"""The same two limits for a part on which runs have survived recently."""
+
+CRASHES_TO_BLOCK_KNOWN = 10
+
+KNOWN_SECONDS = 60.0
+"""Seconds for which a surviving run makes its parts known as sound."""
+
+EVIDENCE_SECONDS = 600.0
+"""Seconds after which a crash no longer counts."""
+
+TRIAL_INTERVALS = (2.0, 60.0, 300.0)
+"""Seconds before each trial of a blocked part: a single request that is sent to show whether the
+part still crashes engines. After the last one only another software version or an operator
+unblocks it. The first is left out if the evidence points to one part that was never sound."""
+
+BLOCK_SECONDS = 86_400.0
+"""Seconds after the last crash for which a block is kept."""
+
+MAX_PARTS = 4_096
+"""Maximum parts that are remembered as sound, and as suspects; the oldest are dropped. A record
+takes 0.3 KB."""
+
+MAX_BLOCKS = 256
+"""Maximum blocked parts."""
+
+MAX_PROCESSES = 16
+"""Maximum crashes that are named with a block."""
+
+
+class Software(NamedTuple):
+    """The program that engines run: a part may crash one version only."""
+
+    service: str
+    version: str
+
+
+PartKey = tuple[Software, str]
+"""A part of a prompt on engines with one software."""
+
+
+@dataclass(slots=True)
+class Block:
+    """A part that is kept from engines."""
+
+    software: Software
+    part: str
+    since: Instant
+    last_crash_at: Instant
+    processes: tuple[str, ...]
+    """The server processes whose crashes led to the block."""
+    opens_at: Instant
+    """When the next trial may be sent; inf if none may."""
+    trial: int = 1
+    """Index of that trial's interval."""
+
+    def begin_trial(self, now: Instant) -> None:
+        """Count a request with the part that is sent to an engine."""
+        self.trial += 1
+        left = TRIAL_INTERVALS[self.trial :]
+        self.opens_at = now + left[0] if left else inf
+
+
+@dataclass(slots=True)
+class _Crash:
+    at: Instant
+    requests: set[str] = field(default_factory=set)
+    """Last parts of the suspect prompts; they differ between requests."""
+
+
+class CrashLedger:
+    """Evidence about the parts of prompts, from crashes and surviving runs of all entries.
+
+    Example:
+        >>> ledger = CrashLedger()
+        >>> v1 = Software("engines", "v1")
+        >>> for number in range(3):
+        ...     prompt = ("shared", "crashing", f"own-{number}")
+        ...     at = float(number)
+        ...     _ = ledger.record_crash(f"i-{number}", v1, [prompt], at, now=at)
+        ...     _ = ledger.record_survival(v1, ("shared", "other"), at + 0.1)
+        >>> [each.part for each in ledger.blocks]
+        ['crashing']
+        >>> ledger.blocked_until(v1, ("shared", "other"), now=3.0) is None
+        True
+        >>> ledger.blocked_until(v1, ("crashing", "own-9"), now=3.0)
+        62.0
+    """
+
+    def __init__(self) -> None:
+        self._sound_at_by_key: OrderedDict[PartKey, Instant] = OrderedDict()
+        """First event of the latest surviving run."""
+        self._crashes_by_key: OrderedDict[PartKey, dict[str, _Crash]] = OrderedDict()
+        """Crashes since that event, by server process."""
+        self._blocks_by_key: OrderedDict[PartKey, Block] = OrderedDict()
+
+    @property
+    def blocks(self) -> tuple[Block, ...]:
+        """The blocked parts, the oldest first."""
+        return tuple(self._blocks_by_key.values())
+
+    def record_crash(
+        self,
+        process: str,
+        software: Software,
+        prompts: Iterable[Sequence[str]],
+        at: Instant,
+        now: Instant,
+    ) -> tuple[Block, ...]:
+        """Record the crash of a server process and return the parts that are blocked from now on.
+
+        Several entries report the same crash, each with the requests that it had on the server.
+
+        Args:
+            process: Identifies the process among all processes of all servers.
+            software: Its software.
+            prompts: Ids of the parts of each prompt that may have caused the crash.
+            at: When the process crashed.
+            now: The current instant.
+        """
+        suspects = [tuple(each) for each in prompts]
+        named = {(software, part) for prompt in suspects for part in prompt}
+        explaining = [self._blocks_by_key[key] for key in named if key in self._blocks_by_key]
+        for block in explaining:
+            block.last_crash_at = max(block.last_crash_at, at)
+            if process not in block.processes:
+                block.processes = (*block.processes[-MAX_PROCESSES:], process)
+        if explaining or any(process in block.processes for block in self.blocks):
+            self._discount({process})
+            return ()
+        for prompt in suspects:
+            for part in prompt:
+                self._suspect((software, part), process, at, prompt[-1])
+        found = [key for key in named if self._is_conclusive(key, now)]
+        return self._block(sorted(found), now)
+
+    def record_survival(
+        self, software: Software, parts: Iterable[str], began_at: Instant
+    ) -> tuple[str, ...]:
+        """Record a run that has gone on after its first event.
+
+        Args:
+            software: The software of its engine.
+            parts: Ids of the parts of its prompt.
+            began_at: When its first event arrived.
+
+        Returns:
+            The parts against which there was evidence, which other entries have as well.
+        """
+        return tuple(part for part in parts if self._clear((software, part), began_at))
+
+    def blocked_until(
+        self, software: Software, parts: Iterable[str], now: Instant
+    ) -> Instant | None:
+        """Return when a request may be sent to engines with a software; None if it may now."""
+        if not self._blocks_by_key:
+            return None
+        found = [
+            block
+            for part in parts
+            if (block := self._blocks_by_key.get((software, part)))
+            or (block := self._untested(software, part, now))
+        ]
+        if not found:
+            return None
+        opens_at = max(each.opens_at for each in found)
+        if len(found) == 1:
+            return opens_at if opens_at > now else None
+        # A crash under several blocked parts would not show which of them caused it.
+        return max(opens_at, now + TRIAL_INTERVALS[0])
+
+    def begin_trial(self, software: Software, parts: Iterable[str], now: Instant) -> Block | None:
+        """Count a request that is sent to an engine; return the blocked part that it is to test."""
+        for part in parts if self._blocks_by_key else ():
+            block = self._blocks_by_key.get((software, part))
+            if block is None:
+                block = self._untested(software, part, now)
+                if block is None:
+                    continue
+                self._blocks_by_key[software, part] = block
+            block.begin_trial(now)
+            return block
+        return None
+
+    def merge(self, block: Block) -> bool:
+        """Apply a block that another entry reports; return whether it was unknown."""
+        key = (block.software, block.part)
+        if self._sound_at_by_key.get(key, -inf) >= block.last_crash_at:
+            return False
+        known = self._blocks_by_key.get(key)
+        if known is None:
+            self._add(block)
+            return True
+        known.since = min(known.since, block.since)
+        known.last_crash_at = max(known.last_crash_at, block.last_crash_at)
+        if block.trial >= known.trial:
+            known.trial, known.opens_at = block.trial, max(known.opens_at, block.opens_at)
+        return False
+
+    def release(self, part: str, now: Instant) -> bool:
+        """Unblock a part at an operator's request; return whether it was blocked."""
+        keys = [key for key in self._blocks_by_key if key[1] == part]
+        for key in keys:
+            self._clear(key, now)
+        return bool(keys)
+
+    def expire(self, now: Instant) -> tuple[Block, ...]:
+        """Remove evidence and blocks that are too old; return the blocks."""
+        for key, crashes in list(self._crashes_by_key.items()):
+            for process, crash in list(crashes.items()):
+                if now - crash.at > EVIDENCE_SECONDS:
+                    del crashes[process]
+            if not crashes:
+                del self._crashes_by_key[key]
+        old = tuple(each for each in self.blocks if now - each.last_crash_at > BLOCK_SECONDS)
+        for block in old:
+            del self._blocks_by_key[block.software, block.part]
+        return old
+
+    @property
+    def crashes_by_suspect(self) -> Mapping[PartKey, int]:
+        """Crashes that count against each part that is not blocked."""
+        return {key: len(crashes) for key, crashes in self._crashes_by_key.items()}
+
+    def _suspect(self, key: PartKey, process: str, at: Instant, request: str) -> None:
+        if self._sound_at_by_key.get(key, -inf) >= at:
+            return
+        crashes = self._crashes_by_key.setdefault(key, {})
+        self._crashes_by_key.move_to_end(key)
+        crashes.setdefault(process, _Crash(at)).requests.add(request)
+        if len(self._crashes_by_key) > MAX_PARTS:
+            self._crashes_by_key.popitem(last=False)
+
+    def _is_known(self, key: PartKey, now: Instant) -> bool:
+        return now - self._sound_at_by_key.get(key, -inf) < KNOWN_SECONDS
+
+    def _is_conclusive(self, key: PartKey, now: Instant) -> bool:
+        """Return whether enough crashes with nothing but the part in common are known."""
+        crashes = self._crashes_by_key.get(key, {})
+        if self._is_known(key, now):
+            most, most_spaced = CRASHES_TO_BLOCK_KNOWN, SPACED_CRASHES_TO_BLOCK_KNOWN
+        else:
+            most, most_spaced = CRASHES_TO_BLOCK, SPACED_CRASHES_TO_BLOCK
+        if len(crashes) < most and _spaced(each.at for each in crashes.values()) < most_spaced:
+            return False
+        requests = set().union(*(crash.requests for crash in crashes.values()))
+        return len(requests) > 1 or requests == {key[1]}
+
+    def _block(self, keys: Sequence[PartKey], now: Instant) -> tuple[Block, ...]:
+        blocks = []
+        for key in keys:
+            first_trial = 1 if len(keys) == 1 and not self._is_known(key, now) else 0
+            crashes = self._crashes_by_key.pop(key)
+            last_crash_at = max(each.at for each in crashes.values())
+            opens_at = now + TRIAL_INTERVALS[first_trial]
+            block = Block(*key, now, last_crash_at, tuple(crashes), opens_at, first_trial)
+            self._add(block)
+            blocks.append(block)
+        if blocks:
+            self._discount({process for block in blocks for process in block.processes})
+        return tuple(blocks)
+
+    def _discount(self, processes: Set[str]) -> None:
+        """Remove crashes that a blocked part explains from the evidence against other parts."""
+        for key, crashes in list(self._crashes_by_key.items()):
+            for process in processes & crashes.keys():
+                del crashes[process]
+            if not crashes:
+                del self._crashes_by_key[key]
+
+    def _add(self, block: Block) -> None:
+        self._blocks_by_key[block.software, block.part] = block
+        if len(self._blocks_by_key) > MAX_BLOCKS:
+            self._blocks_by_key.popitem(last=False)
+
+    def _untested(self, software: Software, part: str, now: Instant) -> Block | None:
+        """Return a block with a trial now for a part that is blocked for other software only."""
+        if (software, part) in self._sound_at_by_key:
+            return None
+        elsewhere = [each for each in self.blocks if each.part == part]
+        if not elsewhere:
+            return None
+        last_crash_at = max(each.last_crash_at for each in elsewhere)
+        return Block(software, part, now, last_crash_at, (), now)
+
+    def _clear(self, key: PartKey, began_at: Instant) -> bool:
+        if began_at > self._sound_at_by_key.get(key, -inf):
+            self._sound_at_by_key[key] = began_at
+            self._sound_at_by_key.move_to_end(key)
+            if len(self._sound_at_by_key) > MAX_PARTS:
+                self._sound_at_by_key.popitem(last=False)
+        crashes = self._crashes_by_key.get(key, {})
+        refuted = [process for process, crash in crashes.items() if crash.at <= began_at]
+        for process in refuted:
+            del crashes[process]
+        if refuted and not crashes:
+            del self._crashes_by_key[key]
+        block = self._blocks_by_key.get(key)
+        if block is None or block.last_crash_at > began_at:
+            return bool(refuted)
+        del self._blocks_by_key[key]
+        return True
+
+
+def _spaced(instants: Iterable[Instant]) -> int:
+    """Return the number of instants, of which those too close to an earlier one do not count."""
+    count, last = 0, -inf
+    for at in sorted(instants):
+        if at - last >= CRASH_SPACING:
+            count, last = count + 1, at
+    return count
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/failure_tracker.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/failure_tracker.py
@@ -31,11 +31,20 @@
 is failing, and exclusion would only move the load to the remaining servers."""
 
 
+ENDED_SECONDS = 10.0
+"""Seconds for which a server whose process has ended is not used. Its registration lapses within
+that time; the next process has another registration, with which the server is used again."""
+
+UNREACHABLE_SECONDS = 1.0
+"""The same if the process cannot be told from the next one, or may still be starting."""
+
+
 @dataclass(slots=True)
 class _Record:
     failure_rate: float = 0.0
     exclusion_seconds: float = INITIAL_EXCLUSION_SECONDS
     excluded_until: Instant = 0.0
+    ended_until: Instant = 0.0
 
 
 class FailureTracker:
@@ -72,6 +81,19 @@
         record.exclusion_seconds = min(MAXIMUM_EXCLUSION_SECONDS, 2 * record.exclusion_seconds)
         return True
 
+    def ended(self, backend: BackendServer, now: Instant) -> None:
+        """Record that the registered process of a backend server has ended."""
+        known = backend.started_at is not None
+        self._leave_out(backend.id, now + (ENDED_SECONDS if known else UNREACHABLE_SECONDS))
+
+    def refused(self, backend_id: str, now: Instant) -> None:
+        """Record that nothing listens at a backend server's address."""
+        self._leave_out(backend_id, now + UNREACHABLE_SECONDS)
+
+    def _leave_out(self, backend_id: str, until: Instant) -> None:
+        record = self._by_id.setdefault(backend_id, _Record())
+        record.ended_until = max(record.ended_until, until)
+
     def is_excluded(self, backend_id: str, now: Instant) -> bool:
         """Return whether a backend server is currently excluded."""
         record = self._by_id.get(backend_id)
@@ -80,12 +102,20 @@
     def without_excluded(
         self, backends: Sequence[BackendServer], now: Instant
     ) -> Sequence[BackendServer]:
-        """Return the servers that are not excluded, or all if too many are excluded."""
+        """Return the servers that are not excluded, or all if too many are excluded.
+
+        Servers whose process has ended are left out in either case, unless no other is left.
+        """
+        backends = [each for each in backends if not self._has_ended(each.id, now)] or backends
         available_backends = [each for each in backends if not self.is_excluded(each.id, now)]
         if len(available_backends) < (1 - MAXIMUM_EXCLUDED_SHARE) * len(backends):
             return backends
         return available_backends
 
+    def _has_ended(self, backend_id: str, now: Instant) -> bool:
+        record = self._by_id.get(backend_id)
+        return record is not None and now < record.ended_until
+
     def forget(self, backend_id: str) -> None:
         """Remove a backend server that is gone or has restarted."""
         self._by_id.pop(backend_id, None)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_status.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/peer_status.py
@@ -100,6 +100,10 @@
         uptime = now - since
         self._choice.offer(Candidate(self._name, self._capacity, uptime, now, self.pressure))
 
+    def report_again(self) -> None:
+        """Make a status due at once: there are peers that have not received one."""
+        self._sent = None
+
     def due(self, now: Instant) -> PeerStatus | None:
         """Return the status to send if the interval has passed or a relevant value has changed."""
         status = self.status(now)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/outcomes.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/outcomes.py
@@ -59,6 +59,8 @@
     """An error inside the entry interrupted the request before it was sent."""
     STREAM_UNKNOWN = "stream_unknown"
     """It is unknown which software version began the stream to be resumed."""
+    PROMPT_BLOCKED = "prompt_blocked"
+    """Engines crash on a part of the prompt."""
     NO_SAME_VERSION = "no_same_version"
     """No live backend server has the service and software version that began the stream."""
 
--- a/platform/src/ragwortwing_platform/readiness.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/status_server.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from ragwortwing_runtime.tcp_sockets import RECEIVE_BYTES, send_all
+from .tcp_sockets import RECEIVE_BYTES, send_all
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/peer_network.py
+++ b/tests/peer_network.py
@@ -31,6 +31,13 @@
     def on_message(self, handler: Callable[[Any, Any], None], _: Callable[[], bool]) -> None:
         self._handler = handler
 
+    def on_status(self, handler: Callable[[Any], None]) -> None:
+        pass
+
+    def broadcast(self, message: Any) -> None:
+        for peer in self.members:
+            self.send(message, peer)
+
     @property
     def members(self) -> frozenset[str]:
         return frozenset(self._links_by_name) - {self.name}
