--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/tcp_sockets.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/tcp_sockets.py
@@ -78,6 +78,25 @@
     return sock
 
 
+def accept_now(listener: trio.socket.SocketType) -> trio.socket.SocketType | None:
+    """Accept a connection without waiting; return None if there is none.
+
+    trio accepts one connection in a turn of the event loop, so on a busy loop connections would
+    queue up in the kernel.
+
+    Raises:
+        OSError: The connection could not be accepted.
+    """
+    view = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=listener.fileno())
+    try:
+        sock, _ = view.accept()
+    except BlockingIOError:
+        return None
+    finally:
+        view.detach()
+    return trio.socket.from_stdlib_socket(sock)
+
+
 async def send_all(sock: trio.socket.SocketType, data: bytes) -> None:
     """Send all data.
 
