Show operators which prompt parts are blocked, and let them release one

ragwortwing_blocked_part_seconds names each blocked part with its service, version and age; the lines backend_ended, prompt_part_blocked, prompt_part_sound, blocked_part_tried and prompt_part_released tell why and until when; 'request explain' describes the first two.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/__main__.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/__main__.py
@@ -12,6 +12,7 @@
     "request": "inspect",
     "config": "config",
     "preset": "preset",
+    "part": "part",
 }
 """Module in `ragwortwing_entry.commands` that defines each top-level command."""
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/crash_watch.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/crash_watch.py
@@ -173,16 +173,14 @@
         )
         self._report_blocks()
 
-    def release(self, part: str, reason: str) -> bool:
-        """Unblock a part; return whether it was blocked."""
+    def release(self, part: str, operator: str) -> None:
+        """Unblock a part at all entries, at an operator's request."""
         softwares = [each.software for each in self.ledger.blocks if each.part == part]
-        if not self.ledger.release(part, self._state.clock.monotonic()):
-            return False
+        was_blocked = self.ledger.release(part, self._state.clock.monotonic())
         for software in softwares:
             message = SurvivalMessage(self._state.identity.name, *software, (part,), 0.0)
             self._state.peers.broadcast(message)
-        decided("prompt_part_released", part=part, reason=reason)
-        return True
+        decided("prompt_part_released", part=part, operator=operator, was_blocked=was_blocked)
 
     # Reports of other entries
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
@@ -20,6 +20,7 @@
     FeedMessage,
     OriginMessage,
     OriginQueryMessage,
+    PartReleaseMessage,
     PermitMessage,
     PermitRequestMessage,
     PlaceMessage,
@@ -289,6 +290,9 @@
         if isinstance(message, SurvivalMessage):
             self.crashes.take_survival(message)
             return
+        if isinstance(message, PartReleaseMessage):
+            self.crashes.release(message.part, message.sender)
+            return
         if isinstance(message, (PlaceMessage, WithdrawMessage, DecisionMessage)):
             if self.state.engine_traits(message.pool) is None:
                 warned("message_for_unknown_pool", sender=message.sender, pool=message.pool)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_counters.py
@@ -159,6 +159,17 @@
         yield self._retry_times_unrecorded()
         yield self._placements_by_zone()
         yield from self._engine_estimates(now)
+        yield self._blocked_parts(now)
+
+    def _blocked_parts(self, now: Instant) -> Metric:
+        family = GaugeMetricFamily(
+            "ragwortwing_blocked_part_seconds",
+            "Time since a part of prompts is kept from engines because they crash on it.",
+            labels=("service", "version", "part"),
+        )
+        for block in self._entry.crashes.ledger.blocks:
+            family.add_metric((*block.software, block.part), now - block.since)
+        return family
 
     def _feed_ages(self, now: Instant) -> Metric:
         family = GaugeMetricFamily(
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
@@ -265,6 +265,13 @@
     """Seconds since the first event of the run."""
 
 
+class PartReleaseMessage(msgspec.Struct, frozen=True, array_like=True, tag="x"):
+    """An operator's request to unblock a part of prompts."""
+
+    sender: str
+    part: str
+
+
 class StreamBegunMessage(msgspec.Struct, frozen=True, array_like=True, tag="b"):
     """The origin of a stream that no run report names."""
 
@@ -289,6 +296,7 @@
     | StreamBegunMessage
     | CrashMessage
     | SurvivalMessage
+    | PartReleaseMessage
 )
 
 encode: Callable[[PeerMessage], bytes] = msgspec.msgpack.Encoder().encode
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_explanation.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_explanation.py
@@ -228,6 +228,16 @@
     return f"{line.get('backend')} is excluded for a while: {line.get('cause')}"
 
 
+@describes("backend_ended")
+def _backend_ended(line: Fields) -> str:
+    return f"{line.get('backend')} ended, with {len(line.get('prompts', ()))} requests to begin"
+
+
+@describes("prompt_part_blocked")
+def _part_blocked(line: Fields) -> str:
+    return f"part {line.get('part')} is kept from engines: {len(line.get('crashes', ()))} crashed"
+
+
 @describes("store_lost")
 def _store_lost(line: Fields) -> str:
     return f"the store stopped answering: {line.get('cause')}"
