Test answers that end with their connection: large, of HTTP/1.0, cut, and to an HTTP/1.0 caller

The stand-in for a backend server can answer with neither a length nor chunks, in either version of the protocol.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
@@ -168,6 +168,10 @@
     faults: Faults = field(default_factory=Faults)
     crash_parts: frozenset[str] = frozenset()
     """Ids of prompt parts on which the process crashes when it begins to write an answer."""
+    unframed: str | None = None
+    """HTTP version of answers that have neither a length nor chunks; None frames them."""
+    answer_bytes: int = 0
+    """Bytes by which the answer of a plain server is padded."""
     crash_point: CrashPoint = CrashPoint.BEFORE_HEAD
     restart_after: float = 2.0
     """Seconds from a crash until the next process serves at the address, under a new id."""
@@ -307,7 +311,11 @@
         if self.misbehaviour is Misbehaviour.ANSWER_TWICE_LATE and exchange.previous is not None:
             earlier_id = exchange.previous.headers_by_name["x-request-id"]
             await exchange.write_raw(_extra_answer(earlier_id))
-        body = f"{request_id} by {self.id}".encode()
+        body = f"{request_id} by {self.id}".encode() + b"." * self.answer_bytes
+        if self.unframed is not None:
+            await exchange.write_raw(self._unframed_head(request_id))
+            await exchange.write_raw(body)
+            raise ConnectionCutError
         if self.misbehaviour is Misbehaviour.NO_STAMP:
             await exchange.respond(200, body, ((b"x-request-id", request_id.encode()),))
             return
@@ -328,6 +336,9 @@
     async def _stream(self, exchange: Exchange, request_id: str) -> None:
         last = exchange.request.headers_by_name.get("last-event-id")
         first = int(last) + 1 if last else 0
+        if self.unframed is not None:
+            await self._stream_unframed(exchange, request_id, first)
+            return
         head = (*self._answer_headers(request_id), (b"content-type", b"text/event-stream"))
         await exchange.start(200, (*head, (b"transfer-encoding", b"chunked")))
         padding = self.pace.event_bytes + padding_of(exchange.request.path)
@@ -347,6 +358,23 @@
             await trio.sleep(self.pace.event_gap * self.slowdown)
         await exchange.finish()
 
+    async def _stream_unframed(self, exchange: Exchange, request_id: str, first: int) -> None:
+        kind = (b"content-type", b"text/event-stream")
+        await exchange.write_raw(self._unframed_head(request_id, kind))
+        for number in range(first, self.pace.events):
+            event = event_of(request_id, number, self.pace.event_bytes)
+            if number - first == 3 and self.misbehaviour in STREAM_RESETTING:
+                await exchange.write_raw(event[: len(event) // 2])
+                break
+            await exchange.write_raw(event)
+            await trio.sleep(self.pace.event_gap)
+        raise ConnectionCutError
+
+    def _unframed_head(self, request_id: str, *more: tuple[bytes, bytes]) -> bytes:
+        lines = [b"%s 200 OK" % (self.unframed or "").encode()]
+        lines += [b"%s: %s" % each for each in (*self._answer_headers(request_id), *more)]
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
     async def _resume_badly(self, exchange: Exchange, request_id: str) -> bool:
         """Mishandle a resumed request as configured; return False if no `RESUME_` kind is set."""
         head = self._answer_headers(request_id)
