Check a server again after a reset, repeat a trial without a result, bound what a status names

A connection that a live server closed hid a crash of the same process for ten seconds; the trial of a blocked part counted although its caller had left or the engine had declined it, so that a sound part could stay blocked for minutes; and a status listed all blocked parts with ids that callers choose, which could exceed a datagram and end all statuses.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/crash_watch.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/crash_watch.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from math import inf
 from typing import TYPE_CHECKING
@@ -19,9 +20,10 @@
 
 from .decision_log import decided, warned
 from .peer_messages import CrashMessage, SurvivalMessage, block_body, block_of
+from .ports import BackendLostError
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable, Iterator, Sequence
 
     from ragwortwing_policy.direct.crash_ledger import Block
     from ragwortwing_policy.direct.prompt_parts import Prompt
@@ -38,9 +40,21 @@
 """Seconds after a lost call in which a new process at the address shows that the former one
 ended."""
 
+REFUSAL_SECONDS = 1.0
+"""Seconds after a lost call in which a refused connection shows that the process ended."""
+
 MAX_PROMPTS = 16
 """Maximum suspect prompts in a message."""
 
+MAX_PROMPT_PARTS = 32
+"""Maximum parts of a prompt that are considered, the last one among them."""
+
+MAX_PART_LENGTH = 64
+"""Maximum characters of the id of a part that is considered."""
+
+MAX_REPORTED_BLOCKS = 32
+"""Maximum blocked parts in a status, those with the latest crashes."""
+
 NEW_PEER_SECONDS = 2.0
 """Uptime in seconds up to which a peer is sent the blocks in reply to its status."""
 
@@ -55,6 +69,8 @@
     prompts: list[tuple[str, ...]] = field(default_factory=list)
     """Ids of the parts of the prompts whose answers had not or had only just begun."""
     has_ended: bool = False
+    is_checked: bool = False
+    """Whether the checks have not shown that the process ended."""
 
 
 def process_name(backend_id: str, started_at: int | None) -> str:
@@ -112,11 +128,13 @@
         now = self._state.clock.monotonic()
         if loss is ConnectionLoss.REFUSED:
             self._state.failure_tracker.refused(backend.id, now)
-            self._confirm(self._lost_by_process.get(_process(backend)))
+            refused = self._lost_by_process.get(_process(backend))
+            if refused is not None and now - refused.at < REFUSAL_SECONDS:
+                self._confirm(refused)
         if loss is not ConnectionLoss.CLOSED:
             return False
         lost = self._lost_by_process.get(_process(backend))
-        if lost is None:
+        if lost is None or (lost.is_checked and not lost.has_ended):
             lost = self._lost_by_process[_process(backend)] = _LostCalls(backend, now)
             self._checks.append(lost)
             self._check_due.set()
@@ -156,14 +174,32 @@
         found = {each.id: self.blocked_until(each, prompt) for each in backends}
         return {key: until for key, until in found.items() if until is not None}
 
-    def begin_send(self, backend: BackendServer, prompt: Prompt | None, request_id: str) -> None:
-        """Record that a request is sent to a server, which may be the trial of a blocked part."""
+    @contextmanager
+    def sending(
+        self, backend: BackendServer, prompt: Prompt | None, request_id: str
+    ) -> Iterator[None]:
+        """Count a request that is sent to a server as the trial of a part that is blocked."""
+        block = self._begin_trial(backend, prompt, request_id)
+        began_at = self._state.clock.monotonic()
+        may_have_crashed = False
+        try:
+            yield
+        except BackendLostError as error:
+            may_have_crashed = error.loss is ConnectionLoss.CLOSED
+            raise
+        finally:
+            if block is not None and not may_have_crashed:
+                self._end_trial(block, began_at)
+
+    def _begin_trial(
+        self, backend: BackendServer, prompt: Prompt | None, request_id: str
+    ) -> Block | None:
         if prompt is None or not self.ledger.blocks:
-            return
+            return None
         now = self._state.clock.monotonic()
         block = self.ledger.begin_trial(software_of(backend), _part_ids(prompt), now)
         if block is None:
-            return
+            return None
         decided(
             "blocked_part_tried",
             request_id,
@@ -172,6 +208,15 @@
             next_trial_s=_rounded_seconds(block.opens_at - now),
         )
         self._report_blocks()
+        return block
+
+    def _end_trial(self, block: Block, began_at: Instant) -> None:
+        """Allow another trial at once if this one has shown nothing, as when it was declined.
+
+        A part that a run has survived is not blocked any more.
+        """
+        if block in self.ledger.blocks and block.last_crash_at < began_at:
+            block.repeat_trial(self._state.clock.monotonic())
 
     def release(self, part: str, operator: str) -> None:
         """Unblock a part at all entries, at an operator's request."""
@@ -210,7 +255,8 @@
             self._state.peers.send_status(status.sender)
 
     def _blocks_to_report(self, now: Instant) -> tuple[BlockBody, ...]:
-        return tuple(block_body(each, now) for each in self.ledger.blocks)
+        latest = sorted(self.ledger.blocks, key=lambda each: each.last_crash_at, reverse=True)
+        return tuple(block_body(each, now) for each in latest[:MAX_REPORTED_BLOCKS])
 
     def _report_blocks(self) -> None:
         self._state.statuses.report_again()
@@ -224,7 +270,8 @@
             if lost.has_ended or await self._calls.is_listening(lost.backend) is False:
                 self._confirm(lost)
                 return
-        decided("backend_connection_closed", backend=lost.backend.id, calls=len(lost.prompts))
+        lost.is_checked = True
+        decided("backend_connection_closed", backend=lost.backend.id, prompts=len(lost.prompts))
 
     def _backend_listed(self, backend: BackendServer) -> None:
         """Conclude from a new process at an address that the former one has ended."""
@@ -235,9 +282,9 @@
             if same_address and is_recent and _process(lost.backend) != _process(backend):
                 self._confirm(lost)
 
-    def _confirm(self, lost: _LostCalls | None) -> None:
+    def _confirm(self, lost: _LostCalls) -> None:
         """Record that the process to which calls were lost has ended."""
-        if lost is None or lost.has_ended:
+        if lost.has_ended:
             return
         lost.has_ended = True
         backend = lost.backend
@@ -326,7 +373,8 @@
 
 
 def _part_ids(prompt: Prompt) -> tuple[str, ...]:
-    return tuple(each.id for each in prompt.parts)
+    ids = tuple(each.id for each in prompt.parts if len(each.id) <= MAX_PART_LENGTH)
+    return ids if len(ids) <= MAX_PROMPT_PARTS else (*ids[: MAX_PROMPT_PARTS - 1], ids[-1])
 
 
 def _rounded_seconds(seconds: float) -> float | None:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -372,7 +372,6 @@
         """Send to one backend server; return why another is needed, None after an answer."""
         backend, order = destination.backend, self._order(destination)
         self._tried.add(backend.id)
-        self._entry.crashes.begin_send(backend, self._request.prompt, self._request.id)
         send = self._send = Send()
         sent_at = self._now()
         self._timing.send_began(backend.id, self._service, self._ticket, sent_at)
@@ -387,7 +386,10 @@
             left_ms=round(1000 * (self._deadline - self._now())),
         )
         try:
-            with self._counted(backend):
+            with (
+                self._counted(backend),
+                self._entry.crashes.sending(backend, self._request.prompt, self._request.id),
+            ):
                 async with self._entry.calls.call(self._request, order, send) as backend_answer:
                     self._process_notice(backend_answer, backend, sent_at)
                     return await self._handle_answer(backend_answer, backend, send)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/crash_ledger.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/crash_ledger.py
@@ -93,6 +93,11 @@
         left = TRIAL_INTERVALS[self.trial :]
         self.opens_at = now + left[0] if left else inf
 
+    def repeat_trial(self, now: Instant) -> None:
+        """Allow the last trial once more, because it ended without a result."""
+        self.trial -= 1
+        self.opens_at = now
+
 
 @dataclass(slots=True)
 class _Crash:
--- a/packages/ragwortwing-policy/tests/direct/test_crash_ledger.py
+++ b/packages/ragwortwing-policy/tests/direct/test_crash_ledger.py
@@ -162,6 +162,19 @@
     assert history.blocked == []
 
 
+def test_a_trial_without_a_result_may_be_repeated() -> None:
+    """Guards against a part that stays blocked because the caller of its trial has left."""
+    history = History()
+    for tick in range(3):
+        history.crash(float(tick), ("part",))
+    block = history.ledger.begin_trial(V1, ("part", "own"), 70.0)
+    assert block is not None
+    block.repeat_trial(71.0)
+    assert history.ledger.blocked_until(V1, ("part", "own"), 71.0) is None
+    assert history.ledger.begin_trial(V1, ("part", "own"), 71.0) is block
+    assert history.ledger.blocked_until(V1, ("part", "own"), 71.0) == 71.0 + TRIAL_INTERVALS[2]
+
+
 def test_another_software_version_gets_one_request_until_it_has_shown_that_it_survives() -> None:
     """Guards against a new version that gets every request with a blocked part at once."""
     history = History()
