List blocked prompt parts in fewer statuses the more entries there are

Worked out for 340 entries: each status that lists one blocked part has 175 B more, and each entry receives 339 of them a second: 59 KB/s for a single part, where all control has 22 KB/s. Now an entry lists them once in 0.3 s for each entry, at least once a second in a small fleet, in the next status after a change, and in reply to a new entry. An entry receives about three lists a second at any size: 0.6 KB/s for one part.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/crash_watch.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/crash_watch.py
@@ -1,7 +1,7 @@
 """Notices server processes that end under requests, and keeps prompts that cause it from engines.
 
 All entries tell each other which processes ended and under which prompts, so that each of them
-draws the same conclusions. Each status lists the blocked parts, from which a new entry learns them.
+draws the same conclusions. Statuses list the blocked parts, from which a new entry learns them.
 """
 
 from __future__ import annotations
@@ -55,6 +55,13 @@
 MAX_REPORTED_BLOCKS = 32
 """Maximum blocked parts in a status, those with the latest crashes."""
 
+MIN_REPORT_INTERVAL = 1.0
+"""Minimum seconds between two statuses of this entry that list the blocked parts."""
+
+REPORT_INTERVAL_PER_ENTRY = 0.3
+"""Seconds that each entry adds to that interval: however many there are, each of them receives the
+list about three times a second."""
+
 NEW_PEER_SECONDS = 2.0
 """Uptime in seconds up to which a peer is sent the blocks in reply to its status."""
 
@@ -93,6 +100,7 @@
         self._lost_by_process: dict[str, _LostCalls] = {}
         self._checks: list[_LostCalls] = []
         self._check_due = trio.Event()
+        self._report_due_at: Instant = -inf
         state.peers.blocks_to_report = self._blocks_to_report
         state.peers.on_status(self._take_status)
         state.on_listed = self._backend_listed
@@ -252,13 +260,23 @@
                 self._log_blocked(block, reported_by=status.sender)
         is_new = status.uptime is None or status.uptime < NEW_PEER_SECONDS
         if is_new and self.ledger.blocks and not status.blocks:
-            self._state.peers.send_status(status.sender)
+            self._state.peers.send_status(status.sender, self._reported_blocks(now))
 
     def _blocks_to_report(self, now: Instant) -> tuple[BlockBody, ...]:
+        """Return the blocks that the next status lists; none if others list them meanwhile."""
+        if now < self._report_due_at:
+            return ()
+        entries = 1 + len(self._state.peers.members)
+        interval = max(MIN_REPORT_INTERVAL, REPORT_INTERVAL_PER_ENTRY * entries)
+        self._report_due_at = now + interval
+        return self._reported_blocks(now)
+
+    def _reported_blocks(self, now: Instant) -> tuple[BlockBody, ...]:
         latest = sorted(self.ledger.blocks, key=lambda each: each.last_crash_at, reverse=True)
         return tuple(block_body(each, now) for each in latest[:MAX_REPORTED_BLOCKS])
 
     def _report_blocks(self) -> None:
+        self._report_due_at = -inf
         self._state.statuses.report_again()
         self._state.peers.wake()
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_link.py
@@ -65,7 +65,7 @@
         self._status_handlers: list[StatusHandler] = []
         self._can_schedule: Callable[[], bool] = lambda: False
         self.blocks_to_report: Callable[[Instant], tuple[BlockBody, ...]] = lambda _: ()
-        """Returns the blocked prompt parts that each status lists."""
+        """Returns the blocked prompt parts that the next status lists."""
         self.unreadable = 0
         """Number of datagrams that were dropped because they could not be decoded."""
 
@@ -93,10 +93,9 @@
         """Add a handler for the statuses of peers."""
         self._status_handlers.append(handler)
 
-    def send_status(self, peer: str) -> None:
-        """Send the current status to one peer."""
-        now = self._clock.monotonic()
-        self.send(status_message(self._book.status(now), self.blocks_to_report(now)), peer)
+    def send_status(self, peer: str, blocks: tuple[BlockBody, ...]) -> None:
+        """Send the current status with given blocked prompt parts to one peer."""
+        self.send(status_message(self._book.status(self._clock.monotonic()), blocks), peer)
 
     def wake(self) -> None:
         """Trigger a status without waiting for the next poll."""
--- a/packages/ragwortwing-entry/tests/direct/test_crash_watch.py
+++ b/packages/ragwortwing-entry/tests/direct/test_crash_watch.py
@@ -175,6 +175,23 @@
     assert len(encode(StatusMessage("a", 1.0, 5.0, True, 0.0, {}, blocks=blocks))) < 40_000
 
 
+async def test_blocks_are_listed_less_often_by_each_of_many_entries(
+    fleet: Fleet, autojump_clock: object
+) -> None:
+    """Guards against statuses whose bytes grow with the square of the entries."""
+    for number in range(3):
+        await crash(fleet.one, number)
+    lists = 0
+    for _ in range(100):
+        await trio.sleep(0.1)
+        lists += bool(fleet.one._blocks_to_report(trio.current_time()))
+    assert 8 <= lists <= 11
+    links = fleet.one._state.peers._links_by_name  # type: ignore[attr-defined]
+    links.update({f"peer-{number}": links["one"] for number in range(98)})
+    lists = sum(bool(fleet.one._blocks_to_report(10.0 + second)) for second in range(120))
+    assert lists <= 5
+
+
 def test_blocks_survive_the_codec() -> None:
     block = Block(V1, "part", 1.0, 2.0, ("i-1",), 60.0)
     body = msgspec.convert(
