Count each crash of a server that comes back with the registration it had

A server process is told from the next one by its start, which a registration may lack or repeat. Then the ledger took all crashes of one server for one, so that a pool of one or two such servers could crash forever, and a server that was back at once stayed left out for ten seconds. Reports within a second are about the same crash, later ones about another; ended servers are left out for four seconds, the time in which a registration lapses.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/crash_watch.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/crash_watch.py
@@ -15,7 +15,12 @@
 
 from ragwortwing_policy.clock import Instant
 from ragwortwing_policy.direct.backend_list import BackendServer
-from ragwortwing_policy.direct.crash_ledger import SURVIVAL_SECONDS, CrashLedger, Software
+from ragwortwing_policy.direct.crash_ledger import (
+    SAME_CRASH_SECONDS,
+    SURVIVAL_SECONDS,
+    CrashLedger,
+    Software,
+)
 from ragwortwing_runtime.http_client import ConnectionLoss
 
 from .decision_log import decided, warned
@@ -142,7 +147,8 @@
         if loss is not ConnectionLoss.CLOSED:
             return False
         lost = self._lost_by_process.get(_process(backend))
-        if lost is None or (lost.is_checked and not lost.has_ended):
+        is_over = lost is None or now - lost.at > SAME_CRASH_SECONDS
+        if lost is None or is_over or (lost.is_checked and not lost.has_ended):
             lost = self._lost_by_process[_process(backend)] = _LostCalls(backend, now)
             self._checks.append(lost)
             self._check_due.set()
--- a/packages/ragwortwing-entry/tests/direct/test_crash_watch.py
+++ b/packages/ragwortwing-entry/tests/direct/test_crash_watch.py
@@ -121,6 +121,16 @@
     assert fleet.one.ledger.crashes_by_suspect == {(V1, "crashing"): 1, (V1, "u0"): 1}
 
 
+async def test_server_that_comes_back_unchanged_is_checked_again(
+    fleet: Fleet, autojump_clock: object
+) -> None:
+    """Guards against crashes that are not seen because a server keeps its registration."""
+    for _ in range(2):
+        await crash(fleet.one, 0)
+        await trio.sleep(2.0)
+    assert fleet.one.ledger.crashes_by_suspect[V1, "crashing"] == 2
+
+
 async def test_end_of_a_leaving_server_is_no_crash(fleet: Fleet, autojump_clock: object) -> None:
     """Guards against parts that are blamed for a planned stop."""
     fleet.one._state.backends.remove("i-0")
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/crash_ledger.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/crash_ledger.py
@@ -57,6 +57,10 @@
 MAX_BLOCKS = 256
 """Maximum blocked parts."""
 
+SAME_CRASH_SECONDS = 1.0
+"""Seconds within which reports on one server process are about the same crash. A server may come
+back with the registration that it had."""
+
 MAX_PROCESSES = 16
 """Maximum crashes that are named with a block."""
 
@@ -131,6 +135,8 @@
         self._crashes_by_key: OrderedDict[PartKey, dict[str, _Crash]] = OrderedDict()
         """Crashes since that event, by server process."""
         self._blocks_by_key: OrderedDict[PartKey, Block] = OrderedDict()
+        self._latest_by_process: OrderedDict[str, tuple[str, Instant]] = OrderedDict()
+        """Name and time of the latest crash of each server process."""
 
     @property
     def blocks(self) -> tuple[Block, ...]:
@@ -156,6 +162,7 @@
             at: When the process crashed.
             now: The current instant.
         """
+        process, at = self._crash_of(process, at)
         suspects = [tuple(each) for each in prompts]
         named = {(software, part) for prompt in suspects for part in prompt}
         explaining = [self._blocks_by_key[key] for key in named if key in self._blocks_by_key]
@@ -260,6 +267,18 @@
         """Crashes that count against each part that is not blocked."""
         return {key: len(crashes) for key, crashes in self._crashes_by_key.items()}
 
+    def _crash_of(self, process: str, at: Instant) -> tuple[str, Instant]:
+        """Return the name and time of the crash that a report is about."""
+        known = self._latest_by_process.get(process)
+        if known is not None and at - known[1] <= SAME_CRASH_SECONDS:
+            return known
+        name = process if known is None else f"{process}+{at:.0f}"
+        self._latest_by_process[process] = name, at
+        self._latest_by_process.move_to_end(process)
+        if len(self._latest_by_process) > MAX_PARTS:
+            self._latest_by_process.popitem(last=False)
+        return name, at
+
     def _suspect(self, key: PartKey, process: str, at: Instant, request: str) -> None:
         if self._sound_at_by_key.get(key, -inf) >= at:
             return
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/failure_tracker.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/failure_tracker.py
@@ -31,9 +31,9 @@
 is failing, and exclusion would only move the load to the remaining servers."""
 
 
-ENDED_SECONDS = 10.0
+ENDED_SECONDS = 4.0
 """Seconds for which a server whose process has ended is not used. Its registration lapses within
-that time; the next process has another registration, with which the server is used again."""
+that time, or the server is back; with another registration it is used again at once."""
 
 UNREACHABLE_SECONDS = 1.0
 """The same if the process cannot be told from the next one, or may still be starting."""
