--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/crash_watch.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/crash_watch.py
@@ -162,15 +162,11 @@
 
     def survived(self, backend: BackendServer, prompt: Prompt, began_at: Instant) -> None:
         """Record a run that has gone on after its first event, or whose answer is complete."""
-        software = software_of(backend)
-        cleared = self.ledger.record_survival(software, _part_ids(prompt), began_at)
-        if not cleared:
-            return
-        age = round(self._state.clock.monotonic() - began_at, 3)
-        self._state.peers.broadcast(
-            SurvivalMessage(self._state.identity.name, *software, cleared, age)
-        )
-        self._log_unblocked(software, cleared, reported_by=self._state.identity.name)
+        software, name = software_of(backend), self._state.identity.name
+        cleared = self._record_survival(software, _part_ids(prompt), began_at, name)
+        if cleared:
+            age = round(self._state.clock.monotonic() - began_at, 3)
+            self._state.peers.broadcast(SurvivalMessage(name, *software, cleared, age))
 
     def blocked_until(self, backend: BackendServer, prompt: Prompt | None) -> Instant | None:
         """Return until when a prompt must not be sent to a server; None if it may be sent now."""
@@ -255,8 +251,22 @@
         """Handle the report of a run that an engine has survived."""
         software = Software(message.service, message.version)
         began_at = self._state.clock.monotonic() - message.age
-        cleared = self.ledger.record_survival(software, message.parts, began_at)
-        self._log_unblocked(software, cleared, reported_by=message.sender)
+        self._record_survival(software, message.parts, began_at, message.sender)
+
+    def _record_survival(
+        self, software: Software, parts: Sequence[str], began_at: Instant, reported_by: str
+    ) -> tuple[str, ...]:
+        blocked = {each.part for each in self.ledger.blocks if each.software == software}
+        cleared = self.ledger.record_survival(software, parts, began_at)
+        for part in blocked.intersection(cleared):
+            decided(
+                "prompt_part_sound",
+                part=part,
+                service=software.service,
+                version=software.version,
+                reported_by=reported_by,
+            )
+        return cleared
 
     def _take_status(self, status: StatusMessage) -> None:
         now = self._state.clock.monotonic()
@@ -373,16 +383,6 @@
             reported_by=reported_by,
         )
 
-    def _log_unblocked(self, software: Software, parts: Sequence[str], reported_by: str) -> None:
-        for part in parts:
-            decided(
-                "prompt_part_sound",
-                part=part,
-                service=software.service,
-                version=software.version,
-                reported_by=reported_by,
-            )
-
     def _expire(self) -> None:
         now = self._state.clock.monotonic()
         for process, lost in list(self._lost_by_process.items()):
