Settle a trial by its result instead of by its start

A trial counted when it was sent and was taken back if it ended without a result; other entries had adopted the count meanwhile and gave it back with their statuses, so that a part stayed blocked for minutes because the caller of its trial had left. Now a trial keeps other requests back for five seconds and counts only when the engine closes its call; its result is what other entries adopt.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/crash_watch.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/crash_watch.py
@@ -188,18 +188,15 @@
     def sending(
         self, backend: BackendServer, prompt: Prompt | None, request_id: str
     ) -> Iterator[None]:
-        """Count a request that is sent to a server as the trial of a part that is blocked."""
+        """Treat a request that is sent to a server as the trial of a part that is blocked."""
         block = self._begin_trial(backend, prompt, request_id)
-        began_at = self._state.clock.monotonic()
-        may_have_crashed = False
         try:
             yield
         except BackendLostError as error:
-            may_have_crashed = error.loss is ConnectionLoss.CLOSED
+            if block is not None and error.loss is ConnectionLoss.CLOSED:
+                block.fail_trial(self._state.clock.monotonic())
+                self._report_blocks()
             raise
-        finally:
-            if block is not None and not may_have_crashed:
-                self._end_trial(block, began_at)
 
     def _begin_trial(
         self, backend: BackendServer, prompt: Prompt | None, request_id: str
@@ -210,24 +207,10 @@
         block = self.ledger.begin_trial(software_of(backend), _part_ids(prompt), now)
         if block is None:
             return None
-        decided(
-            "blocked_part_tried",
-            request_id,
-            part=block.part,
-            backend=backend.id,
-            next_trial_s=_rounded_seconds(block.opens_at - now),
-        )
+        decided("blocked_part_tried", request_id, part=block.part, backend=backend.id)
         self._report_blocks()
         return block
 
-    def _end_trial(self, block: Block, began_at: Instant) -> None:
-        """Allow another trial at once if this one has shown nothing, as when it was declined.
-
-        A part that a run has survived is not blocked any more.
-        """
-        if block in self.ledger.blocks and block.last_crash_at < began_at:
-            block.repeat_trial(self._state.clock.monotonic())
-
     def release(self, part: str, operator: str) -> None:
         """Unblock a part at all entries, at an operator's request."""
         softwares = [each.software for each in self.ledger.blocks if each.part == part]
--- a/packages/ragwortwing-entry/tests/direct/test_crash_watch.py
+++ b/packages/ragwortwing-entry/tests/direct/test_crash_watch.py
@@ -15,7 +15,7 @@
 from ragwortwing_entry.direct.peer_messages import StatusMessage, block_body, block_of, encode
 from ragwortwing_entry.direct.ports import BackendLostError
 from ragwortwing_policy.direct.backend_list import BackendServer
-from ragwortwing_policy.direct.crash_ledger import Block, Software
+from ragwortwing_policy.direct.crash_ledger import TRIAL_SECONDS, Block, Software
 from ragwortwing_policy.direct.prompt_parts import Prompt, PromptPart
 from ragwortwing_policy.direct.repeat_budget import RepeatAllowance
 from ragwortwing_runtime.http_client import ConnectionLoss
@@ -158,6 +158,7 @@
     assert fleet.one.blocked_until(server(5), request) is None
     with pytest.raises(BackendLostError), fleet.one.sending(server(5), request, "r-1"):
         raise BackendLostError("closed", ConnectionLoss.CLOSED)
+    await trio.sleep(2 * TRIAL_SECONDS)
     assert fleet.one.blocked_until(server(6), request)
 
 
@@ -169,6 +170,7 @@
     request = prompt("crashing", "trial")
     with fleet.one.sending(server(5), request, "r-1"):
         assert fleet.one.blocked_until(server(6), request)
+    await trio.sleep(TRIAL_SECONDS)
     assert fleet.one.blocked_until(server(6), request) is None
 
 
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/crash_ledger.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/crash_ledger.py
@@ -47,6 +47,10 @@
 part still crashes engines. After the last one only another software version or an operator
 unblocks it. The first is left out if the evidence points to one part that was never sound."""
 
+TRIAL_SECONDS = 5.0
+"""Seconds within which a trial shows a crash or a surviving run. Otherwise it was declined, or its
+caller left, and the next one may follow."""
+
 BLOCK_SECONDS = 86_400.0
 """Seconds after the last crash for which a block is kept."""
 
@@ -92,16 +96,15 @@
     """Index of that trial's interval."""
 
     def begin_trial(self, now: Instant) -> None:
-        """Count a request with the part that is sent to an engine."""
+        """Keep back other requests while one is tried; it may end without a result."""
+        self.opens_at = now + TRIAL_SECONDS
+
+    def fail_trial(self, now: Instant) -> None:
+        """Record that an engine may have crashed on the request that was tried."""
         self.trial += 1
         left = TRIAL_INTERVALS[self.trial :]
         self.opens_at = now + left[0] if left else inf
 
-    def repeat_trial(self, now: Instant) -> None:
-        """Allow the last trial once more, because it ended without a result."""
-        self.trial -= 1
-        self.opens_at = now
-
 
 @dataclass(slots=True)
 class _Crash:
@@ -215,7 +218,7 @@
         return max(opens_at, now + TRIAL_INTERVALS[0])
 
     def begin_trial(self, software: Software, parts: Iterable[str], now: Instant) -> Block | None:
-        """Count a request that is sent to an engine; return the blocked part that it is to test."""
+        """Return the blocked part that a request to an engine tests; None if it has none."""
         for part in parts if self._blocks_by_key else ():
             block = self._blocks_by_key.get((software, part))
             if block is None:
@@ -238,8 +241,10 @@
             return True
         known.since = min(known.since, block.since)
         known.last_crash_at = max(known.last_crash_at, block.last_crash_at)
-        if block.trial >= known.trial:
-            known.trial, known.opens_at = block.trial, max(known.opens_at, block.opens_at)
+        if block.trial > known.trial:
+            known.trial, known.opens_at = block.trial, block.opens_at
+        elif block.trial == known.trial:
+            known.opens_at = max(known.opens_at, block.opens_at)
         return False
 
     def release(self, part: str, now: Instant) -> bool:
