Keep the limit on new connections while a flood goes on

Its log: at 3.4 s 28 connections a second were accepted, at 4.5 s there was no limit, at 5.6 s 68 again; 128 requests were read in that second, their median answer took 1.2 s.

Cause: the limit ends when it exceeds twice the rate of arrivals, which was counted over the last 0.2 s alone. An entry that is short of processor time has intervals in which it accepts hardly anything, so the flood seemed over. Now the rate of arrivals decays by a tenth in each interval with fewer, and the limit rises only after an interval that shows a short wait.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/accept_gate.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/accept_gate.py
@@ -33,6 +33,10 @@
 INCREASE = 1.1
 """Factor of the accepted rate for each interval without one."""
 
+ARRIVAL_DECAY = 0.9
+"""Factor of the rate of arrivals that is assumed after each interval with fewer. A process that is
+short of processor time has intervals in which it accepts hardly anything."""
+
 MIN_RATE = MIN_SAMPLES / INTERVAL
 """Minimum connections per second that are accepted, whatever the queue: some callers have no other
 entry, and fewer would not show whether the queue still stands."""
@@ -62,6 +66,8 @@
         """Connections that were not accepted."""
         self._interval_began_at: Instant = -inf
         self._arrivals = 0
+        self._arriving = 0.0
+        """Connections per second that arrive, or arrived lately."""
         self._samples = 0
         self._shortest_wait = inf
         self._overrun_intervals = 0
@@ -100,19 +106,21 @@
             return
         overrun = self._samples >= MIN_SAMPLES and self._shortest_wait > TARGET_WAIT
         self._overrun_intervals = self._overrun_intervals + 1 if overrun else 0
-        arriving = self._arrivals / elapsed
+        decayed = self._arriving * ARRIVAL_DECAY ** (elapsed / INTERVAL)
+        self._arriving = max(self._arrivals / elapsed, decayed)
         if self._overrun_intervals >= OVERRUN_INTERVALS:
-            self._reduce(arriving, now)
-        elif self.is_closing and (not self._samples or self._shortest_wait <= TARGET_WAIT):
-            self.rate *= INCREASE
-            if self.rate > 2 * arriving:
+            self._reduce(now)
+        elif self.is_closing and not overrun:
+            if self._samples and self._shortest_wait <= TARGET_WAIT:
+                self.rate *= INCREASE
+            if self.rate > 2 * self._arriving:
                 self.rate = inf
         self._interval_began_at = now
         self._arrivals, self._samples, self._shortest_wait = 0, 0, inf
 
-    def _reduce(self, arriving: float, now: Instant) -> None:
+    def _reduce(self, now: Instant) -> None:
         if not self.is_closing:
             self._tokens, self._tokens_at = 0.0, now
-            self.rate = max(MIN_RATE, FIRST_REDUCTION * arriving)
+            self.rate = max(MIN_RATE, FIRST_REDUCTION * self._arriving)
             return
         self.rate = max(MIN_RATE, REDUCTION * self.rate)
--- a/packages/ragwortwing-policy/tests/direct/test_accept_gate.py
+++ b/packages/ragwortwing-policy/tests/direct/test_accept_gate.py
@@ -58,6 +58,16 @@
     assert offer(gate, 0.001, 8.0, 1.0, 40.0) == 40
 
 
+def test_interval_with_few_arrivals_does_not_end_the_limit() -> None:
+    """Guards against a flood that is let in because the process had no turn for a moment."""
+    gate = AcceptGate()
+    offer(gate, 0.5, 0.0, 5.0, 300.0)
+    for number in range(3):
+        gate.accepts(5.0 + 0.25 * number)
+        gate.waited(0.001, 5.0 + 0.25 * number)
+    assert gate.is_closing
+
+
 def test_accepted_rate_follows_the_capacity() -> None:
     """Guards against an entry that serves far less than it could while it closes connections."""
     gate, backlog, served = AcceptGate(), 0.0, 0
