Log what a resumed stream's decision rests on

The line stream_resumption could not tell the hypotheses of the incident apart: it had neither the age nor the position of the readings of the store's feeds, nor who was asked and who answered, nor whether a record was confirmed by a first event, nor since when a version is known.

It now has read_ago_ms and positions by feed, asked, answered, confirmed and listed_for_ms by version. One line for each resumption as before, some 200 bytes longer.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -160,8 +160,10 @@
         if backend == previous:
             return
         self.on_listed(backend)
+        now = self.clock.monotonic()
+        self.versions.listed(backend, now)
         if previous is not None:
-            self.versions.left(previous, self.clock.monotonic())
+            self.versions.left(previous, now)
         decided(
             "backend_listed",
             backend=backend.id,
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/stream_resumption.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/stream_resumption.py
@@ -47,11 +47,22 @@
 """Members of the fleet that are asked while this entry knows no scheduler."""
 
 
+@dataclass(eq=False, slots=True)
+class _Inquiry:
+    """What was done to find out about one stream, for the log."""
+
+    asked: set[str] = field(default_factory=set)
+    """Peers that were sent a query."""
+    answered: set[str] = field(default_factory=set)
+    """Peers that answered in time."""
+
+
 @dataclass(eq=False, slots=True)
 class _PendingQuery:
     """A query that waits for the answers of peers."""
 
     evidence: OriginEvidence
+    inquiry: _Inquiry
     unanswered: set[str]
     answered: trio.Event = field(default_factory=trio.Event)
 
@@ -73,10 +84,11 @@
     async def decide(self, request: CallerRequest, route: Route) -> StreamOrigin | Refused:
         """Return the origin at which a resumed stream may go on, or why it may not."""
         started_at = self._now()
-        evidence = await self._evidence(request.resumes or "", route)
+        inquiry = _Inquiry()
+        evidence = await self._evidence(request.resumes or "", route, inquiry)
         decision = decide_resumption(evidence, {each.service for each in route.shares})
         self._counters.resumptions.labels(_result(decision)).inc()
-        self._log(request, decision, evidence, self._now() - started_at)
+        self._log(request, route, decision, evidence, inquiry, started_at)
         if not isinstance(decision, MayGoOn):
             return Refused(decision.reason)
         # The caller may name this attempt in its next one.
@@ -125,11 +137,12 @@
         if pending is None or message.sender not in pending.unanswered:
             return
         pending.unanswered.discard(message.sender)
+        pending.inquiry.answered.add(message.sender)
         pending.evidence = pending.evidence.merged(evidence_of(message, self._now()))
         if pending.is_settled:
             pending.answered.set()
 
-    async def _evidence(self, resumes: str, route: Route) -> OriginEvidence:
+    async def _evidence(self, resumes: str, route: Route, inquiry: _Inquiry) -> OriginEvidence:
         """Return what this entry and the schedulers of the route's services know."""
         lifetime = stream_lifetime(route.timeout)
         request_id = resumes if len(resumes) <= MAX_ID_LENGTH else ""
@@ -141,7 +154,7 @@
                 return evidence
         for share in route.shares:
             query = (request_id, share.service, lifetime)
-            evidence = await self._ask_peers(evidence, *query)
+            evidence = await self._ask_peers(evidence, inquiry, *query)
             if evidence.record is not None and evidence.record.is_confirmed:
                 break
         return evidence
@@ -157,15 +170,21 @@
         )
 
     async def _ask_peers(
-        self, evidence: OriginEvidence, request_id: str, service: str, lifetime: float
+        self,
+        evidence: OriginEvidence,
+        inquiry: _Inquiry,
+        request_id: str,
+        service: str,
+        lifetime: float,
     ) -> OriginEvidence:
         peers = self._informed_peers(service)
         if not peers:
             return evidence
+        inquiry.asked |= peers
         self._tickets += 1
         name = self._state.identity.name
         query = OriginQueryMessage(name, self._tickets, request_id, service, lifetime)
-        pending = self._pending_by_ticket[query.ticket] = _PendingQuery(evidence, peers)
+        pending = self._pending_by_ticket[query.ticket] = _PendingQuery(evidence, inquiry, peers)
         try:
             for _ in range(1 if evidence.sole_version is not None else MAX_QUERIES):
                 for peer in pending.unanswered:
@@ -196,12 +215,16 @@
     def _log(
         self,
         request: CallerRequest,
+        route: Route,
         decision: MayGoOn | MayNotGoOn,
         evidence: OriginEvidence,
-        took: float,
+        inquiry: _Inquiry,
+        started_at: Instant,
     ) -> None:
+        now = self._now()
         origin = decision.origin if isinstance(decision, MayGoOn) else None
         record = evidence.record
+        read_at_by_feed = self._state.watch.last_heard_by_feed
         decided(
             "stream_resumption",
             request.id,
@@ -212,15 +235,35 @@
             version=origin.version if origin is not None else None,
             source=decision.source if isinstance(decision, MayGoOn) else None,
             recorded_by=record.sender if record is not None else None,
-            age_ms=round(1000 * (self._now() - record.recorded_at)) if record else None,
+            confirmed=record.is_confirmed if record is not None else None,
+            age_ms=_milliseconds(now - record.recorded_at) if record is not None else None,
             versions=sorted(evidence.versions),
             covers=evidence.covers,
-            took_ms=round(1000 * took),
+            listed_for_ms=self._listed_for(route, now),
+            read_ago_ms={feed: _milliseconds(now - at) for feed, at in read_at_by_feed.items()},
+            positions=dict(self._state.watch.positions_by_feed),
+            asked=sorted(inquiry.asked),
+            answered=sorted(inquiry.answered),
+            took_ms=_milliseconds(now - started_at),
         )
 
+    def _listed_for(self, route: Route, now: Instant) -> dict[str, int]:
+        """Return for how many ms this entry has known each version of a route's services."""
+        since = now - stream_lifetime(route.timeout)
+        versions = self._state.versions
+        return {
+            version: _milliseconds(now - listed_at)
+            for share in route.shares
+            for version, listed_at in versions.listed_at(share.service, since).items()
+        }
+
     def _now(self) -> Instant:
         return self._state.clock.monotonic()
 
 
+def _milliseconds(seconds: float) -> int:
+    return round(1000 * seconds)
+
+
 def _result(decision: MayGoOn | MayNotGoOn) -> str:
     return "goes_on" if isinstance(decision, MayGoOn) else decision.reason.value
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/version_history.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/version_history.py
@@ -36,6 +36,7 @@
     def __init__(self, backends: BackendList) -> None:
         self._backends = backends
         self._left_at_by_service: dict[str, dict[str, Instant]] = {}
+        self._listed_at_by_service: dict[str, dict[str, Instant]] = {}
         self._rerouted_at_by_service: dict[str, Instant] = {}
         self._known_since: Instant = inf
 
@@ -48,12 +49,23 @@
         """
         self._known_since = -inf if has_all_records else now
 
+    def listed(self, backend: BackendServer, now: Instant) -> None:
+        """Record that a server is listed; the first one of a version tells since when it is."""
+        listed_at = self._listed_at_by_service.setdefault(backend.service, {})
+        listed_at.setdefault(backend.version, now)
+
+    def listed_at(self, service: str, since: Instant) -> dict[str, Instant]:
+        """Return when this entry first read of each version that was listed since an instant."""
+        listed_at = self._listed_at_by_service.get(service, {})
+        return {each: listed_at[each] for each in self.versions(service, since) & set(listed_at)}
+
     def left(self, backend: BackendServer, now: Instant) -> None:
         """Record that a server is no longer listed, or no longer with this service and version."""
         left_at = self._left_at_by_service.setdefault(backend.service, {})
         left_at[backend.version] = now
         for version in [key for key, at in left_at.items() if now - at > HISTORY_KEPT]:
             del left_at[version]
+            self._listed_at_by_service.get(backend.service, {}).pop(version, None)
 
     def routes_changed(self, before: RoutingTable, after: RoutingTable, now: Instant) -> None:
         """Record the services that have taken over streams of other services."""
