Read the store before a resumed stream goes on at the only version

Callers saw streams that they had taken up again go on at a server of another software version, answered 200.

Cause: an entry without a record of the stream let it go on where only one version was listed. The list counted as followed while the store had answered any read of the entry in the last 2.5 s or a watcher had been heard in the last second; the peers were asked once and 40 ms of their silence were taken for consent. A version that joined since that reading, and the stream with it, were unknown to an entry that was cut off, paused or slow.

Change: "no other version" needs reads of the list and of the configuration that begin after the caller came. An entry makes them itself, one for all streams that wait, or asks the peers that know the versions for long enough to do so; the answer of a peer states whether it rests on such a read. Without one the stream is refused. A server of a new version gets its first stream after its record is in the store, and the store's answers are linearizable, so a later read has every version that can have begun the stream. No clock is involved.

Tests of the decision: 200 resumptions within 0.2 s cost 2 to 6 reads.

test_sole_version_is_not_certain_while_the_list_cannot_be_read asks for a refusal at once now, where it waited 5 s for one; its other assertions are unchanged.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/direct_entry.py
@@ -72,7 +72,7 @@
         self._tickets = 0
         self._random = random
         self.plain = PlainAdmission(state, random)
-        self.resumption = StreamResumption(state, self.counters)
+        self.resumption = StreamResumption(state, self.counters, self.start_task)
         self.crashes = CrashWatch(state, calls)
         self._pools_by_service: dict[str, EnginePool] = {}
         self._reporting = RunReporting(state)
@@ -108,6 +108,7 @@
             nursery.start_soon(self._drop_missing_backends)
             nursery.start_soon(self._reporting.run)
             nursery.start_soon(self._expire_runs)
+            nursery.start_soon(self.state.catch_up.run)
             nursery.start_soon(self.crashes.run)
             if self.state.pressure is not None:
                 nursery.start_soon(PressureMeter(self.state, self.state.pressure).run)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -25,6 +25,7 @@
 from ragwortwing_policy.duties.fleet_time import FleetTime
 
 from .decision_log import decided
+from .feed_catch_up import FeedCatchUp
 from .feed_relay import FeedRelay
 from .peer_link import PeerLink
 from .relay_buffer import CallerMemory
@@ -117,6 +118,7 @@
         self._memory_shares = MemoryShares()
         self._share_by_pool: dict[str, tuple[Instant, bool, float]] = {}
         self.relay = FeedRelay(identity.name, self.peers, self.watch, clock)
+        self.catch_up = FeedCatchUp(clock, lambda: 1 + len(self.peers.members))
         self.peers.on_status(
             lambda status: self.relay.repair(status.sender, status.positions_by_feed)
         )
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/peer_messages.py
@@ -259,6 +259,8 @@
     """The service whose versions are asked for."""
     lifetime: float
     """Seconds within which the stream has begun."""
+    needs_current: bool = False
+    """Whether the answer must rest on a read of the store that begins after the query arrived."""
 
 
 class OriginMessage(msgspec.Struct, frozen=True, array_like=True, tag="v"):
@@ -271,6 +273,10 @@
     record: tuple[str | None, str, str, tuple[int, int], bool, float] | None = None
     """Service (None if ambiguous), version, entry, send, whether it is confirmed, and age in
     seconds; None if unknown."""
+    is_current: bool = False
+    """Whether the versions were read from the store after the query arrived."""
+    configuration: int | None = None
+    """Version of the sender's configuration."""
 
 
 class CrashMessage(msgspec.Struct, frozen=True, array_like=True, tag="c"):
@@ -650,7 +656,11 @@
 
 
 def origin_message(
-    evidence: OriginEvidence, sender: str, ticket: int, now: Instant
+    evidence: OriginEvidence,
+    sender: str,
+    ticket: int,
+    now: Instant,
+    configuration: int | None = None,
 ) -> OriginMessage:
     """Return the message with what an entry knows about the origin of a stream."""
     record = evidence.record
@@ -665,7 +675,10 @@
             record.is_confirmed,
             round(now - record.recorded_at, 3),
         )
-    return OriginMessage(sender, ticket, tuple(evidence.versions), evidence.covers, body)
+    versions = tuple(evidence.versions)
+    return OriginMessage(
+        sender, ticket, versions, evidence.covers, body, evidence.is_current, configuration
+    )
 
 
 def evidence_of(message: OriginMessage, now: Instant) -> OriginEvidence:
@@ -675,7 +688,7 @@
         service, version, sender, send, is_confirmed, age = message.record
         origin = StreamOrigin(service, version) if service is not None else None
         record = OriginRecord(origin, sender, send, is_confirmed, now - age)
-    return OriginEvidence(record, frozenset(message.versions), message.covers)
+    return OriginEvidence(record, frozenset(message.versions), message.covers, message.is_current)
 
 
 def _standing_of(message: DecisionMessage, request: WaitingRequest) -> Standing | None:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/stream_resumption.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/stream_resumption.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
@@ -27,6 +28,8 @@
 from .ports import Refused
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from ragwortwing_policy.clock import Instant
     from ragwortwing_policy.direct.backend_list import BackendServer
     from ragwortwing_policy.direct.resumption import MayNotGoOn
@@ -41,7 +44,14 @@
 """Seconds without an answer after which a query is sent again."""
 
 MAX_QUERIES = 3
-"""Times that a query is sent to a peer; 1 if only one version can have begun the stream."""
+"""Times that a query is sent to a peer; 1 if this entry can do without an answer, because it knows
+of one version and may read whether there are others."""
+
+CURRENT_QUERY_INTERVAL = 0.2
+"""Seconds for which a peer may read the store before a query that asks for it is sent again."""
+
+MAX_CURRENT_QUERIES = 2
+"""Times that a query which asks for a current reading is sent to a peer."""
 
 MAX_UNINFORMED_PEERS = 3
 """Members of the fleet that are asked while this entry knows no scheduler."""
@@ -55,6 +65,10 @@
     """Peers that were sent a query."""
     answered: set[str] = field(default_factory=set)
     """Peers that answered in time."""
+    covering: set[str] = field(default_factory=set)
+    """Peers that know all versions which can have begun the stream, up to their last reading."""
+    read: bool | None = None
+    """Whether this entry has read the list since; None if it has not tried."""
 
 
 @dataclass(eq=False, slots=True)
@@ -68,15 +82,31 @@
 
     @property
     def is_settled(self) -> bool:
-        record = self.evidence.record
-        return not self.unanswered or (record is not None and record.is_confirmed)
+        return (
+            not self.unanswered
+            or _is_recorded(self.evidence)
+            or self.evidence.sole_version is not None
+        )
 
 
 class StreamResumption:
     """Decides on the resumptions of one entry and answers the queries of its peers."""
 
-    def __init__(self, state: EntryState, counters: EntryCounters) -> None:
+    def __init__(
+        self,
+        state: EntryState,
+        counters: EntryCounters,
+        start_task: Callable[[Callable[[], Awaitable[None]]], None],
+    ) -> None:
+        """Create the component.
+
+        Args:
+            state: The state of the entry.
+            counters: The counters of the entry.
+            start_task: Starts a task that may outlive the handling of a message.
+        """
         self._state = state
+        self._start_task = start_task
         self._counters = counters
         self._pending_by_ticket: dict[int, _PendingQuery] = {}
         self._tickets = 0
@@ -85,7 +115,7 @@
         """Return the origin at which a resumed stream may go on, or why it may not."""
         started_at = self._now()
         inquiry = _Inquiry()
-        evidence = await self._evidence(request.resumes or "", route, inquiry)
+        evidence = await self._evidence(request, route, inquiry)
         decision = decide_resumption(evidence, {each.service for each in route.shares})
         self._counters.resumptions.labels(_result(decision)).inc()
         self._log(request, route, decision, evidence, inquiry, started_at)
@@ -126,9 +156,26 @@
 
     def answer_query(self, message: OriginQueryMessage, address: Address) -> None:
         """Answer another entry's query with what this entry knows by itself."""
-        evidence = self._own_evidence(message.request_id, message.service, message.lifetime)
+        now = self._now()
+        since = now - message.lifetime
+        if message.needs_current:
+            self._start_task(partial(self._answer_after_reading, message, since, address))
+            return
+        evidence = self._own_evidence(message.request_id, message.service, since)
+        # Entries of the previous release take this for a current reading.
+        covers = evidence.covers and self._state.follows_lists(now)
+        self._answer(replace(evidence, covers=covers), message.ticket, address)
+
+    async def _answer_after_reading(
+        self, message: OriginQueryMessage, since: Instant, address: Address
+    ) -> None:
+        is_current = await self._state.catch_up.read()
+        evidence = self._own_evidence(message.request_id, message.service, since)
+        self._answer(replace(evidence, is_current=is_current), message.ticket, address)
+
+    def _answer(self, evidence: OriginEvidence, ticket: int, address: Address) -> None:
         name = self._state.identity.name
-        answer = origin_message(evidence, name, message.ticket, self._now())
+        answer = origin_message(evidence, name, ticket, self._now(), self._configuration)
         self._state.peers.send_to(answer, address)
 
     def take_answer(self, message: OriginMessage) -> None:
@@ -138,58 +185,102 @@
             return
         pending.unanswered.discard(message.sender)
         pending.inquiry.answered.add(message.sender)
-        pending.evidence = pending.evidence.merged(evidence_of(message, self._now()))
+        if message.covers:
+            pending.inquiry.covering.add(message.sender)
+        found = evidence_of(message, self._now())
+        # With another configuration, the peer may know of another service of the route.
+        is_current = found.is_current and message.configuration == self._configuration
+        pending.evidence = pending.evidence.merged(replace(found, is_current=is_current))
         if pending.is_settled:
             pending.answered.set()
 
-    async def _evidence(self, resumes: str, route: Route, inquiry: _Inquiry) -> OriginEvidence:
+    async def _evidence(
+        self, request: CallerRequest, route: Route, inquiry: _Inquiry
+    ) -> OriginEvidence:
         """Return what this entry and the schedulers of the route's services know."""
         lifetime = stream_lifetime(route.timeout)
+        since = self._now() - lifetime
+        resumes = request.resumes or ""
         request_id = resumes if len(resumes) <= MAX_ID_LENGTH else ""
         evidence = OriginEvidence()
         for share in route.shares:
-            own = self._own_evidence(request_id, share.service, lifetime)
+            own = self._own_evidence(request_id, share.service, since)
             evidence = evidence.merged(own)
-            if own.record is not None and own.record.is_confirmed:
+            if _is_recorded(own):
                 return evidence
+        knows_one_version = evidence.has_one_version
         for share in route.shares:
-            query = (request_id, share.service, lifetime)
-            evidence = await self._ask_peers(evidence, inquiry, *query)
-            if evidence.record is not None and evidence.record.is_confirmed:
-                break
+            query = self._query(request_id, share.service, lifetime)
+            peers = self._informed_peers(share.service)
+            attempts = 1 if knows_one_version else MAX_QUERIES
+            evidence = await self._ask(query, peers, evidence, inquiry, attempts, QUERY_INTERVAL)
+            if _is_recorded(evidence):
+                return evidence
+        if evidence.record is not None or not evidence.has_one_version or len(route.shares) > 1:
+            return evidence
+        (share,) = route.shares
+        if knows_one_version:
+            inquiry.read = await self._state.catch_up.read()
+            own = self._own_evidence(request_id, share.service, since)
+            is_current = inquiry.read and self._has_same_services(request, route)
+            evidence = evidence.merged(replace(own, is_current=is_current))
+        if evidence.has_one_version and not evidence.is_current:
+            query = self._query(request_id, share.service, lifetime, needs_current=True)
+            evidence = await self._ask(
+                query,
+                set(inquiry.covering),
+                evidence,
+                inquiry,
+                MAX_CURRENT_QUERIES,
+                CURRENT_QUERY_INTERVAL,
+            )
         return evidence
 
-    def _own_evidence(self, request_id: str, service: str, lifetime: float) -> OriginEvidence:
-        now = self._now()
-        since = now - lifetime
+    @property
+    def _configuration(self) -> int | None:
+        table = self._state.table
+        return table.version if table is not None else None
+
+    def _has_same_services(self, request: CallerRequest, route: Route) -> bool:
+        """Return whether a request goes to the services of a route in the current configuration."""
+        table = self._state.table
+        found = table.match(request.host, request.path) if table is not None else None
+        return found is not None and found.shares == route.shares
+
+    def _own_evidence(self, request_id: str, service: str, since: Instant) -> OriginEvidence:
         versions = self._state.versions
         return OriginEvidence(
-            self._state.origins.find(request_id, now),
+            self._state.origins.find(request_id, self._now()),
             versions.versions(service, since),
-            versions.covers(service, since) and self._state.follows_lists(now),
+            covers=versions.covers(service, since),
         )
 
-    async def _ask_peers(
+    def _query(
+        self, request_id: str, service: str, lifetime: float, *, needs_current: bool = False
+    ) -> OriginQueryMessage:
+        self._tickets += 1
+        name = self._state.identity.name
+        return OriginQueryMessage(name, self._tickets, request_id, service, lifetime, needs_current)
+
+    async def _ask(
         self,
+        query: OriginQueryMessage,
+        peers: set[str],
         evidence: OriginEvidence,
         inquiry: _Inquiry,
-        request_id: str,
-        service: str,
-        lifetime: float,
+        attempts: int,
+        interval: float,
     ) -> OriginEvidence:
-        peers = self._informed_peers(service)
+        """Send a query to peers and return the evidence with what they answer in time."""
         if not peers:
             return evidence
         inquiry.asked |= peers
-        self._tickets += 1
-        name = self._state.identity.name
-        query = OriginQueryMessage(name, self._tickets, request_id, service, lifetime)
         pending = self._pending_by_ticket[query.ticket] = _PendingQuery(evidence, inquiry, peers)
         try:
-            for _ in range(1 if evidence.sole_version is not None else MAX_QUERIES):
+            for _ in range(attempts):
                 for peer in pending.unanswered:
                     self._state.peers.send(query, peer)
-                with trio.move_on_after(QUERY_INTERVAL):
+                with trio.move_on_after(interval):
                     await pending.answered.wait()
                     break
         finally:
@@ -239,6 +330,8 @@
             age_ms=_milliseconds(now - record.recorded_at) if record is not None else None,
             versions=sorted(evidence.versions),
             covers=evidence.covers,
+            current=evidence.is_current,
+            read=inquiry.read,
             listed_for_ms=self._listed_for(route, now),
             read_ago_ms={feed: _milliseconds(now - at) for feed, at in read_at_by_feed.items()},
             positions=dict(self._state.watch.positions_by_feed),
@@ -261,6 +354,10 @@
         return self._state.clock.monotonic()
 
 
+def _is_recorded(evidence: OriginEvidence) -> bool:
+    return evidence.record is not None and evidence.record.is_confirmed
+
+
 def _milliseconds(seconds: float) -> int:
     return round(1000 * seconds)
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
@@ -68,6 +68,7 @@
         self._peers = state.peers
         self._relay = state.relay
         state.relay.on_records(topic, self._on_relayed)
+        state.catch_up.follow(topic, self.read_to_end)
         self._on_snapshot = on_snapshot
         self._on_record = on_record
         self._backoff = Backoff(random, FIRST_WAIT, timedelta(seconds=IDLE_RETRY))
@@ -100,6 +101,24 @@
                 self._on_failure(error)
                 await self._timing.wait_to_retry(self._backoff)
 
+    async def read_to_end(self) -> bool:
+        """Read all records that the store holds when this is called.
+
+        Returns:
+            Whether the store's answers reached the end of the topic.
+        """
+        while self._offset is not None:
+            transfer = Transfer(self._clock, self._on_read)
+            try:
+                await self._store.read(self._topic, self._offset, 0.0, transfer)
+            except StoreError as error:
+                decided("feed_not_read_to_end", topic=self._topic, cause=error.cause)
+                return False
+            # An answer has a maximum size, so only one without records shows the end.
+            if not transfer.records:
+                return True
+        return False
+
     async def _step(self) -> None:
         now = self._clock.monotonic()
         if self._offset is None:
--- a/packages/ragwortwing-entry/tests/direct/test_stream_resumption.py
+++ b/packages/ragwortwing-entry/tests/direct/test_stream_resumption.py
@@ -4,6 +4,7 @@
 
 from dataclasses import replace
 from datetime import timedelta
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -80,6 +81,17 @@
             links[name] = FakeLink(name, links, network)
         self.by_name = {name: _entry(link) for name, link in links.items()}
         self.candidates = ["a", "b"]
+        self.reaching_store: set[str] = set()
+        """Entries whose reads of the store succeed."""
+        self.reads: list[str] = []
+        """The entry of each read that a resumption caused."""
+        for name, entry in self.by_name.items():
+            entry.state.catch_up.follow(FEED, partial(self._read, name))
+
+    async def _read(self, name: str) -> bool:
+        self.reads.append(name)
+        await trio.sleep(0.004)
+        return name in self.reaching_store
 
     async def announce(self) -> None:
         while True:
@@ -96,9 +108,14 @@
 
     def follow_list(self, *names: str) -> None:
         """Let entries know the list of backend servers up to now."""
+        self.reaching_store |= set(names)
         for name in names:
             self.by_name[name].state.watch.reached(FEED, 1, trio.current_time())
 
+    def cut_from_store(self, *names: str) -> None:
+        """Let the reads of entries fail from now on."""
+        self.reaching_store -= set(names)
+
     async def begin(self, name: str, request_id: str, *, is_read: bool = True) -> BackendServer:
         """Send a request to an engine and, if asked for, receive its first event."""
         entry = self.by_name[name]
@@ -271,12 +288,101 @@
         entry.state.versions.list_read(trio.current_time(), has_all_records=True)
     fleet.follow_list("a", "b", "c")
     assert await fleet.resume("c", None) == OLD
+    fleet.cut_from_store("a", "b", "c")
+    assert await fleet.resume("c", None) == Refused(NotRunReason.STREAM_UNKNOWN)
     await trio.sleep(5.0)
     assert await fleet.resume("c", None) == Refused(NotRunReason.STREAM_UNKNOWN)
     fleet.follow_list("a")
     assert await fleet.resume("c", None) == OLD
 
 
+async def test_entry_that_is_cut_off_does_not_resume_at_the_version_that_it_knows(
+    fleet: Fleet,
+) -> None:
+    """Guards against a join while a version that an entry has not read of yet has begun streams."""
+    list_only(fleet, "v1")
+    for entry in fleet.by_name.values():
+        entry.state.versions.list_read(trio.current_time(), has_all_records=True)
+    fleet.follow_list("a", "b", "c")
+    fleet.cut_from_store("c")
+    fleet.network.drop = lambda sender, _: True
+    started_at = trio.current_time()
+    assert await fleet.resume("c", "r") == Refused(NotRunReason.STREAM_UNKNOWN)
+    assert trio.current_time() - started_at < 0.15
+
+
+@pytest.mark.parametrize("listed_by", ["a", "c"])
+async def test_version_that_joined_before_the_question_is_read_of(
+    fleet: Fleet, listed_by: str
+) -> None:
+    """Guards against a reading that began before the caller resumed the stream."""
+    list_only(fleet, "v1")
+    for name, entry in fleet.by_name.items():
+        entry.state.versions.list_read(trio.current_time(), has_all_records=name != "c")
+    state = fleet.by_name[listed_by].state
+
+    async def read() -> bool:
+        await trio.sleep(0.004)
+        state.backend_listed(SERVERS[1])
+        return True
+
+    state.catch_up.follow(FEED, read)
+    fleet.follow_list("a", "b", "c")
+    if listed_by == "c":
+        state.versions.list_read(trio.current_time(), has_all_records=True)
+    fleet.candidates = ["a"]
+    await trio.sleep(2.0)
+    fleet.follow_list("a", "b", "c")
+    assert await fleet.resume("c", None) == Refused(NotRunReason.STREAM_UNKNOWN)
+
+
+async def test_route_that_moved_before_the_question_is_read_of(fleet: Fleet) -> None:
+    """Guards against a stream that goes on at the former service of its route."""
+    list_only(fleet, "v1")
+    state = fleet.by_name["c"].state
+    state.versions.list_read(trio.current_time(), has_all_records=True)
+    fleet.follow_list("c")
+    assert await fleet.resume("c", None) == OLD
+
+    async def read() -> bool:
+        moved = replace(ROUTE, shares=(ServiceShare("others", 1.0),))
+        state.accept_table(RoutingTable(2, (moved,), {POOL: Service(POOL, TRAITS)}, {}))
+        return True
+
+    state.catch_up.follow("keyed.op", read)
+    assert await fleet.resume("c", None) == Refused(NotRunReason.STREAM_UNKNOWN)
+
+
+async def test_peer_with_another_configuration_does_not_vouch(fleet: Fleet) -> None:
+    """Guards against a peer that knows of a route's new service, which this entry does not."""
+    list_only(fleet, "v1")
+    for name in ("a", "b"):
+        state = fleet.by_name[name].state
+        state.versions.list_read(trio.current_time(), has_all_records=True)
+        state.accept_table(RoutingTable(2, (), {POOL: Service(POOL, TRAITS)}, {}))
+    fleet.follow_list("a", "b")
+    assert await fleet.resume("c", None) == Refused(NotRunReason.STREAM_UNKNOWN)
+
+
+async def test_resumptions_share_reads_of_the_store(fleet: Fleet) -> None:
+    """Guards against a read of the store for each of the streams that an entry's end broke."""
+    list_only(fleet, "v1")
+    state = fleet.by_name["c"].state
+    state.versions.list_read(trio.current_time(), has_all_records=True)
+    fleet.follow_list("c")
+    found: list[StreamOrigin | Refused] = []
+
+    async def resume(number: int) -> None:
+        await trio.sleep(number / 1000)
+        found.append(await fleet.resume("c", f"r-{number}", f"again-{number}"))
+
+    async with trio.open_nursery() as nursery:
+        for number in range(200):
+            nursery.start_soon(resume, number)
+    assert found == 200 * [OLD]
+    assert 2 <= fleet.reads.count("c") <= 6
+
+
 async def test_newest_version_at_a_peer_outweighs_an_older_list(fleet: Fleet) -> None:
     """Guards against a stream of a version that only the other entries list yet."""
     list_only(fleet, "v1")
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/resumption.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/resumption.py
@@ -50,14 +50,22 @@
 
     record: OriginRecord | None = None
     versions: frozenset[str] = frozenset()
-    """Versions that were listed while the stream can have begun."""
+    """Versions that are known to have been listed while the stream can have begun."""
     covers: bool = False
-    """Whether an entry knows that there were no others."""
+    """Whether an entry knows all versions that were listed until it last read the list."""
+    is_current: bool = False
+    """Whether such an entry has read the list after the caller resumed the stream. Without that, a
+    version that joined since its last reading may have begun the stream."""
+
+    @property
+    def has_one_version(self) -> bool:
+        """Whether only one version is known, so that a current reading may show it is the only."""
+        return self.covers and len(self.versions) == 1
 
     @property
     def sole_version(self) -> str | None:
         """The only version that can have begun the stream; None if there may be several."""
-        if not self.covers or len(self.versions) != 1:
+        if not (self.is_current and self.has_one_version):
             return None
         (version,) = self.versions
         return version
@@ -69,6 +77,7 @@
             records[0].merged(records[-1]) if records else None,
             self.versions | other.versions,
             self.covers or other.covers,
+            (self.covers and self.is_current) or (other.covers and other.is_current),
         )
 
 
@@ -85,7 +94,8 @@
         'v1'
         >>> decide_resumption(OriginEvidence(record), {"others"}).reason.value
         'no_same_version'
-        >>> decide_resumption(OriginEvidence(None, frozenset({"v1"}), True), {"engines"}).source
+        >>> sole = OriginEvidence(None, frozenset({"v1"}), covers=True, is_current=True)
+        >>> decide_resumption(sole, {"engines"}).source
         <OriginSource.SOLE_VERSION: 'sole_version'>
         >>> decide_resumption(OriginEvidence(), {"engines"}).reason.value
         'stream_unknown'
--- a/packages/ragwortwing-policy/tests/direct/test_resumption.py
+++ b/packages/ragwortwing-policy/tests/direct/test_resumption.py
@@ -61,8 +61,8 @@
     return OriginRecord(origin, "entry-1", (1, 0), is_confirmed=True)
 
 
-def sole(*versions: str, covers: bool = True) -> OriginEvidence:
-    return OriginEvidence(None, frozenset(versions), covers)
+def sole(*versions: str, covers: bool = True, is_current: bool = True) -> OriginEvidence:
+    return OriginEvidence(None, frozenset(versions), covers, is_current)
 
 
 def test_record_decides_whatever_versions_are_listed() -> None:
@@ -75,6 +75,7 @@
     [
         (OriginEvidence(), {"engines"}, NotRunReason.STREAM_UNKNOWN),
         (sole("v1", covers=False), {"engines"}, NotRunReason.STREAM_UNKNOWN),
+        (sole("v1", is_current=False), {"engines"}, NotRunReason.STREAM_UNKNOWN),
         (sole("v1", "v2"), {"engines"}, NotRunReason.STREAM_UNKNOWN),
         (sole(), {"engines"}, NotRunReason.STREAM_UNKNOWN),
         (sole("v1"), {"engines", "others"}, NotRunReason.STREAM_UNKNOWN),
@@ -95,6 +96,12 @@
     assert decide_resumption(evidence, {"engines"}) == MayGoOn(OLD, OriginSource.SOLE_VERSION)
 
 
+def test_current_reading_of_an_entry_that_started_late_vouches_for_nothing() -> None:
+    """Guards against an old reading of one entry joined to a short history of another."""
+    evidence = sole("v1", covers=False).merged(sole("v1", is_current=False))
+    assert decide_resumption(evidence, {"engines"}) == MayNotGoOn(NotRunReason.STREAM_UNKNOWN)
+
+
 def test_a_version_that_any_entry_lists_counts() -> None:
     """Guards against a peer with an old list that vouches for the version before a release."""
     evidence = sole("v1").merged(sole("v1", "v2", covers=False))
