Run the tests of resumptions on a virtual clock

Their fixture asked for the clock that jumps, but pytest-trio takes a clock only from the arguments of the test itself, so they ran in real time: 21 s sleeps were slept, and bounds of 0.01 s and 0.15 s were the machine's. On a machine with a load of 24 on 8 cores test_unknown_stream_is_refused_at_once and test_silent_peers_hold_a_resumption_only_briefly failed in 2 of 4 runs (0.012 s for 0.01 s).

Each test now takes the clock. No bound is changed; they hold in the time of the event loop.

--- a/packages/ragwortwing-entry/tests/direct/test_stream_resumption.py
+++ b/packages/ragwortwing-entry/tests/direct/test_stream_resumption.py
@@ -49,6 +49,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from trio.testing import MockClock
+
 POOL = "engines"
 TRAITS = EngineTraits(slots=4, memory_tokens=100_000, tokens_per_event=5)
 SERVERS = [
@@ -164,7 +166,7 @@
 
 
 @pytest.fixture
-async def fleet(autojump_clock: object) -> AsyncIterator[Fleet]:
+async def fleet(autojump_clock: MockClock) -> AsyncIterator[Fleet]:
     async with trio.open_nursery() as nursery:
         found = Fleet(Network(nursery))
         for entry in found.by_name.values():
@@ -191,7 +193,7 @@
 @pytest.mark.parametrize("by", ["a", "b", "c"])
 @pytest.mark.parametrize("is_read", [False, True])
 async def test_any_entry_knows_a_stream_that_another_began(
-    fleet: Fleet, by: str, at: str, *, is_read: bool
+    fleet: Fleet, autojump_clock: MockClock, by: str, at: str, *, is_read: bool
 ) -> None:
     """Guards against an origin that is lost with its entry, also before its first event."""
     backend = await fleet.begin(by, "r", is_read=is_read)
@@ -199,20 +201,26 @@
     assert await fleet.resume(at, "r") == StreamOrigin(POOL, backend.version)
 
 
-async def test_stream_that_an_entry_began_needs_no_query(fleet: Fleet) -> None:
+async def test_stream_that_an_entry_began_needs_no_query(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
     await fleet.begin("c", "r")
     await fleet.resume("c", "r")
     assert fleet.queries("c") == 0
 
 
-async def test_lost_reports_leave_the_grant_of_the_scheduler(fleet: Fleet) -> None:
+async def test_lost_reports_leave_the_grant_of_the_scheduler(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
     """Guards against an unknown origin after an entry failed before its first report arrived."""
     fleet.network.drop = lambda _, message: isinstance(message, ReportMessage)
     backend = await fleet.begin("c", "r", is_read=False)
     assert await fleet.resume("b", "r") == StreamOrigin(POOL, backend.version)
 
 
-async def test_origin_outlasts_a_change_of_the_scheduler(fleet: Fleet) -> None:
+async def test_origin_outlasts_a_change_of_the_scheduler(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
     """Guards against streams that cannot go on because their scheduler has failed."""
     backend = await fleet.begin("c", "r")
     fleet.network.drop = drop_from("a")
@@ -222,13 +230,15 @@
         assert await fleet.resume(at, "r") == StreamOrigin(POOL, backend.version)
 
 
-async def test_unknown_stream_is_refused_at_once(fleet: Fleet) -> None:
+async def test_unknown_stream_is_refused_at_once(fleet: Fleet, autojump_clock: MockClock) -> None:
     started_at = trio.current_time()
     assert await fleet.resume("c", "never") == Refused(NotRunReason.STREAM_UNKNOWN)
     assert trio.current_time() - started_at < 0.01
 
 
-async def test_silent_peers_hold_a_resumption_only_briefly(fleet: Fleet) -> None:
+async def test_silent_peers_hold_a_resumption_only_briefly(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
     """Guards against a caller that is held for peers which have failed."""
     fleet.network.drop = drop_from("a", "b")
     started_at = trio.current_time()
@@ -236,7 +246,7 @@
     assert trio.current_time() - started_at < 0.15
 
 
-async def test_lost_query_or_answer_is_sent_again(fleet: Fleet) -> None:
+async def test_lost_query_or_answer_is_sent_again(fleet: Fleet, autojump_clock: MockClock) -> None:
     """Guards against a stream that is refused because one datagram was lost."""
     backend = await fleet.begin("a", "r")
     for kind in (OriginQueryMessage, OriginMessage):
@@ -253,7 +263,7 @@
         assert found == StreamOrigin(POOL, backend.version)
 
 
-async def test_chain_of_attempts_keeps_its_origin(fleet: Fleet) -> None:
+async def test_chain_of_attempts_keeps_its_origin(fleet: Fleet, autojump_clock: MockClock) -> None:
     """Guards against an attempt that names another resumption instead of the first attempt."""
     backend = await fleet.begin("a", "r")
     origin = StreamOrigin(POOL, backend.version)
@@ -262,14 +272,18 @@
     assert await fleet.resume("b", "r", "fourth") == origin
 
 
-async def test_request_id_used_again_at_another_version_is_refused(fleet: Fleet) -> None:
+async def test_request_id_used_again_at_another_version_is_refused(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
     """Guards against a guess between two streams with the same id."""
     for name, server in (("a", SERVERS[0]), ("b", SERVERS[1])):
         fleet.by_name[name].resumption.began("r", "r/1", server)
     assert await fleet.resume("c", "r") == Refused(NotRunReason.STREAM_UNKNOWN)
 
 
-async def test_sole_version_is_certain_once_the_list_is_known_long_enough(fleet: Fleet) -> None:
+async def test_sole_version_is_certain_once_the_list_is_known_long_enough(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
     """Guards against a join by an entry that started after the other version had left."""
     list_only(fleet, "v1")
     for entry in fleet.by_name.values():
@@ -281,7 +295,9 @@
     assert await fleet.resume("c", None) == OLD
 
 
-async def test_sole_version_is_not_certain_while_the_list_cannot_be_read(fleet: Fleet) -> None:
+async def test_sole_version_is_not_certain_while_the_list_cannot_be_read(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
     """Guards against an entry that has not read of the newest version and joins it to its own."""
     list_only(fleet, "v1")
     for entry in fleet.by_name.values():
@@ -298,6 +314,7 @@
 
 async def test_entry_that_is_cut_off_does_not_resume_at_the_version_that_it_knows(
     fleet: Fleet,
+    autojump_clock: MockClock,
 ) -> None:
     """Guards against a join while a version that an entry has not read of yet has begun streams."""
     list_only(fleet, "v1")
@@ -313,7 +330,7 @@
 
 @pytest.mark.parametrize("listed_by", ["a", "c"])
 async def test_version_that_joined_before_the_question_is_read_of(
-    fleet: Fleet, listed_by: str
+    fleet: Fleet, autojump_clock: MockClock, listed_by: str
 ) -> None:
     """Guards against a reading that began before the caller resumed the stream."""
     list_only(fleet, "v1")
@@ -336,7 +353,9 @@
     assert await fleet.resume("c", None) == Refused(NotRunReason.STREAM_UNKNOWN)
 
 
-async def test_route_that_moved_before_the_question_is_read_of(fleet: Fleet) -> None:
+async def test_route_that_moved_before_the_question_is_read_of(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
     """Guards against a stream that goes on at the former service of its route."""
     list_only(fleet, "v1")
     state = fleet.by_name["c"].state
@@ -353,7 +372,9 @@
     assert await fleet.resume("c", None) == Refused(NotRunReason.STREAM_UNKNOWN)
 
 
-async def test_peer_with_another_configuration_does_not_vouch(fleet: Fleet) -> None:
+async def test_peer_with_another_configuration_does_not_vouch(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
     """Guards against a peer that knows of a route's new service, which this entry does not."""
     list_only(fleet, "v1")
     for name in ("a", "b"):
@@ -364,7 +385,9 @@
     assert await fleet.resume("c", None) == Refused(NotRunReason.STREAM_UNKNOWN)
 
 
-async def test_resumptions_share_reads_of_the_store(fleet: Fleet) -> None:
+async def test_resumptions_share_reads_of_the_store(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
     """Guards against a read of the store for each of the streams that an entry's end broke."""
     list_only(fleet, "v1")
     state = fleet.by_name["c"].state
@@ -383,7 +406,9 @@
     assert 2 <= fleet.reads.count("c") <= 6
 
 
-async def test_newest_version_at_a_peer_outweighs_an_older_list(fleet: Fleet) -> None:
+async def test_newest_version_at_a_peer_outweighs_an_older_list(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
     """Guards against a stream of a version that only the other entries list yet."""
     list_only(fleet, "v1")
     entry = fleet.by_name["c"]
@@ -395,7 +420,9 @@
     assert await fleet.resume("c", "r") == NEW
 
 
-async def test_version_that_left_counts_while_its_streams_can_be_resumed(fleet: Fleet) -> None:
+async def test_version_that_left_counts_while_its_streams_can_be_resumed(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
     """Guards against a stream of a version that left just before it is resumed."""
     for entry in fleet.by_name.values():
         entry.state.versions.list_read(trio.current_time(), has_all_records=True)
@@ -407,7 +434,9 @@
     assert await fleet.resume("c", "unknown") == NEW
 
 
-async def test_stream_of_a_plain_service_is_known_to_the_others(fleet: Fleet) -> None:
+async def test_stream_of_a_plain_service_is_known_to_the_others(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
     """Guards against streams whose runs no report names."""
     fleet.by_name["c"].resumption.began("r", "", SERVERS[1])
     await trio.sleep(0.01)
@@ -416,7 +445,9 @@
 
 @pytest.mark.parametrize("version", ["v1", "v2"])
 @pytest.mark.parametrize("at", ["a", "c"])
-async def test_engine_of_the_version_is_granted(fleet: Fleet, at: str, version: str) -> None:
+async def test_engine_of_the_version_is_granted(
+    fleet: Fleet, autojump_clock: MockClock, at: str, version: str
+) -> None:
     """Guards against a scheduler, or an entry that decides alone, that ignores the version."""
     for number in range(3):
         request = waiting_request(f"r-{number}/1", f"r-{number}", version)
@@ -425,7 +456,9 @@
         assert granted.backend.version == version
 
 
-async def test_grant_of_another_version_is_not_used(fleet: Fleet) -> None:
+async def test_grant_of_another_version_is_not_used(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
     """Guards against a scheduler of the previous version, which does not read the field."""
     for name in ("a", "b"):
         state = fleet.by_name[name].state
@@ -437,7 +470,9 @@
     assert granted.backend.id == "i-0"
 
 
-async def test_request_is_refused_at_once_without_an_engine_of_its_version(fleet: Fleet) -> None:
+async def test_request_is_refused_at_once_without_an_engine_of_its_version(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
     """Guards against a caller that is held, or told to return, for a version that has left."""
     started_at = trio.current_time()
     for name in ("a", "c"):
@@ -447,7 +482,9 @@
     assert trio.current_time() - started_at < 0.1
 
 
-async def test_caller_is_told_to_return_while_its_version_backs_off(fleet: Fleet) -> None:
+async def test_caller_is_told_to_return_while_its_version_backs_off(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
     """Guards against a final refusal although the engines of the version are back soon."""
     entry = fleet.by_name["c"]
     entry.state.backoff_requested(SERVERS[0], 30.0)
@@ -457,7 +494,9 @@
     assert found.retry_after is not None
 
 
-async def test_plain_server_of_the_version_is_chosen(fleet: Fleet) -> None:
+async def test_plain_server_of_the_version_is_chosen(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
     """Guards against plain services, which no scheduler places, at another version."""
     plain = fleet.by_name["c"].plain
     until = trio.current_time()
@@ -468,7 +507,9 @@
     assert refused == Refused(NotRunReason.NO_SAME_VERSION)
 
 
-async def test_messages_of_the_previous_version_have_no_version(fleet: Fleet) -> None:
+async def test_messages_of_the_previous_version_have_no_version(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
     """Guards against entries that cannot read each other while the fleet is upgraded."""
     await fleet.begin("c", "r")
     sent = [message for _, message in fleet.network.sent]
