Let only a recorded first event decide where a stream goes on

Cause: a scheduler records each grant, and a report names each run before its first event. If nobody answered, a resumption went by such a record, although the entry that was granted the engine may never have received the grant, or have sent the request again elsewhere: the absence of a later send was taken for evidence. A scheduler whose answers don't arrive, or that stood still, has such records for every stream that it was asked to place.

Change: only a record of the first event decides; a stream with a grant alone is as unknown as one without a record.

Two tests of the decision asked for the opposite and are replaced: test_any_entry_knows_a_stream_that_another_began had cases "before its first event", which are refused now (test_send_without_an_event_does_not_tell_where_a_stream_began, 9 cases), and test_lost_reports_leave_the_grant_of_the_scheduler expected the grant to suffice when all reports were lost; test_lost_reports_leave_the_announcement_of_the_first_event expects the origin from the announcement, at scheduler and successor.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -634,7 +634,7 @@
         now = self._now()
         self._delivered_event = event
         if self._timing.first_event_at is None:
-            self._origin = self._entry.resumption.began(self._request.id, self._ticket, backend)
+            self._origin = self._entry.resumption.began(self._request.id, backend)
             self._entry.run_began(self._account_name, now)
         self._timing.event_arrived(now, _seconds(self._route.pause_target))
         if self._timing.passed(SURVIVAL_SECONDS) and self._request.prompt is not None:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/stream_resumption.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/stream_resumption.py
@@ -84,7 +84,7 @@
     def is_settled(self) -> bool:
         return (
             not self.unanswered
-            or _is_recorded(self.evidence)
+            or self.evidence.is_recorded
             or self.evidence.sole_version is not None
         )
 
@@ -125,17 +125,15 @@
         self._record(request.id, decision.origin, self._state.identity.name)
         return decision.origin
 
-    def began(self, request_id: str, ticket: str, backend: BackendServer) -> StreamOrigin:
-        """Record the first event of a stream and return its origin.
+    def began(self, request_id: str, backend: BackendServer) -> StreamOrigin:
+        """Record the first event of an attempt's stream and return its origin.
 
-        Args:
-            request_id: The attempt.
-            ticket: Its name on the engine; empty for a plain service, whose runs are not reported.
-            backend: The server that sent the event.
+        The schedulers are told before the caller receives the event: a run report is sent later,
+        and the entry may have failed by then.
         """
         origin = self._state.origins.origin(backend.service, backend.version)
         self._record(request_id, origin, self._state.identity.name)
-        if not ticket and len(request_id) <= MAX_ID_LENGTH:
+        if len(request_id) <= MAX_ID_LENGTH:
             self._announce(request_id, origin)
         return origin
 
@@ -206,7 +204,7 @@
         for share in route.shares:
             own = self._own_evidence(request_id, share.service, since)
             evidence = evidence.merged(own)
-            if _is_recorded(own):
+            if own.is_recorded:
                 return evidence
         knows_one_version = evidence.has_one_version
         for share in route.shares:
@@ -214,9 +212,9 @@
             peers = self._informed_peers(share.service)
             attempts = 1 if knows_one_version else MAX_QUERIES
             evidence = await self._ask(query, peers, evidence, inquiry, attempts, QUERY_INTERVAL)
-            if _is_recorded(evidence):
+            if evidence.is_recorded:
                 return evidence
-        if evidence.record is not None or not evidence.has_one_version or len(route.shares) > 1:
+        if not evidence.has_one_version or len(route.shares) > 1:
             return evidence
         (share,) = route.shares
         if knows_one_version:
@@ -354,10 +352,6 @@
         return self._state.clock.monotonic()
 
 
-def _is_recorded(evidence: OriginEvidence) -> bool:
-    return evidence.record is not None and evidence.record.is_confirmed
-
-
 def _milliseconds(seconds: float) -> int:
     return round(1000 * seconds)
 
--- a/packages/ragwortwing-entry/tests/direct/test_stream_resumption.py
+++ b/packages/ragwortwing-entry/tests/direct/test_stream_resumption.py
@@ -125,7 +125,7 @@
         granted = await entry.pool(POOL).admission.admit(waiting_request(ticket, request_id))
         assert isinstance(granted, Granted)
         if is_read:
-            entry.resumption.began(request_id, ticket, granted.backend)
+            entry.resumption.began(request_id, granted.backend)
             entry.engine_first_event(granted.backend.id, POOL, ticket, None)
         await trio.sleep(0.1)
         return granted.backend
@@ -191,16 +191,37 @@
 
 @pytest.mark.parametrize("at", ["a", "b", "c"])
 @pytest.mark.parametrize("by", ["a", "b", "c"])
-@pytest.mark.parametrize("is_read", [False, True])
 async def test_any_entry_knows_a_stream_that_another_began(
-    fleet: Fleet, autojump_clock: MockClock, by: str, at: str, *, is_read: bool
+    fleet: Fleet, autojump_clock: MockClock, by: str, at: str
 ) -> None:
-    """Guards against an origin that is lost with its entry, also before its first event."""
-    backend = await fleet.begin(by, "r", is_read=is_read)
+    """Guards against an origin that is lost with its entry."""
+    backend = await fleet.begin(by, "r")
     fleet.network.drop = drop_from(by) if by != at else drop_from()
     assert await fleet.resume(at, "r") == StreamOrigin(POOL, backend.version)
 
 
+@pytest.mark.parametrize("at", ["a", "b", "c"])
+@pytest.mark.parametrize("by", ["a", "b", "c"])
+async def test_send_without_an_event_does_not_tell_where_a_stream_began(
+    fleet: Fleet, autojump_clock: MockClock, by: str, at: str
+) -> None:
+    """Guards against a join by an entry that was not told of a later send of the same request."""
+    await fleet.begin(by, "r", is_read=False)
+    fleet.network.drop = drop_from(by) if by != at else drop_from()
+    assert await fleet.resume(at, "r") == Refused(NotRunReason.STREAM_UNKNOWN)
+
+
+async def test_grant_that_was_lost_does_not_tell_where_a_stream_began(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
+    """Guards against a join by a scheduler whose answers do not arrive."""
+    fleet.network.drop = drop_from("a")
+    backend = await fleet.begin("c", "r")
+    fleet.network.drop = lambda *_: True
+    found = await fleet.resume("a", "r")
+    assert found in (StreamOrigin(POOL, backend.version), Refused(NotRunReason.STREAM_UNKNOWN))
+
+
 async def test_stream_that_an_entry_began_needs_no_query(
     fleet: Fleet, autojump_clock: MockClock
 ) -> None:
@@ -209,13 +230,14 @@
     assert fleet.queries("c") == 0
 
 
-async def test_lost_reports_leave_the_grant_of_the_scheduler(
-    fleet: Fleet, autojump_clock: MockClock
+@pytest.mark.parametrize("at", ["a", "b"])
+async def test_lost_reports_leave_the_announcement_of_the_first_event(
+    fleet: Fleet, autojump_clock: MockClock, at: str
 ) -> None:
     """Guards against an unknown origin after an entry failed before its first report arrived."""
     fleet.network.drop = lambda _, message: isinstance(message, ReportMessage)
-    backend = await fleet.begin("c", "r", is_read=False)
-    assert await fleet.resume("b", "r") == StreamOrigin(POOL, backend.version)
+    backend = await fleet.begin("c", "r")
+    assert await fleet.resume(at, "r") == StreamOrigin(POOL, backend.version)
 
 
 async def test_origin_outlasts_a_change_of_the_scheduler(
@@ -277,7 +299,7 @@
 ) -> None:
     """Guards against a guess between two streams with the same id."""
     for name, server in (("a", SERVERS[0]), ("b", SERVERS[1])):
-        fleet.by_name[name].resumption.began("r", "r/1", server)
+        fleet.by_name[name].resumption.began("r", server)
     assert await fleet.resume("c", "r") == Refused(NotRunReason.STREAM_UNKNOWN)
 
 
@@ -416,7 +438,7 @@
     fleet.follow_list("c")
     fleet.by_name["b"].state.backend_listed(SERVERS[1])
     assert await fleet.resume("c", None) == Refused(NotRunReason.STREAM_UNKNOWN)
-    fleet.by_name["b"].resumption.began("r", "r/1", SERVERS[1])
+    fleet.by_name["b"].resumption.began("r", SERVERS[1])
     assert await fleet.resume("c", "r") == NEW
 
 
@@ -438,7 +460,7 @@
     fleet: Fleet, autojump_clock: MockClock
 ) -> None:
     """Guards against streams whose runs no report names."""
-    fleet.by_name["c"].resumption.began("r", "", SERVERS[1])
+    fleet.by_name["c"].resumption.began("r", SERVERS[1])
     await trio.sleep(0.01)
     assert await fleet.resume("b", "r") == NEW
 
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/resumption.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/resumption.py
@@ -24,7 +24,7 @@
     """How the origin of a stream is known."""
 
     RECORD = "record"
-    """An entry has recorded it."""
+    """An entry has recorded the stream's first event."""
     SOLE_VERSION = "sole_version"
     """No other version was listed while the stream can have begun."""
 
@@ -57,6 +57,11 @@
     """Whether such an entry has read the list after the caller resumed the stream. Without that, a
     version that joined since its last reading may have begun the stream."""
 
+    @property
+    def is_recorded(self) -> bool:
+        """Whether the first event of the stream was recorded."""
+        return self.record is not None and self.record.is_confirmed
+
     @property
     def has_one_version(self) -> bool:
         """Whether only one version is known, so that a current reading may show it is the only."""
@@ -101,7 +106,8 @@
         'stream_unknown'
     """
     record = evidence.record
-    if record is not None:
+    # A grant or a send alone may have been followed by another, which began the stream.
+    if record is not None and evidence.is_recorded:
         if record.origin is None:
             return MayNotGoOn(NotRunReason.STREAM_UNKNOWN)
         if record.origin.service not in services:
--- a/packages/ragwortwing-policy/tests/direct/test_resumption.py
+++ b/packages/ragwortwing-policy/tests/direct/test_resumption.py
@@ -28,6 +28,7 @@
 
 SERVER = BackendServer("i-1", "engines", "127.0.0.1:1", "suva", 6, version="v1")
 OLD = StreamOrigin("engines", "v1")
+UNKNOWN = NotRunReason.STREAM_UNKNOWN
 
 
 def table(version: int, **services_by_prefix: str) -> RoutingTable:
@@ -73,15 +74,16 @@
 @pytest.mark.parametrize(
     ("evidence", "services", "reason"),
     [
-        (OriginEvidence(), {"engines"}, NotRunReason.STREAM_UNKNOWN),
-        (sole("v1", covers=False), {"engines"}, NotRunReason.STREAM_UNKNOWN),
-        (sole("v1", is_current=False), {"engines"}, NotRunReason.STREAM_UNKNOWN),
-        (sole("v1", "v2"), {"engines"}, NotRunReason.STREAM_UNKNOWN),
-        (sole(), {"engines"}, NotRunReason.STREAM_UNKNOWN),
-        (sole("v1"), {"engines", "others"}, NotRunReason.STREAM_UNKNOWN),
-        (OriginEvidence(confirmed(None)), {"engines"}, NotRunReason.STREAM_UNKNOWN),
-        (replace(sole("v1"), record=confirmed(None)), {"engines"}, NotRunReason.STREAM_UNKNOWN),
+        (OriginEvidence(), {"engines"}, UNKNOWN),
+        (sole("v1", covers=False), {"engines"}, UNKNOWN),
+        (sole("v1", is_current=False), {"engines"}, UNKNOWN),
+        (sole("v1", "v2"), {"engines"}, UNKNOWN),
+        (sole(), {"engines"}, UNKNOWN),
+        (sole("v1"), {"engines", "others"}, UNKNOWN),
+        (OriginEvidence(confirmed(None)), {"engines"}, UNKNOWN),
+        (replace(sole("v1"), record=confirmed(None)), {"engines"}, UNKNOWN),
         (OriginEvidence(confirmed(OLD)), {"others"}, NotRunReason.NO_SAME_VERSION),
+        (OriginEvidence(replace(confirmed(OLD), is_confirmed=False)), {"engines"}, UNKNOWN),
     ],
 )
 def test_stream_that_may_have_begun_elsewhere_does_not_go_on(
@@ -99,13 +101,13 @@
 def test_current_reading_of_an_entry_that_started_late_vouches_for_nothing() -> None:
     """Guards against an old reading of one entry joined to a short history of another."""
     evidence = sole("v1", covers=False).merged(sole("v1", is_current=False))
-    assert decide_resumption(evidence, {"engines"}) == MayNotGoOn(NotRunReason.STREAM_UNKNOWN)
+    assert decide_resumption(evidence, {"engines"}) == MayNotGoOn(UNKNOWN)
 
 
 def test_a_version_that_any_entry_lists_counts() -> None:
     """Guards against a peer with an old list that vouches for the version before a release."""
     evidence = sole("v1").merged(sole("v1", "v2", covers=False))
-    assert decide_resumption(evidence, {"engines"}) == MayNotGoOn(NotRunReason.STREAM_UNKNOWN)
+    assert decide_resumption(evidence, {"engines"}) == MayNotGoOn(UNKNOWN)
 
 
 def test_latest_send_that_any_entry_knows_counts() -> None:
