Test answers whose connection ends within the head

An operator of another deployment saw successful answers made from the part of a head that a server had sent before it closed. Nothing here takes such a part for an answer: h11 raises when the stream ends before the empty line.

The stand-ins can now end a connection after any byte of an answer, with an end of stream or a reset.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/fault_proxy.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/fault_proxy.py
@@ -13,7 +13,6 @@
 from __future__ import annotations
 
 import socket
-import struct
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -23,6 +22,7 @@
 from starlette.routing import Route
 
 from .standins.faults import Direction, Fault, FaultKind, Faults, control_app
+from .standins.http_server import RESET_ON_CLOSE
 from .standins.serving import print_ready, start_app, stop_on_signal
 
 if TYPE_CHECKING:
@@ -31,8 +31,6 @@
 READ_SIZE = 65_536
 NARROW_CHUNK_SIZE = 8_192
 """Most bytes forwarded at once while the bandwidth is limited."""
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""`SO_LINGER` value (on, zero seconds): closing the socket resets the connection."""
 
 
 @dataclass(eq=False, slots=True)
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/http_server.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/http_server.py
@@ -9,7 +9,9 @@
 from __future__ import annotations
 
 import socket
-from dataclasses import dataclass
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs, urlsplit
 
@@ -18,7 +20,7 @@
 import trio
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable
 
     from .faults import Faults
 
@@ -26,6 +28,8 @@
 
 READ_SIZE = 65_536
 JSON_TYPE = (b"content-type", b"application/json")
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""`SO_LINGER` value (on, zero seconds): closing the socket resets the connection."""
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -44,6 +48,23 @@
 class ConnectionCutError(Exception):
     """Raised by a handler to close the connection without a complete response."""
 
+    def __init__(self, *, resets: bool = False) -> None:
+        super().__init__("reset" if resets else "closed")
+        self.resets = resets
+        """Whether the connection ends with a TCP reset instead of an orderly end of stream."""
+
+
+@dataclass(slots=True)
+class ResponseCut:
+    """Ends a connection in the middle of a response."""
+
+    find: Callable[[bytes], int]
+    """Returns how many bytes of a response to send, given those so far; -1 to wait for more."""
+    resets: bool = False
+    """Whether the connection ends with a TCP reset instead of an orderly end of stream."""
+    on_kept_connection: list[bool] = field(default_factory=list)
+    """For each response that was cut, whether its connection had carried a request before."""
+
 
 class Exchange:
     """One request and the means to respond to it."""
@@ -54,6 +75,10 @@
         self.request = request
         self.previous: HttpRequest | None = None
         """The request before this one on the same connection."""
+        self.cut: ResponseCut | None = None
+        """Where to end the connection; None sends the response as it is."""
+        self._written = b""
+        """The bytes of the response so far; only kept if it is to be cut."""
         self._state = state
         self._stream = stream
         self._faults = faults
@@ -94,7 +119,21 @@
     async def _write(self, data: bytes) -> None:
         await self._faults.wait_cleared(FaultKind.FREEZE)
         await self._faults.wait_cleared(FaultKind.SILENT)
-        await self._stream.send_all(data)
+        if self.cut is not None:
+            await self._write_until_cut(self.cut, data)
+        else:
+            await self._stream.send_all(data)
+
+    async def _write_until_cut(self, cut: ResponseCut, data: bytes) -> None:
+        start = len(self._written)
+        self._written += data
+        size = cut.find(self._written)
+        if size < 0:
+            await self._stream.send_all(data)
+            return
+        cut.on_kept_connection.append(self.previous is not None)
+        await self._stream.send_all(data[: max(0, size - start)])
+        raise ConnectionCutError(resets=cut.resets)
 
 
 if TYPE_CHECKING:
@@ -122,7 +161,11 @@
     async def serve_connection(stream: trio.SocketStream) -> None:
         try:
             await _serve_connection(stream, handler, faults)
-        except (trio.BrokenResourceError, trio.ClosedResourceError, ConnectionCutError):
+        except ConnectionCutError as error:
+            if error.resets:
+                stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            await trio.aclose_forcefully(stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
             await trio.aclose_forcefully(stream)
         except h11.RemoteProtocolError:
             await trio.aclose_forcefully(stream)
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
@@ -16,7 +16,7 @@
 import trio
 
 from .faults import Faults
-from .http_server import ConnectionCutError, Exchange, serve_http
+from .http_server import ConnectionCutError, Exchange, ResponseCut, serve_http
 from .published_store import PublishedStore
 
 if TYPE_CHECKING:
@@ -183,6 +183,8 @@
     """HTTP version of answers that have neither a length nor chunks; None frames them."""
     answer_bytes: int = 0
     """Bytes by which the answer of a plain server is padded."""
+    cut: ResponseCut | None = None
+    """Where the connection ends within an answer; None sends answers as they are."""
     crash_point: CrashPoint = CrashPoint.BEFORE_HEAD
     restart_after: float = 2.0
     """Seconds from a crash until the next process serves at the address, under a new id."""
@@ -239,6 +241,7 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         request = exchange.request
+        exchange.cut = self.cut
         request_id = request.headers_by_name.get("x-request-id", "")
         self.arrivals.append(request_id)
         self.arrived_at.append(trio.current_time())
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_cloud.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_cloud.py
@@ -16,7 +16,7 @@
 from .http_server import serve_http
 
 if TYPE_CHECKING:
-    from .http_server import Exchange
+    from .http_server import Exchange, ResponseCut
 
 
 class CloudMood(StrEnum):
@@ -47,6 +47,8 @@
         self.mood = CloudMood.WELL
         self.usage: list[UsageCall] = []
         self.refused = 0
+        self.cut: ResponseCut | None = None
+        """Where the connection ends within an answer; None sends answers as they are."""
 
     async def serve(self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve on loopback until cancelled; reports its `ip:port` through `task_status`."""
@@ -54,6 +56,7 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         request = exchange.request
+        exchange.cut = self.cut
         if self.mood is CloudMood.BUSY:
             self.refused += 1
             await exchange.respond_json(429, {})
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_store.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_store.py
@@ -29,6 +29,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterator
 
+    from .http_server import ResponseCut
+
 PARTITIONS = 24
 KEYED_TOPIC_PREFIX = "keyed."
 """Prefix of the names of topics that retain the newest record of each key."""
@@ -74,6 +76,8 @@
         self.log = log or RecordLog(SystemClock())
         self.mood = StoreMood.WELL
         self.calls: list[str] = []
+        self.cuts_by_path: dict[str, ResponseCut] = {}
+        """Where the connection ends within an answer, by the path of the call."""
         self.counts: Counter[str] = Counter()
         self.faults = Faults()
         self.control = control_app(self.faults, self.state, self.on_fault)
@@ -152,6 +156,7 @@
     async def _handle(self, exchange: Exchange) -> None:
         request = exchange.request
         self.calls.append(f"{request.method} {request.path}")
+        exchange.cut = self.cuts_by_path.get(request.path)
         # An append takes effect even if its caller disconnects during the delay.
         with trio.CancelScope(shield=request.path == "/log-append"):
             await self.faults.hold()
