Tell a reset behind a head from the end of an answer

A server answered 200 without a length, before it had read the whole request, and reset the connection within the body. The caller got 200 with the part, framed as whole, on orders, lookups and streams.

Cause: a request above 4 KB is sent while the answer is read. The kernel reports a reset to one call only. The task that sends got it and passed over it, as the other task reports a failed send; the one that reads got the rest of the received bytes and then an end of stream, which ends such a body.

Change: a connection on which a send failed, other than with EPIPE (the peer had ended the stream before), is lost at the end of the stream. An answer that its server ended before the reset is still relayed.

--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/http_client.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/http_client.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from .tcp_sockets import RECEIVE_BYTES, connect, is_idle, reset, send_all
+from .tcp_sockets import RECEIVE_BYTES, broke_connection, connect, is_idle, reset, send_all
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -80,6 +80,8 @@
         self._framing_left = MAX_FRAMING_BYTES
         """Bytes beside the body that may still be received for the current answer."""
         self._body_sent = False
+        self._break: OSError | None = None
+        """Why a send failed if the connection broke."""
         self.request_ids: set[str] = set()
         """Ids of the requests that it has carried."""
         self.is_suspect = False
@@ -117,6 +119,8 @@
             data += self._h11.send(h11.EndOfMessage()) or b""
             await send_all(self._sock, head + data)
         except OSError as error:
+            if broke_connection(error):
+                self._break = error
             raise ConnectionLostError.of("send", error) from error
         self._body_sent = True
 
@@ -219,9 +223,12 @@
                     "too many bytes beside the body", ConnectionLoss.EXCESSIVE
                 )
             try:
-                self._receive_data(await self._sock.recv(RECEIVE_BYTES))
+                data = await self._sock.recv(RECEIVE_BYTES)
             except OSError as error:
                 raise ConnectionLostError.of("receive", error) from error
+            if not data and self._break is not None:
+                raise ConnectionLostError.of("receive", self._break) from self._break
+            self._receive_data(data)
 
     def _receive_data(self, data: bytes) -> None:
         # Bytes of the body are added again when they are read.
--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/tcp_sockets.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/tcp_sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import ipaddress
 import os
 import select
@@ -136,6 +137,15 @@
         sent += await sock.send(view[sent:])
 
 
+def broke_connection(error: OSError) -> bool:
+    """Return whether a send failed because the connection broke.
+
+    The kernel reports a reset to one call only; later ones find the end of the stream, as if the
+    peer had ended it. After an end by the peer, a send fails with `EPIPE`.
+    """
+    return error.errno != errno.EPIPE
+
+
 def send_now(sock: trio.socket.SocketType, data: bytes) -> int:
     """Send what the connection takes without waiting; return the number of bytes sent.
 
