Test answers of the store and the cloud whose head breaks

No fault found: a call whose answer breaks within its head or body fails without a status, on a kept connection too; whole records before the break are applied once, and reading goes on behind them. An appended duty record stays unanswered. A usage window whose answer's head broke off is reported again, with the same counts.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/engine.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/engine.py
@@ -13,7 +13,7 @@
 from .batching import Batcher, EngineSettings, Generation
 from .faults import Fault, FaultKind, Faults, control_app
 from .generation import answer_text, count_tokens, token_text
-from .http_server import ConnectionCutError, Exchange, serve_http
+from .http_server import ConnectionCutError, Exchange, ResponseCut, serve_http
 from .journal import Execution, Journal
 from .serving import print_ready, start_app, stop_on_signal
 
@@ -75,6 +75,8 @@
     ) -> None:
         self._journal = journal or Journal()
         self.faults = Faults()
+        self.cut: ResponseCut | None = None
+        """Where the connection ends within a response; None sends responses as they are."""
         self.batcher = Batcher(settings, self.faults)
         self.models = list(models)
         self.orders: list[EngineOrder] = []
@@ -110,6 +112,7 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Dispatch one HTTP request to its handler."""
+        exchange.cut = self.cut
         request = exchange.request
         handler = self._handlers_by_route.get((request.method, request.path))
         if handler is None:
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/order_desk.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/order_desk.py
@@ -14,7 +14,7 @@
 import trio
 
 from .faults import Fault, FaultKind, Faults, control_app
-from .http_server import ConnectionCutError, Exchange, serve_http
+from .http_server import ConnectionCutError, Exchange, ResponseCut, serve_http
 from .journal import Execution, Journal
 from .serving import print_ready, start_app, stop_on_signal
 
@@ -32,6 +32,8 @@
     def __init__(self, work_seconds: float = 0.01, journal: Journal | None = None) -> None:
         self._journal = journal or Journal()
         self.faults = Faults()
+        self.cut: ResponseCut | None = None
+        """Where the connection ends within a response; None sends responses as they are."""
         self.executions_by_id: Counter[str] = Counter()
         self.executions_by_key: Counter[str] = Counter()
         self.lookups = 0
@@ -55,6 +57,7 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Dispatch one HTTP request to its handler."""
+        exchange.cut = self.cut
         await self.faults.hold()
         request = exchange.request
         if (request.method, request.path) == ("POST", ORDERS_PATH):
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_store.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_store.py
@@ -156,7 +156,6 @@
     async def _handle(self, exchange: Exchange) -> None:
         request = exchange.request
         self.calls.append(f"{request.method} {request.path}")
-        exchange.cut = self.cuts_by_path.get(request.path)
         # An append takes effect even if its caller disconnects during the delay.
         with trio.CancelScope(shield=request.path == "/log-append"):
             await self.faults.hold()
@@ -170,6 +169,7 @@
 
     async def _apply_faults(self, exchange: Exchange) -> bool:
         """Return whether to process a call; otherwise apply the mood or the outage."""
+        exchange.cut = self.cuts_by_path.get(exchange.request.path)
         if self.mood is StoreMood.SILENT:
             await trio.sleep_forever()
         if self.mood is StoreMood.RESET:
