Tell a reset behind a head from the end of an answer, in the agent

The agent passed a part of a service's answer on as completed if the service answered without a length before it had read the whole order, and reset the connection: httpcore passes over a failed write and reads what the server may have sent; the kernel has reported the reset to the write, so the read finds an end of stream. As in the platform's client, a connection that broke under a write, other than with EPIPE, is now lost at the end of the stream.

Answers with a length, and answers that their server ended before the reset, arrive whole as before.

--- a/packages/ragwortwing-agent/src/ragwortwing_agent/untimed_network.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/untimed_network.py
@@ -11,6 +11,8 @@
 import httpcore
 import trio
 
+from ragwortwing_runtime.tcp_sockets import broke_connection, send_all
+
 if TYPE_CHECKING:
     import ssl
     from collections.abc import Iterable
@@ -22,19 +24,31 @@
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
         self._socket = stream.socket
+        self._break: OSError | None = None
+        """Why a write failed if the connection broke."""
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Read the available bytes, waiting for the first one without a timeout."""
         try:
-            return await self._socket.recv(max_bytes)
+            data = await self._socket.recv(max_bytes)
         except (OSError, trio.ClosedResourceError) as error:
             raise httpcore.ReadError(str(error)) from error
+        if not data and self._break is not None:
+            raise httpcore.ReadError(str(self._break)) from self._break
+        return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Write the whole buffer, without a timeout."""
+        """Write the whole buffer, without a timeout.
+
+        After a failure httpcore reads the response that the server may have sent before.
+        """
         try:
-            await self._stream.send_all(buffer)
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            await send_all(self._socket, buffer)
+        except OSError as error:
+            if broke_connection(error):
+                self._break = error
+            raise httpcore.WriteError(str(error)) from error
+        except trio.ClosedResourceError as error:
             raise httpcore.WriteError(str(error)) from error
 
     async def aclose(self) -> None:
