Let a stream go on only at the process that is registered

Cause: a server may start again under its id and address at another version. Until its new record has been read, and for as long as an entry cannot read the list, the entry takes the absence of a new record for the same process: streams that it resumes, and streams that move within an answer, go on at the new process. New streams there are put down to the version in the old record, so that they go on at servers of that version. X-Expect-Instance names both processes alike; answers to requests do not tell them apart. GET /report does: it states the start (`born`).

Change: a resumed stream first asks on its own connection when the process started, once for each connection, which cannot pass to another process. A start other than the registered one makes the process a version to itself until its own record is read; blocks on crashing prompts stay those of the record. If the process does not state its start, the stream goes on only while the list is followed. A new stream that may be resumed asks only while the list is not followed. Other requests, and new streams while the list is followed, ask nothing.

Not closed: a new stream at an entry that follows the list, begun in the time between the restart and its record.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/crash_watch.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/crash_watch.py
@@ -118,8 +118,12 @@
 
 
 def software_of(backend: BackendServer) -> Software:
-    """Return the software of a backend server."""
-    return Software(backend.service, backend.version)
+    """Return the software of a backend server.
+
+    A process whose own record is not known yet is treated like the one in the record.
+    """
+    recorded = backend.recorded_version
+    return Software(backend.service, backend.version if recorded is None else recorded)
 
 
 class CrashWatch:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -24,7 +24,7 @@
 from ragwortwing_policy.duties.candidates import DutyCandidates
 from ragwortwing_policy.duties.fleet_time import FleetTime
 
-from .decision_log import decided
+from .decision_log import decided, warned
 from .feed_catch_up import FeedCatchUp
 from .feed_relay import FeedRelay
 from .peer_link import PeerLink
@@ -176,6 +176,27 @@
             restarted=restarted,
         )
 
+    def process_replaced(self, backend: BackendServer, started_at: int) -> None:
+        """Record that another process than the registered one answers at a server's address.
+
+        Streams of other processes do not go on there until its own record tells its version.
+
+        Args:
+            backend: The server as it was registered when it was asked.
+            started_at: Start of the process in Unix ms, as it states it.
+        """
+        listed = self.backends.by_id.get(backend.id)
+        if listed is None or not listed.may_be_same_process(backend):
+            return
+        warned(
+            "backend_process_replaced",
+            backend=backend.id,
+            version=backend.version,
+            started_at=started_at,
+            registered=backend.started_at,
+        )
+        self.backend_listed(listed.replaced_by(started_at))
+
     def backend_removed(self, backend_id: str, unsure: float) -> bool:
         """Handle a backend server that is no longer listed; return whether it was removed.
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/ports.py
@@ -46,6 +46,19 @@
     empty if there is none."""
 
 
+class ProcessCheck(StrEnum):
+    """Whether a send first asks the server's process when it started.
+
+    The address and the id of a registration do not change if the server starts again.
+    """
+
+    NONE = "none"
+    IF_ANSWERED = "if_answered"
+    """Only the registered process gets the request, or one that does not state its start."""
+    REQUIRED = "required"
+    """Only a process that states the start of the registered one gets the request."""
+
+
 @dataclass(frozen=True, slots=True)
 class SendOrder:
     """The parameters of one send of a request to a backend server."""
@@ -61,6 +74,7 @@
     may_repeat: bool
     fetch_from: BackendServer | None = None
     """The engine from which the backend server fetches cached parts of the prompt that it lacks."""
+    process_check: ProcessCheck = ProcessCheck.NONE
 
 
 class AnswerKind(StrEnum):
@@ -127,6 +141,22 @@
         self.loss = loss
 
 
+class ProcessReplacedError(BackendLostError):
+    """Another process than the registered one answers at the server's address."""
+
+    def __init__(self, started_at: int) -> None:
+        super().__init__("another process answers")
+        self.started_at = started_at
+        """Start of that process in Unix ms."""
+
+
+class ProcessUnknownError(BackendLostError):
+    """A server that has to be the registered process does not state when it started."""
+
+    def __init__(self) -> None:
+        super().__init__("the process is not known", ConnectionLoss.FAILED)
+
+
 class BackendCalls(Protocol):
     """Calls to backend servers."""
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -28,6 +28,9 @@
     BackendLostError,
     CallerLostError,
     Denial,
+    ProcessCheck,
+    ProcessReplacedError,
+    ProcessUnknownError,
     Refused,
     SendOrder,
     Unresolved,
@@ -111,6 +114,8 @@
         """When the latest send began."""
         self._possible_crashes = 0
         """Sends that a server may have ended on."""
+        self._unknown_processes = 0
+        """Sends that were given up because it is not known which process would have got them."""
         self._repeat_spent_at: Instant | None = None
         """When the budget was charged for a repeat that has not been sent yet."""
         self._matched_route: Route | None = None
@@ -439,7 +444,12 @@
                 if backend_answer.is_excessive:
                     self._count_failure(backend, "body without end", at_once=True)
                 return failure
+        except ProcessReplacedError as error:
+            self._count_send("not_sent")
+            self._state.process_replaced(backend, error.started_at)
+            return error.cause
         except BackendLostError as error:
+            self._unknown_processes += isinstance(error, ProcessUnknownError)
             if send.state in (SendState.SENT, SendState.ANSWERING):
                 send.advance("lose")
             return self._note_failure(backend, send, error.cause, error.loss)
@@ -505,8 +515,19 @@
             expects_events=self._route.streaming,
             may_repeat=self._route.repetition.may_repeat,
             fetch_from=destination.fetch_from,
+            process_check=self._process_check(),
         )
 
+    def _process_check(self) -> ProcessCheck:
+        """Return whether the process must be known: its version is where a stream may go on."""
+        may_be_resumed = self._route.repetition is Repetition.RESUMABLE
+        if self._origin is None and not may_be_resumed:
+            return ProcessCheck.NONE
+        is_list_current = self._state.follows_lists(self._now())
+        if self._origin is None:
+            return ProcessCheck.NONE if is_list_current else ProcessCheck.IF_ANSWERED
+        return ProcessCheck.IF_ANSWERED if is_list_current else ProcessCheck.REQUIRED
+
     async def _handle_answer(
         self, backend_answer: BackendAnswer, backend: BackendServer, send: Send
     ) -> str | None:
@@ -683,6 +704,8 @@
     def _may_send_again(self) -> bool:
         if self._possible_crashes >= MAX_POSSIBLE_CRASHES:
             return False
+        if self._unknown_processes >= self._route.maximum_sends:
+            return False
         if self._answer.has_begun and self._route.repetition is not Repetition.RESUMABLE:
             return False
         if not self._history.may_send_again(self._route.repetition, self._route.maximum_sends):
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
@@ -187,7 +187,16 @@
     """Where the connection ends within an answer; None sends answers as they are."""
     crash_point: CrashPoint = CrashPoint.BEFORE_HEAD
     restart_after: float = 2.0
-    """Seconds from a crash until the next process serves at the address, under a new id."""
+    """Seconds from a crash until the next process serves at the address."""
+    unlisted_restart: str | None = None
+    """Version of the next process, which keeps the id and does not change the record; None if it
+    has a new id and a record of its own."""
+    born: int = 1
+    """Start of the process, as it states it."""
+    report_status: int = 200
+    """Status of the answer to `GET /report`."""
+    reports: int = 0
+    """Calls of `GET /report`."""
     crashed_at: list[float] = field(default_factory=list)
     _has_crashed: trio.Event = field(default_factory=trio.Event)
     _store: PublishedStore | None = None
@@ -200,14 +209,18 @@
         await self._serve_until_crash(port, task_status)
         while True:
             await trio.sleep(self.restart_after)
-            former_id, self.id = self.id, f"{self.id.partition('~')[0]}~{len(self.crashed_at)}"
-            self.running = 0
+            former_id, self.running = self.id, 0
+            self.born = 1 + len(self.crashed_at)
+            if self.unlisted_restart is None:
+                self.id = f"{self.id.partition('~')[0]}~{len(self.crashed_at)}"
+            else:
+                self.version = self.unlisted_restart
             restarted = partial(self._serve_until_crash, int(self.address.rpartition(":")[2]))
             async with trio.open_nursery() as nursery:
                 await nursery.start(_call_with_status, restarted)
-                if self._store is not None:
+                if self._store is not None and self.id != former_id:
                     self._store.drop(SERVERS_TOPIC, former_id)
-                    self.announce(self._store, born=1 + len(self.crashed_at))
+                    self.announce(self._store)
 
     async def _serve_until_crash(self, port: int, task_status: trio.TaskStatus[str]) -> None:
         self._has_crashed = trio.Event()
@@ -223,9 +236,12 @@
         self.crashed_at.append(trio.current_time())
         self._has_crashed.set()
 
-    def announce(self, store: PublishedStore, state: str = "ready", born: int = 1) -> None:
+    def announce(
+        self, store: PublishedStore, state: str = "ready", born: int | None = None
+    ) -> None:
         """Write the record of this backend server to the store."""
         self._store = store
+        self.born = self.born if born is None else born
         entry = {
             "service": self.service,
             "address": self.address,
@@ -235,12 +251,16 @@
             "state": state,
             "cold_ms": 0,
             "seq_no": 1,
-            "born": born,
+            "born": self.born,
         }
         store.put(SERVERS_TOPIC, self.id, entry)
 
     async def _handle(self, exchange: Exchange) -> None:
         request = exchange.request
+        if (request.method, request.path) == ("GET", "/report"):
+            self.reports += 1
+            await exchange.respond_json(self.report_status, {"stage": "both", "born": self.born})
+            return
         exchange.cut = self.cut
         request_id = request.headers_by_name.get("x-request-id", "")
         self.arrivals.append(request_id)
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/backend_list.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/backend_list.py
@@ -32,7 +32,23 @@
     started_at: int | None = None
     """Start of its process in Unix ms; None if unknown."""
     version: str = ""
-    """Version of its software."""
+    """Version of its software. A process that was found at the address of a record that is not its
+    own has a version to itself, because its software is not known."""
+    recorded_version: str | None = None
+    """Version in the record if the process is not the one that wrote it."""
+
+    def replaced_by(self, started_at: int) -> BackendServer:
+        """Return the server with a later process, of which only the start is known.
+
+        Example:
+            >>> server = BackendServer("i-1", "desk", "127.0.0.1:1", "suva", 6, version="v1")
+            >>> replaced = server.replaced_by(7)
+            >>> replaced.has_version("v1"), replaced.has_version(None), replaced.recorded_version
+            (False, True, 'v1')
+        """
+        recorded = self.version if self.recorded_version is None else self.recorded_version
+        version = f"{self.id}@{started_at}"
+        return replace(self, started_at=started_at, version=version, recorded_version=recorded)
 
     def has_version(self, version: str | None) -> bool:
         """Return whether it has a software version; None stands for any."""
--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/http_client.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/http_client.py
@@ -86,6 +86,10 @@
         """Ids of the requests that it has carried."""
         self.is_suspect = False
         """Whether it may deliver bytes that would be taken for the answer to a later request."""
+        self.peer_was_asked = False
+        """Whether the process at the other end has been asked when it started."""
+        self.peer_started_at: int | None = None
+        """Its answer in Unix ms; None if it did not state it."""
         self.idle_since = 0.0
         self.idle_limit: float | None = None
         """Seconds after which the peer closes the connection when idle; None if not announced."""
