Do not take the configurations that were read for all there were

Cause: whether a stream may have begun at another service is derived from the configurations that an entry has read. Their absence was taken for evidence that no route had moved: a list of servers in which no record was ever replaced then counts as known since ever, and a stream of the service that lost its route goes on at the service that gained it.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/backend_connections.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/backend_connections.py
@@ -8,13 +8,13 @@
 
 from typing import TYPE_CHECKING
 
+from ragwortwing_runtime.connection_pool import ConnectionPool
 from ragwortwing_runtime.http_client import ConnectionLostError
 
 from .ports import BackendLostError, ProcessCheck, ProcessReplacedError, ProcessUnknownError
 
 if TYPE_CHECKING:
     from ragwortwing_policy.clock import Clock
-    from ragwortwing_runtime.connection_pool import ConnectionPool
     from ragwortwing_runtime.http_client import ClientConnection
     from ragwortwing_runtime.process_report import ProcessReport
 
@@ -24,8 +24,14 @@
 class BackendConnections:
     """Obtains the connections for the sends of one entry."""
 
-    def __init__(self, pool: ConnectionPool, report: ProcessReport, clock: Clock) -> None:
-        self._pool = pool
+    def __init__(self, report: ProcessReport, clock: Clock) -> None:
+        """Create a pool without connections.
+
+        Args:
+            report: The call that asks a process when it started.
+            clock: The clock.
+        """
+        self.pool = ConnectionPool(clock)
         self._report = report
         self._clock = clock
 
@@ -65,6 +71,6 @@
     async def _open(self, order: SendOrder, request_id: str) -> ClientConnection:
         backend = order.backend
         try:
-            return await self._pool.acquire(backend.id, backend.address, request_id)
+            return await self.pool.acquire(backend.id, backend.address, request_id)
         except ConnectionLostError as error:
             raise BackendLostError(f"cannot connect: {error}", error.loss) from error
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -17,6 +17,7 @@
 from ragwortwing_policy.direct.placement import Placement
 from ragwortwing_policy.direct.rate_limits import LimitNotice, RateLimits
 from ragwortwing_policy.direct.repeat_budget import RepeatAllowance, RepeatBudget
+from ragwortwing_policy.direct.routing_table import Repetition
 from ragwortwing_policy.direct.run_ledger import RunLedger
 from ragwortwing_policy.direct.scheduler_choice import SchedulerChoice
 from ragwortwing_policy.direct.stream_origins import StreamOrigins
@@ -149,6 +150,19 @@
         decided("configuration_in_force", version=table.version, routes=len(table.routes))
         return True
 
+    def routes_skipped(self) -> None:
+        """Record that there were configurations which this entry has not read.
+
+        Streams that they let other services begin may be resumed on any route.
+        """
+        routes = self.table.routes if self.table is not None else ()
+        now = self.clock.monotonic()
+        for route in routes:
+            if route.repetition is Repetition.RESUMABLE:
+                for share in route.shares:
+                    self.versions.rerouted(share.service, now)
+        decided("configurations_skipped", version=self.table.version if self.table else None)
+
     def backend_listed(self, backend: BackendServer) -> None:
         """Update a backend server in the list; after a restart its load and history are reset."""
         previous = self.backends.by_id.get(backend.id)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/record_guard.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/record_guard.py
@@ -29,6 +29,7 @@
         kind: str,
         apply: Callable[[FeedRecord], None],
         discard: Callable[[str], None] = lambda _: None,
+        on_gap: Callable[[], None] = lambda: None,
     ) -> None:
         """Create a guard.
 
@@ -38,21 +39,31 @@
             kind: What a record describes, for the log.
             apply: Applies a record; raises `InvalidDataError` if it cannot be decoded.
             discard: Called with the key of a record that could not be applied.
+            on_gap: Called after a snapshot that lacks records which were replaced before this
+                entry read them.
         """
         self._topic = topic
         self._kind = kind
         self._apply = apply
         self._discard = discard
+        self._on_gap = on_gap
+        self._position = 0
+        """Offset up to which every record has been applied or skipped."""
         self._unusable_by_topic = state.unusable_by_topic
         self._reported_keys: set[str] = set()
 
     def apply_snapshot(self, snapshot: Snapshot) -> None:
         """Apply the records of a snapshot."""
+        is_complete = snapshot.has_all_since(self._position)
         for record in snapshot.records:
             self.apply(record)
+        self._position = max(self._position, snapshot.end)
+        if not is_complete:
+            self._on_gap()
 
     def apply(self, record: FeedRecord) -> None:
         """Apply a record; the first of several unusable ones under a key is logged."""
+        self._position = max(self._position, record.offset + 1)
         try:
             self._apply(record)
         except InvalidDataError as error:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/store_port.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/store_port.py
@@ -47,7 +47,18 @@
     @property
     def has_all_records(self) -> bool:
         """Whether no record was ever replaced or removed, so that none before it is missing."""
-        return len({each.offset for each in self.records if each.offset < self.end}) == self.end
+        return self.has_all_since(0)
+
+    def has_all_since(self, offset: int) -> bool:
+        """Return whether no record from an offset on has been replaced or removed.
+
+        Example:
+            >>> snapshot = Snapshot((FeedRecord("a", b"", 1), FeedRecord("b", b"", 2)), 3)
+            >>> snapshot.has_all_since(0), snapshot.has_all_since(1)
+            (False, True)
+        """
+        found = {each.offset for each in self.records if offset <= each.offset < self.end}
+        return len(found) == max(0, self.end - offset)
 
 
 @dataclass(frozen=True, slots=True)
