Ask a second connection if the first closes unanswered

Read cold: a kept connection that closes while it is asked when its process started may close because that process ended. The send then used a new connection unasked, which leads to the next process. A second one is asked instead; after two the send is given up. An answer that ends its connection still counts, so that a server which closes each connection after a report gets streams as before. An answer is a late one only if it names a request that the connection has carried.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/backend_connections.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/backend_connections.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from ragwortwing_runtime.connection_pool import ConnectionPool
-from ragwortwing_runtime.http_client import ConnectionLostError
+from ragwortwing_runtime.http_client import ConnectionLoss, ConnectionLostError
 
 from .ports import BackendLostError, ProcessCheck, ProcessReplacedError, ProcessUnknownError
 
@@ -20,6 +20,9 @@
 
     from .ports import SendOrder
 
+MAX_ASKED_CONNECTIONS = 2
+"""Connections to a server that are asked for its process: a kept one may have been closed."""
+
 
 class BackendConnections:
     """Obtains the connections for the sends of one entry."""
@@ -43,19 +46,24 @@
             ProcessReplacedError: It leads to another process than the registered one.
             ProcessUnknownError: It is not known where it leads to, and the send requires that.
         """
-        connection = await self._open(order, request_id)
-        if order.process_check is ProcessCheck.NONE:
-            return connection
-        may_use = False
-        try:
-            may_use = await self._leads_to_process(connection, order)
-        except ConnectionLostError as error:
-            if order.process_check is ProcessCheck.REQUIRED:
-                raise ProcessUnknownError from error
-        finally:
-            if not may_use:
-                connection.abort()
-        return connection if may_use else await self._open(order, request_id)
+        for _ in range(MAX_ASKED_CONNECTIONS):
+            connection = await self._open(order, request_id)
+            if order.process_check is ProcessCheck.NONE:
+                return connection
+            may_use = is_found = False
+            try:
+                is_found = await self._leads_to_process(connection, order)
+                may_use = is_found and not connection.is_over
+            except ConnectionLostError as error:
+                # A closed connection may be the end of the process, so the next one is asked again.
+                is_silent = error.loss is ConnectionLoss.FAILED
+                is_found = is_silent and order.process_check is ProcessCheck.IF_ANSWERED
+            finally:
+                if not may_use:
+                    connection.abort()
+            if is_found:
+                return connection if may_use else await self._open(order, request_id)
+        raise ProcessUnknownError
 
     async def _leads_to_process(self, connection: ClientConnection, order: SendOrder) -> bool:
         """Return True if a connection leads to the registered process, as far as it must."""
--- a/packages/ragwortwing-entry/tests/direct/test_entry_state.py
+++ b/packages/ragwortwing-entry/tests/direct/test_entry_state.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from ragwortwing_entry.direct.crash_watch import software_of
 from ragwortwing_entry.direct.entry_state import EntryIdentity, EntryState
 from ragwortwing_policy.direct.backend_list import BackendServer
 from ragwortwing_policy.direct.repeat_budget import RepeatAllowance
@@ -76,3 +77,30 @@
     state.limit_observed(restarted, 2.0, sent_at=0.0)
     state.limit_observed(SERVER, 9.0, sent_at=0.0)
     assert state.limits.rate("i-1") == 2.0
+
+
+def test_process_that_replaced_another_is_a_version_to_itself(state: EntryState) -> None:
+    """Guards against streams of the recorded version that go on at a process of any other."""
+    server = replace(SERVER, id="i-2", version="v1")
+    state.backend_listed(server)
+    state.process_replaced(server, 2000)
+    assert not state.backends.ready("desk", "v1")
+    (found,) = state.backends.ready("desk")
+    assert state.backends.ready("desk", found.version) == (found,)
+    assert software_of(found) == software_of(server)
+    registered = replace(server, version="v2", started_at=2000)
+    state.backend_listed(registered)
+    assert state.backends.ready("desk") == (registered,)
+
+
+def test_answer_about_a_former_registration_changes_nothing(state: EntryState) -> None:
+    """Guards against a new record that is overruled by what was asked before it."""
+    server = replace(SERVER, id="i-2", version="v1")
+    registered = replace(server, version="v2", started_at=2000)
+    state.backend_listed(registered)
+    state.process_replaced(server, 2000)
+    state.backend_gone("i-2")
+    state.process_replaced(registered, 3000)
+    assert not state.backends.ready("desk")
+    state.backend_listed(registered)
+    assert state.backends.ready("desk") == (registered,)
--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/http_client.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/http_client.py
@@ -90,6 +90,8 @@
         """Whether the process at the other end has been asked when it started."""
         self.peer_started_at: int | None = None
         """Its answer in Unix ms; None if it did not state it."""
+        self.is_over = False
+        """Whether it cannot carry another request after that answer."""
         self.idle_since = 0.0
         self.idle_limit: float | None = None
         """Seconds after which the peer closes the connection when idle; None if not announced."""
--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/process_report.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/process_report.py
@@ -48,7 +48,7 @@
             The start; None if the process does not state it.
 
         Raises:
-            ConnectionLostError: The connection cannot carry a request any more.
+            ConnectionLostError: There was no complete answer.
         """
         if not connection.peer_was_asked:
             try:
@@ -56,8 +56,7 @@
                     found = await self._fetch(connection)
             except trio.TooSlowError as error:
                 raise ConnectionLostError("timeout", ConnectionLoss.FAILED) from error
-            if not connection.prepare_next_request(clock.monotonic()):
-                raise ConnectionLostError("closed after a report", ConnectionLoss.CLOSED)
+            connection.is_over = not connection.prepare_next_request(clock.monotonic())
             connection.peer_was_asked, connection.peer_started_at = True, found
         return connection.peer_started_at
 
@@ -65,7 +64,8 @@
         host = [(b"host", connection.address.encode())]
         await connection.send_request("GET", self.target, host, b"")
         head = await connection.receive_head()
-        if any(key == self.id_header for key, _ in head.headers):
+        ids = {value.decode("latin-1") for key, value in head.headers if key == self.id_header}
+        if ids & connection.request_ids:
             raise ConnectionLostError("an answer to an earlier request")
         body = b""
         async for data in connection.receive_body():
