Leave the shares of entries that are no longer counted to them

Cause: the extra of the retry budget is divided by the number of entries that the store lists. An entry that is cut off from the store lapses after 4 s and goes on with its share until 8 s; one that was killed has used its share within the window. That neither is listed any more was taken for their share being free at once. The rule sums over all machines, in touch or not.

Change: a smaller number of entries takes effect after the window and the time in which a lapsed entry notices it; a larger or an unknown one at once.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -16,7 +16,7 @@
 from ragwortwing_policy.direct.peer_status import StatusExchange
 from ragwortwing_policy.direct.placement import Placement
 from ragwortwing_policy.direct.rate_limits import LimitNotice, RateLimits
-from ragwortwing_policy.direct.repeat_budget import RepeatAllowance, RepeatBudget
+from ragwortwing_policy.direct.repeat_budget import EntryCount, RepeatAllowance, RepeatBudget
 from ragwortwing_policy.direct.routing_table import Repetition
 from ragwortwing_policy.direct.run_ledger import RunLedger
 from ragwortwing_policy.direct.scheduler_choice import SchedulerChoice
@@ -29,6 +29,7 @@
 from .feed_catch_up import FeedCatchUp
 from .feed_relay import FeedRelay
 from .peer_link import PeerLink
+from .presence import MEMBERS_UNKNOWN_AFTER
 from .relay_buffer import CallerMemory
 
 if TYPE_CHECKING:
@@ -137,7 +138,9 @@
         self.in_flight_by_backend: dict[str, int] = {}
         self._allowance = allowance
         self._budgets_by_service: dict[str, RepeatBudget] = {}
-        self._entries: int | None = None
+        # Entries that the store lists no longer may go on until they notice that.
+        notice = allowance.window.total_seconds() + MEMBERS_UNKNOWN_AFTER
+        self._entries = EntryCount(notice)
 
     def accept_table(self, table: RoutingTable) -> bool:
         """Apply a configuration and return True; one that is not newer is ignored."""
@@ -325,7 +328,7 @@
         """
         if self.choice.scheduler(pool, self.clock.monotonic()) == self.identity.name:
             return 1.0
-        return 1.0 / (self._entries or 1 + len(self.peers.members))
+        return 1.0 / (self._entries.latest or 1 + len(self.peers.members))
 
     def memory_share(self, pool: str) -> float | None:
         """Return the fraction of an engine's free memory that this entry may commit.
@@ -344,7 +347,7 @@
             pool,
             now,
             # New entries are heard before they are on the member list.
-            entries=1 + max((self._entries or 1) - 1, len(self.peers.members), len(heard)),
+            entries=1 + max((self._entries.latest or 1) - 1, len(self.peers.members), len(heard)),
             heard=heard,
             reported=self.ledger.reported(pool, now),
             schedules=schedules,
@@ -372,14 +375,12 @@
         """Return the retry budget of a service."""
         found = self._budgets_by_service.get(service)
         if found is None:
-            found = self._budgets_by_service[service] = RepeatBudget(self._allowance)
-            found.entries = self._entries
+            found = RepeatBudget(self._allowance, self._entries)
+            self._budgets_by_service[service] = found
         return found
 
     def entries_counted(self, entries: int | None) -> None:
         """Set the number of live entries; None if it is no longer known."""
-        if entries != self._entries:
-            decided("entries_counted", entries=entries, before=self._entries)
-        self._entries = entries
-        for budget in self._budgets_by_service.values():
-            budget.entries = entries
+        if entries != self._entries.latest:
+            decided("entries_counted", entries=entries, before=self._entries.latest)
+        self._entries.update(entries, self.clock.monotonic())
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/repeat_budget.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/repeat_budget.py
@@ -25,6 +25,51 @@
     window: timedelta
 
 
+class EntryCount:
+    """The number of entries among which the extra of each budget is divided.
+
+    An entry that is no longer counted may have used its share within the window, and goes on using
+    it until it notices that it was cut off. A smaller number therefore takes effect later.
+
+    Example:
+        >>> count = EntryCount(delay=14.0)
+        >>> count.update(5, now=0.0)
+        >>> count.update(1, now=20.0)
+        >>> count.in_force(now=33.9), count.in_force(now=34.0)
+        (5, 1)
+    """
+
+    def __init__(self, delay: float = 0.0) -> None:
+        """Create a count that is not known yet.
+
+        Args:
+            delay: Seconds after which a smaller number takes effect.
+        """
+        self._delay = delay
+        self._latest: int | None = None
+        self._former: deque[tuple[int, Instant]] = deque()
+        """Earlier numbers and until when each may still be the number of shares in use."""
+
+    @property
+    def latest(self) -> int | None:
+        """The number that was counted last; None if it is no longer known."""
+        return self._latest
+
+    def update(self, entries: int | None, now: Instant) -> None:
+        """Set the number of live entries; None if it is no longer known."""
+        if self._latest is not None and entries != self._latest:
+            self._former.append((self._latest, now + self._delay))
+        self._latest = entries
+
+    def in_force(self, now: Instant) -> int | None:
+        """Return the number of shares that may be in use; None if it is not known."""
+        while self._former and self._former[0][1] <= now:
+            self._former.popleft()
+        if self._latest is None:
+            return None
+        return max([self._latest, *(entries for entries, _ in self._former)])
+
+
 class RepeatBudget:
     """Repeats that this entry may still send to one service.
 
@@ -42,12 +87,17 @@
         [True, True, False]
     """
 
-    def __init__(self, allowance: RepeatAllowance) -> None:
+    def __init__(self, allowance: RepeatAllowance, entries: EntryCount | None = None) -> None:
+        """Create a budget of which nothing is used.
+
+        Args:
+            allowance: What the whole fleet may send.
+            entries: The entries that share the extra; unknown by default.
+        """
         self._allowance = allowance
+        self._entries = entries if entries is not None else EntryCount()
         self._requests: deque[Instant] = deque()
         self._repeats: deque[Instant] = deque()
-        self.entries: int | None = None
-        """Number of entries that share the extra, or None if unknown."""
 
     def count_request(self, now: Instant) -> None:
         """Record the first send of a request."""
@@ -58,7 +108,8 @@
         """Return the number of repeats that may be sent now."""
         self._drop_expired(now)
         allowance = self._allowance
-        extra = allowance.extra / self.entries if self.entries else 0.0
+        entries = self._entries.in_force(now)
+        extra = allowance.extra / entries if entries else 0.0
         allowed = USED_FRACTION * (allowance.ratio * len(self._requests) + extra)
         return allowed - len(self._repeats)
 
