Close the connection behind an answer that has no length

A caller of the product's entry over HTTP/1.0 got a large answer of a service and then no end: the connection stayed open until it was idle for 75 s.

Cause: the end of a response wakes the task that watches for a disconnect. It cancels the task that sent the response, in which Hypercorn is closing the connection; the close was cancelled at its first checkpoint.

Change: closing is shielded. It waits for nothing but checkpoints.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/http_server.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/http_server.py
@@ -8,7 +8,7 @@
 import logbook
 import trio
 from hypercorn.config import Config
-from hypercorn.events import RawData
+from hypercorn.events import Closed, RawData
 from hypercorn.trio.tcp_server import TCPServer
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import ConnectionState
@@ -89,6 +89,11 @@
         to Hypercorn. It looks up the file descriptor each time, because the number of a closed one
         may have been reused for another connection.
         """
+        if isinstance(event, Closed):
+            # The task that sent the response may be cancelled once the response is complete.
+            with trio.CancelScope(shield=True):
+                await super().protocol_send(event)
+            return
         if not isinstance(event, RawData) or self.send_lock.locked():
             await super().protocol_send(event)
             return
--- /dev/null
+++ b/packages/ragwortwing-entry/tests/test_broken_answers.py
@@ -0,0 +1,64 @@
+"""Answers to callers of HTTP/1.0, whose end is that of their connection."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+from entry_bench import AUTHORIZED
+
+from ragwortwing_entry.request_run import MAX_BUFFERED_ANSWER_BYTES
+from ragwortwing_policy.outcomes import Completed
+from ragwortwing_policy.routing import BackendKind
+from ragwortwing_wire.messages import End, ResponseHead
+
+if TYPE_CHECKING:
+    from entry_bench import Bench, FakeAgent
+
+PIECE = b"x" * (MAX_BUFFERED_ANSWER_BYTES // 2 + 1)
+PIECES = 4
+
+
+async def open_old_call(bench: Bench) -> trio.SocketStream:
+    host, _, port = bench.listen["http"].partition(":")
+    stream = await trio.open_tcp_stream(host, int(port))
+    lines = "".join(f"{name}: {value}\r\n" for name, value in AUTHORIZED.items())
+    request = f"GET /desk/orders/export HTTP/1.0\r\nhost: x\r\n{lines}\r\n"
+    await stream.send_all(request.encode())
+    return stream
+
+
+async def send_pieces(agent: FakeAgent) -> str:
+    request_id = (await agent.grant()).request_id
+    await agent.send(ResponseHead(request_id, 200, ()))
+    for sequence in range(PIECES):
+        await agent.chunk(request_id, sequence, PIECE, tokens=0)
+    return request_id
+
+
+async def read_to_the_end(stream: trio.SocketStream) -> bytes | None:
+    """Return what arrives until the end of the stream, or None after a reset."""
+    received = b""
+    try:
+        while data := await stream.receive_some():
+            received += data
+    except trio.BrokenResourceError:
+        return None
+    return received
+
+
+async def test_old_caller_learns_that_the_answer_behind_a_head_has_ended(bench: Bench) -> None:
+    """Guards against an answer without a length whose connection stays open behind it."""
+    agent = await bench.add_agent("agent-1", BackendKind.SERVICE, "desk")
+    stream = await open_old_call(bench)
+
+    async def serve() -> None:
+        request_id = await send_pieces(agent)
+        await agent.send(End(request_id, PIECES, Completed()))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve)
+        with trio.fail_after(5):
+            received = await read_to_the_end(stream)
+    assert received is not None
+    assert received.endswith(b"\r\n\r\n" + PIECE * PIECES)
