Reset the connection of an old caller whose answer breaks behind its head

A caller of the product's entry over HTTP/1.0 took a part of a service's answer for all of it: the service was lost, or the entry was stopped by force, after a large answer had begun.

Cause: the answer has neither a length nor chunks for such a caller, and the missing last event of the application let Hypercorn end the stream in an orderly way. Callers of HTTP/1.1 and HTTP/2 saw the cut.

Change: if a response is incomplete, the connection of an HTTP/1.0 caller is reset. Framed responses end as before.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/http_server.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/http_server.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import os
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
+import h11
 import logbook
 import trio
 from hypercorn.config import Config
@@ -15,6 +17,7 @@
 from hypercorn.utils import wrap_app
 
 from ragwortwing_runtime.settings_reader import Address
+from ragwortwing_runtime.tcp_sockets import reset
 
 if TYPE_CHECKING:
     from hypercorn.events import Event
@@ -92,6 +95,7 @@
         if isinstance(event, Closed):
             # The task that sent the response may be cancelled once the response is complete.
             with trio.CancelScope(shield=True):
+                self.reset_if_incomplete()
                 await super().protocol_send(event)
             return
         if not isinstance(event, RawData) or self.send_lock.locked():
@@ -106,6 +110,20 @@
         if sent < len(event.data):
             await super().protocol_send(RawData(data=event.data[sent:]))
 
+    def reset_if_incomplete(self) -> None:
+        """Close the connection of an HTTP/1.0 caller with a reset if a response is incomplete.
+
+        Its body may have neither a length nor chunks, and otherwise looks complete where the
+        connection ends.
+        """
+        protocol = getattr(self, "protocol", None)
+        connection = protocol.protocol.connection if protocol is not None else None
+        if not isinstance(connection, h11.Connection) or connection.their_http_version != b"1.0":
+            return
+        if connection.our_state is h11.SEND_BODY or self.send_lock.locked():
+            with suppress(OSError):
+                reset(self.stream.socket)
+
 
 class HttpServer:
     """Accepts callers' connections and closes them on shutdown."""
@@ -114,7 +132,7 @@
         self._config = _hypercorn_config(header_bytes)
         self._application = wrap_app(application, 0, "asgi")
         self._context = WorkerContext(None)
-        self._streams: set[trio.SocketStream] = set()
+        self._connections: set[CallerConnection] = set()
 
     async def run(
         self,
@@ -141,21 +159,23 @@
         """Let idle connections close, then close the remaining ones forcefully."""
         await self._context.terminated.set()
         with trio.move_on_after(CLOSE_TIMEOUT_SECONDS):
-            while self._streams:
+            while self._connections:
                 await trio.sleep(CLOSE_POLL_SECONDS)
         # Hypercorn shields its writes from cancellation. A write to a caller that does not read
         # never ends, and the process would survive a forced stop until it is killed. Closing the
         # socket ends the write.
-        for stream in list(self._streams):
-            await trio.aclose_forcefully(stream)
+        for connection in list(self._connections):
+            connection.reset_if_incomplete()
+            await trio.aclose_forcefully(connection.stream)
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         state = ConnectionState({})
-        self._streams.add(stream)
+        connection = CallerConnection(self._application, self._config, self._context, state, stream)
+        self._connections.add(connection)
         try:
-            await CallerConnection(self._application, self._config, self._context, state, stream)
+            await connection
         finally:
-            self._streams.discard(stream)
+            self._connections.discard(connection)
 
 
 def _format_address(listener: trio.SocketListener) -> str:
--- a/packages/ragwortwing-entry/tests/test_broken_answers.py
+++ b/packages/ragwortwing-entry/tests/test_broken_answers.py
@@ -8,7 +8,7 @@
 from entry_bench import AUTHORIZED
 
 from ragwortwing_entry.request_run import MAX_BUFFERED_ANSWER_BYTES
-from ragwortwing_policy.outcomes import Completed
+from ragwortwing_policy.outcomes import Completed, Unknown, UnknownReason
 from ragwortwing_policy.routing import BackendKind
 from ragwortwing_wire.messages import End, ResponseHead
 
@@ -62,3 +62,34 @@
             received = await read_to_the_end(stream)
     assert received is not None
     assert received.endswith(b"\r\n\r\n" + PIECE * PIECES)
+
+
+async def test_old_caller_learns_that_the_answer_behind_a_head_is_cut(bench: Bench) -> None:
+    """Guards against a part of an answer that ends like a whole one, with its connection."""
+    agent = await bench.add_agent("agent-1", BackendKind.SERVICE, "desk")
+    stream = await open_old_call(bench)
+
+    async def serve() -> None:
+        request_id = await send_pieces(agent)
+        await agent.send(End(request_id, PIECES, Unknown(UnknownReason.BACKEND_LOST)))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve)
+        with trio.fail_after(5):
+            assert await read_to_the_end(stream) is None
+
+
+async def test_forced_stop_does_not_end_an_answer_behind_a_head_like_a_whole_one(
+    bench: Bench,
+) -> None:
+    """Guards against a part of an answer that looks whole because its entry was stopped."""
+    agent = await bench.add_agent("agent-1", BackendKind.SERVICE, "desk")
+    stream = await open_old_call(bench)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(send_pieces, agent)
+        with trio.fail_after(5):
+            assert await stream.receive_some()
+            bench.app.stop()
+            await bench.wait_until(lambda: bench.app.requests.draining)
+            bench.app.stop()
+            assert await read_to_the_end(stream) is None
