Take no answer whose head continues a part of another head

An order that ran was answered 503, as if it had not: before its answer the server had sent the beginning of another one on the kept connection, such as 'HTTP/1.1 503 Full, x-not-executed: 1' without the end of the line. The start of the answer became part of that header's value, and its other headers named the right request.

Change: on a connection that has carried an answer, a head with a status line within its reason or within a value is invalid: the outcome is unknown. Where the part ends elsewhere, h11 finds the head invalid already.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
@@ -185,6 +185,8 @@
     """Bytes by which the answer of a plain server is padded."""
     cut: ResponseCut | None = None
     """Where the connection ends within an answer; None sends answers as they are."""
+    stray_part: bytes = b""
+    """What is sent before each answer but the first one on a connection."""
     crash_point: CrashPoint = CrashPoint.BEFORE_HEAD
     restart_after: float = 2.0
     """Seconds from a crash until the next process serves at the address."""
@@ -369,6 +371,8 @@
         if self.misbehaviour is Misbehaviour.ANSWER_TWICE_LATE and exchange.previous is not None:
             earlier_id = exchange.previous.headers_by_name["x-request-id"]
             await exchange.write_raw(_extra_answer(earlier_id))
+        if exchange.previous is not None and self.stray_part:
+            await exchange.write_raw(self.stray_part)
         body = f"{request_id} by {self.id}".encode() + b"." * self.answer_bytes
         if self.unframed is not None:
             await exchange.write_raw(self._unframed_head(request_id))
--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/http_client.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import re
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,8 @@
 
 KEEP_ALIVE = b"keep-alive"
 
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}")
+
 MAX_HEAD_BYTES = 32_768
 """Maximum bytes of the head of an answer, of the head of a chunk, and of trailers."""
 
@@ -82,6 +85,8 @@
         self._body_sent = False
         self._break: OSError | None = None
         """Why a send failed if the connection broke."""
+        self._is_reused = False
+        """Whether it has carried an earlier answer."""
         self.request_ids: set[str] = set()
         """Ids of the requests that it has carried."""
         self.is_suspect = False
@@ -139,6 +144,8 @@
         for _ in range(1 + MAX_INTERIM_ANSWERS):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if self._is_reused and _contains_status_line(event):
+                    raise ConnectionLostError("head within a part of another head")
                 self._read_idle_limit(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
@@ -173,7 +180,7 @@
         same request, continues with the bytes after the first answer. It only needs the method: a
         head that announces a body would demand that the body is sent again.
         """
-        self.is_suspect = True
+        self.is_suspect = self._is_reused = True
         rest, ended = self._h11.trailing_data
         assert self._request is not None
         method, target = self._request.method, self._request.target
@@ -195,6 +202,7 @@
         except h11.LocalProtocolError:
             return False
         self._framing_left = MAX_FRAMING_BYTES
+        self._is_reused = True
         self.idle_since = now
         return True
 
@@ -249,5 +257,11 @@
                 self.idle_limit = float(seconds)
 
 
+def _contains_status_line(response: h11.Response) -> bool:
+    """Return whether a part of another head precedes that of the answer, and took in its start."""
+    values = (response.reason, *(value for _, value in response.headers))
+    return any(STATUS_LINE.search(value) for value in values)
+
+
 def _parser() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
