Refuse offsets of the store that exceed 64 bits

The next status could not be encoded (OverflowError) and every process ended.

Change: such a page is an invalid answer of the store and is read again. The stand-in for the store can change the fields of its answers; the steps that tests of records share moved to the site.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/platform_site.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/platform_site.py
@@ -415,6 +415,12 @@
         await entry.wait_until(entry.is_ready)
         return entry
 
+    async def start_pair(self) -> list[EntryProcess]:
+        """Start two backend servers and two entries, and wait until the entries are ready."""
+        for number in range(2):
+            await self.add_backend(f"i-{number}", DESK)
+        return [await self.ready_entry(name) for name in ("entry-1", "entry-2")]
+
     def kill_entries(self) -> None:
         """Kill every entry that still runs, including frozen ones."""
         for entry in self.entries:
@@ -433,6 +439,17 @@
         await caller.leave()
 
 
+async def check_all_served(entries: list[EntryProcess], requests: int = 4) -> None:
+    """Send lookups and orders to each entry; every one has to be served."""
+    for entry in entries:
+        for number in range(requests):
+            for path, method in (("/lookup/", "GET"), ("/order/", "POST")):
+                got = await call(entry, path, f"{entry.name}{path}{number}", method=method)
+                assert got.status == 200, (entry.name, path, number)
+        assert entry.handle.poll() is None
+        assert not entry.lines("request_handling_failed")
+
+
 async def until(condition: Callable[[], bool]) -> None:
     """Poll until a condition holds; fails after `WAIT_LIMIT` seconds."""
     with trio.fail_after(WAIT_LIMIT):
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_store.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_store.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import StrEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import click
 import msgspec
@@ -81,6 +81,8 @@
         self.counts: Counter[str] = Counter()
         self.faults = Faults()
         self.control = control_app(self.faults, self.state, self.on_fault)
+        self.changes_by_path: dict[str, Callable[[dict[str, Any]], dict[str, Any]]] = {}
+        """Functions that change the fields of successful answers, as a faulty store does."""
         self._default_rate = self.log.appends_per_second
         self._newest_by_topic: dict[str, dict[str, tuple[bytes, int]]] = {}
         self._groups_by_name: dict[str, _Group] = {}
@@ -227,7 +229,9 @@
             await exchange.respond_json(410, {"first": stored.first_offset})
             return
         self.counts["reads"] += 1
-        head = stored.next_offset.to_bytes(8, "big") + stored.first_offset.to_bytes(8, "big")
+        fields = {"end": stored.next_offset, "first": stored.first_offset}
+        fields = self._changed(exchange, fields)
+        head = fields["end"].to_bytes(8, "big") + fields["first"].to_bytes(8, "big")
         start = offset - stored.first_offset
         payloads = [stored.records[index].payload for index in range(start, len(stored.records))]
         body = b"".join(len(each).to_bytes(4, "big") + each for each in payloads)
@@ -243,7 +247,8 @@
             if key > after
         ]
         end = self._stream(exchange).next_offset
-        await exchange.respond_json(200, {"entries": entries, "has_more": False, "end": end})
+        fields = {"entries": entries, "has_more": False, "end": end}
+        await exchange.respond_json(200, self._changed(exchange, fields))
 
     async def _on_join(self, exchange: Exchange) -> None:
         body = msgspec.json.decode(exchange.request.body)
@@ -259,7 +264,8 @@
             for topic, part, name, offset in _owner_rows(group)
             if name == body["member"]
         ]
-        await exchange.respond_json(200, {"generation": group.generation, "parts": rows})
+        fields = {"generation": group.generation, "parts": rows}
+        await exchange.respond_json(200, self._changed(exchange, fields))
 
     async def _on_leave(self, exchange: Exchange) -> None:
         body = msgspec.json.decode(exchange.request.body)
@@ -270,7 +276,13 @@
 
     async def _on_owners(self, exchange: Exchange) -> None:
         group = self._group(exchange.request.query["group"][0])
-        await exchange.respond_json(200, {"parts": list(_owner_rows(group))})
+        fields = {"parts": list(_owner_rows(group))}
+        await exchange.respond_json(200, self._changed(exchange, fields))
+
+    def _changed(self, exchange: Exchange, fields: dict[str, Any]) -> dict[str, Any]:
+        """Return the fields of an answer as the store sends them."""
+        change = self.changes_by_path.get(exchange.request.path)
+        return fields if change is None else change(fields)
 
     def _group(self, name: str) -> _Group:
         group = self._groups_by_name.setdefault(name, _Group())
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/decoding.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/decoding.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING, Annotated, TypeVar
+
+import msgspec
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 T = TypeVar("T")
 
+MAX_INT64 = (1 << 63) - 1
+
+Offset = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT64)]
+"""Offset in a log. Larger numbers cannot be encoded in datagrams."""
+
 MAX_CAUSE_LENGTH = 200
 """Maximum characters of the cause, which may quote the data."""
 
