--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
@@ -74,6 +74,9 @@
         self._backoff = Backoff(random, FIRST_WAIT, timedelta(seconds=IDLE_RETRY))
         self._keys: set[str] = set()
         self._offset: int | None = None
+        self._snapshot_read_at = -BURST_INTERVAL
+        self._is_confirmed = False
+        """Whether the log is known to reach the end of the last snapshot."""
         self._lost_at: float | None = None
         self.heard_at = 0.0
         """Monotonic time of the store's last answer."""
@@ -97,6 +100,7 @@
             except HistoryLostError:
                 decided("history_lost", topic=self._topic, offset=self._offset)
                 self._offset = None
+                await self._wait_after_snapshot()
             except StoreError as error:
                 self._on_failure(error)
                 await self._timing.wait_to_retry(self._backoff)
@@ -126,7 +130,7 @@
             return
         if self._is_snapshot_smaller():
             await self._read_snapshot()
-            await trio.sleep(max(0.0, now + BURST_INTERVAL - self._clock.monotonic()))
+            await self._wait_after_snapshot()
             return
         if self._lost_at is None and self._watch.follows(now):
             await self._timing.wait_until_store_needed()
@@ -135,12 +139,23 @@
             await trio.sleep(max(0.0, BURST_INTERVAL - transfer.duration()))
 
     async def _read_snapshot(self) -> None:
+        self._snapshot_read_at = self._clock.monotonic()
         snapshot = await self._snapshot.read()
         self._on_answer()
         self._keys.update(record.key for record in snapshot.records)
         self._on_snapshot(snapshot)
         self._offset = max(snapshot.end, self._offset or 0)
-        self._watch.reached(self._topic, self._offset, self.heard_at)
+        # The end may lie beyond the log, and once it is reported, the other entries wait for records
+        # up to it. Without a record or an entry that has reached it, it counts only after a read.
+        newest = max((record.offset for record in snapshot.records), default=-1)
+        known_end = max(newest + 1, self._watch.peer_position(self._topic))
+        self._is_confirmed = snapshot.end <= known_end
+        self._watch.reached(self._topic, min(snapshot.end, known_end), self.heard_at)
+
+    async def _wait_after_snapshot(self) -> None:
+        """Wait until the next snapshot may be read."""
+        ends = self._snapshot_read_at + BURST_INTERVAL
+        await trio.sleep(max(0.0, ends - self._clock.monotonic()))
 
     def _is_snapshot_smaller(self) -> bool:
         """Return whether a snapshot is smaller than the records that this entry is missing.
@@ -149,11 +164,12 @@
         leave the entry further behind with each one.
         """
         behind = self._watch.records_behind(self._topic)
-        return bool(self._keys) and behind > SNAPSHOT_OVERHEAD * len(self._keys)
+        return self._is_confirmed and bool(self._keys) and behind > SNAPSHOT_OVERHEAD * len(self._keys)
 
     def _on_read(self, found: FeedRecords) -> None:
         """Apply the records that the store has sent so far, and relay them."""
         self._on_answer()
+        self._is_confirmed = True
         self._apply_records(found)
         self._watch.reached(self._topic, found.end, self.heard_at)
         self._relay.send(self._topic, found)
@@ -185,7 +201,8 @@
             try:
                 # A store without new records answers only after the wait. After a failure the read
                 # does not wait, so that the end of an outage and its time are noticed at once.
-                wait = 0.0 if self._lost_at is not None else self._timing.read_wait()
+                waits = self._lost_at is None and self._is_confirmed
+                wait = self._timing.read_wait() if waits else 0.0
                 await self._store.read(self._topic, offset, wait, transfer)
                 completed = True
             except StoreError as error:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/feed_watch.py
@@ -292,6 +292,10 @@
             position > self._position_by_feed.get(feed, -1) and now - reported_at > CATCH_UP_DELAY
         )
 
+    def peer_position(self, feed: str) -> int:
+        """Return the furthest position in a feed that another entry has reported; -1 if none."""
+        return self._peer_position_by_feed.get(feed, (-1, 0.0))[0]
+
     def records_behind(self, feed: str) -> int:
         """Return how many records of a feed other entries have read and this one has not."""
         position, _ = self._peer_position_by_feed.get(feed, (-1, 0.0))
