--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/snapshot_reader.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/snapshot_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from .decision_log import decided
@@ -37,7 +38,7 @@
         while True:
             page = await self._read_page()
             self._end = page.end if self._end is None else min(self._end, page.end)
-            self._records.extend(page.records)
+            self._records.extend(_within(record, page.end) for record in page.records)
             self._after = page.next_after
             if self._after is None:
                 snapshot = Snapshot(tuple(self._records), self._end)
@@ -53,3 +54,8 @@
                     raise
                 decided("page_asked_again", after=self._after, cause=error.cause)
         return await self._store.newest_page(self._topic, self._after)
+
+
+def _within(record: FeedRecord, end: int) -> FeedRecord:
+    """Return a record with an offset that no later record of its key precedes."""
+    return record if record.offset <= end else replace(record, offset=end)
