--- a/packages/ragwortwing-policy/src/ragwortwing_policy/decoding.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/decoding.py
@@ -16,6 +16,13 @@
 Offset = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT64)]
 """Offset in a log. Larger numbers cannot be encoded in datagrams."""
 
+Int64 = Annotated[int, msgspec.Meta(ge=-MAX_INT64 - 1, le=MAX_INT64)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 53)]
+"""Number that a float holds exactly."""
+
+Milliseconds = Annotated[float, msgspec.Meta(gt=0)]
+Weight = Annotated[float, msgspec.Meta(ge=0, le=1 << 53)]
+
 MAX_CAUSE_LENGTH = 200
 """Maximum characters of the cause, which may quote the data."""
 
