Decode the rows of the store's owners one by one

Cause: the rows were decoded as one list, so that one of another type or length hid all members of the group: an entry sent the others nothing, neither its load nor records of the feeds.

Change: a row that cannot be decoded names no member; the rest of them hold. One line states how many there were. The decoding of answers moved from the platform's client to the entry's package.

--- /dev/null
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/store_answers.py
@@ -0,0 +1,62 @@
+"""Decodes answers of the store, which contain names that any process may have written."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeVar
+
+import msgspec
+
+from ragwortwing_policy.decoding import InvalidDataError, checked_decoder
+
+from .decision_log import warned
+from .store_port import StoreError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+T = TypeVar("T")
+
+OWNERS_CALL = "GET /log-owners"
+
+
+def decode_answer(call: str, data: bytes, kind: type[T]) -> T:
+    """Decode the JSON of an answer.
+
+    Raises:
+        StoreError: The answer is invalid.
+    """
+    decode = checked_decoder(msgspec.json.Decoder(kind).decode)
+    try:
+        return decode(data)
+    except InvalidDataError as error:
+        raise StoreError(call, f"invalid answer: {error.cause}", 200) from error
+
+
+_decode_rows = checked_decoder(msgspec.json.Decoder(list[msgspec.Raw]).decode)
+_decode_row = checked_decoder(msgspec.json.Decoder(tuple[str, int, str | None, int | None]).decode)
+
+
+def owner_names(data: bytes) -> Iterator[str]:
+    """Yield the members from rows of topic, partition, member and offset.
+
+    A row that cannot be decoded names no member.
+
+    Raises:
+        StoreError: The answer is invalid.
+    """
+    unreadable = 0
+    for value in decode_answer(OWNERS_CALL, data, dict[str, msgspec.Raw]).values():
+        try:
+            rows = _decode_rows(bytes(value))
+        except InvalidDataError:
+            continue
+        for row in rows:
+            try:
+                _, _, member, _ = _decode_row(bytes(row))
+            except InvalidDataError:
+                unreadable += 1
+                continue
+            if member:
+                yield member
+    if unreadable:
+        warned("owner_rows_unreadable", call=OWNERS_CALL, rows=unreadable)
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -19,12 +19,13 @@
 from ragwortwing_entry.direct import peer_messages
 from ragwortwing_entry.direct.event_splitter import EventSplitter, EventStreamError
 from ragwortwing_entry.direct.log_lines import read_log_lines
+from ragwortwing_entry.direct.store_answers import decode_answer, owner_names
 from ragwortwing_entry.direct.store_port import StoreError
 from ragwortwing_lab.standins.platform_site import configuration
 from ragwortwing_platform.documents import DocumentError, decode_backend, decode_configuration
 from ragwortwing_platform.product_services import _decode_lines
 from ragwortwing_platform.settings import SettingsError, read_settings
-from ragwortwing_platform.store import Joined, _decode, _NewestPage, _owner_names
+from ragwortwing_platform.store import Joined, _NewestPage
 from ragwortwing_policy.configuration_log import Publication, decode_entry, encode_entry
 from ragwortwing_policy.decoding import InvalidDataError
 from ragwortwing_policy.duties.duty_record import (
@@ -103,17 +104,17 @@
         decode_state, encode_state(UsageState(5, {6: {"a": 1}})), (UsageStateError,)
     ),
     "page of a snapshot": DecoderCase(
-        lambda data: _decode("call", data, _NewestPage),
+        lambda data: decode_answer("call", data, _NewestPage),
         b'{"entries": [{"key": "a", "value": "e30=", "offset": 3}], "end": 4}',
         (StoreError,),
     ),
     "answer to joining": DecoderCase(
-        lambda data: _decode("call", data, Joined),
+        lambda data: decode_answer("call", data, Joined),
         b'{"generation": 3, "parts": [["entries", 0, 0]]}',
         (StoreError,),
     ),
     "owners": DecoderCase(
-        lambda data: list(_owner_names(data)),
+        lambda data: list(owner_names(data)),
         b'{"parts": [["entries", 0, "entry-1@10.0.0.1", 0]]}',
         (StoreError,),
     ),
