Read answers of the store that contain invalid text

Cause: a key or a member's name that is no valid UTF-8 appears in an answer of the store as an unpaired surrogate or as it is, which made the whole page or list invalid. No entry started beside such a key.

Change: invalid text becomes U+FFFD, as in the records of the log; the other rows hold.

Measured: test_unusable_key_does_not_hold_up_the_rest_of_its_page (not ready after 20 s) and test_unusable_row_of_the_owners_leaves_the_other_members_known[surrogate] failed before, pass after.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/store_answers.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/store_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
@@ -18,14 +19,31 @@
 
 OWNERS_CALL = "GET /log-owners"
 
+_ESCAPE = re.compile(
+    r"(\\u[dD][89abAB][\da-fA-F]{2}\\u[dD][c-fC-F][\da-fA-F]{2}"  # a pair of surrogates
+    r"|\\[^u]|\\u(?![dD][89a-fA-F]))"
+    r"|\\u[\da-fA-F]{4}"
+)
+
 
 def decode_answer(call: str, data: bytes, kind: type[T]) -> T:
     """Decode the JSON of an answer.
 
+    Text that is invalid in Unicode, such as a key of another writer, contains U+FFFD instead.
+
     Raises:
         StoreError: The answer is invalid.
+
+    Example:
+        >>> decode_answer("call", b'["\\\\ud800", "\\xff", "\\\\ud83c\\\\udf3f"]', list[str])
+        ['\ufffd', '\ufffd', '\U0001f33f']
     """
     decode = checked_decoder(msgspec.json.Decoder(kind).decode)
+    try:
+        return decode(data)
+    except InvalidDataError:
+        text = data.decode("utf-8", "replace")
+        data = _ESCAPE.sub(lambda found: found[1] or "\\ufffd", text).encode()
     try:
         return decode(data)
     except InvalidDataError as error:
