Refuse usage windows and counts that no float holds

Cause: the state of the usage duty was valid by its types alone. A window of 400 digits raised OverflowError where its end is computed, out of the duty's task: each entry that took the duty over ended, and after its start again. A last window beyond 64 bits stopped the reports.

Change: windows and counts have at most 53 bits; another state is unreadable, and the duty begins anew as after any unreadable one.

Measured: test_unusable_record_of_a_duty_does_not_stop_the_duty[window of 400 digits] (both entries ended with status 1 within 8 s) and [last window beyond 64 bits] failed before, pass after.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/duties/usage_windows.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/duties/usage_windows.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from ragwortwing_policy.decoding import InvalidDataError, checked_decoder
+from ragwortwing_policy.decoding import Count, InvalidDataError, checked_decoder
 
 from .usage_counts import WINDOWS_KEPT
 
@@ -29,9 +29,9 @@
 class UsageState(msgspec.Struct, frozen=True):
     """The windows whose counts are final; a fixed window is never counted again."""
 
-    fixed_through: int
+    fixed_through: Count
     """Every window up to this one is fixed or was abandoned."""
-    unsent: dict[int, dict[str, int]] = {}
+    unsent: dict[Count, dict[str, Count]] = {}
     """Fixed counts by window and account that are not known to be delivered."""
 
     def without(self, window: int) -> UsageState:
