Refuse a state of the usage duty with windows of the future

Cause: a window up to the last one of the state is never counted again, so that a state with a last window in the far future stopped the reports for good. Windows of the far future displaced the real ones, as the newest are kept.

Change: a state is unreadable if a window has not ended, by more windows than are kept.

Measured: test_unusable_record_of_a_duty_does_not_stop_the_duty[last window of the far future] and [windows of the far future] failed before (no report in 20 s), pass after.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/duties/usage_duty.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/duties/usage_duty.py
@@ -111,6 +111,8 @@
             return self._decoded[1]
         try:
             state = decode_state(data)
+            if state is not None:
+                self._windows.check(state, self._entry_state.fleet_time.unix_time())
         except UsageStateError as error:
             warned("usage_state_unreadable", cause=error.cause)
             state = None
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/duties/usage_windows.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/duties/usage_windows.py
@@ -19,7 +19,7 @@
 
 
 class UsageStateError(Exception):
-    """A state in the log that cannot be decoded."""
+    """A state in the log that cannot be decoded, or that has windows of the future."""
 
     def __init__(self, cause: str) -> None:
         super().__init__(cause)
@@ -88,6 +88,22 @@
         self._terms = terms
         self._ledger = ledger
 
+    def check(self, state: UsageState, unix_time: float) -> None:
+        """Check that the windows of a state can have ended, also by another entry's clock.
+
+        No window would be reported until the time of the last one, and windows of the future would
+        take the place of others.
+
+        Raises:
+            UsageStateError: A window has not ended.
+        """
+        newest = max(state.fixed_through, *state.unsent, 0)
+        if newest > self._last_ended(unix_time) + WINDOWS_KEPT:
+            raise UsageStateError(f"window {newest} has not ended")
+
+    def _last_ended(self, unix_time: float) -> int:
+        return int(unix_time // self._terms.window.total_seconds()) - 1
+
     def next_state(
         self, state: UsageState | None, unix_time: float, senders: frozenset[str]
     ) -> UsageState | None:
@@ -103,7 +119,7 @@
             return None
         if state is not None:
             first = max(first, state.fixed_through + 1)
-        last_ended = int(unix_time // self._terms.window.total_seconds()) - 1
+        last_ended = self._last_ended(unix_time)
         first = max(first, last_ended - WINDOWS_KEPT + 1)
         fixed: dict[int, dict[str, int]] = {}
         for window in range(first, last_ended + 1):
