Bound the log lines of records that cannot be used

Cause: a usable record of a key ended the suppression of further lines, so that a key whose records alternate at each heartbeat logged a line for each unusable one. The keys that were logged were kept without a limit.

Change: a key is reported once in 60 s, and 256 keys within that; the counter has all records.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/record_guard.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/record_guard.py
@@ -11,10 +11,18 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ragwortwing_policy.clock import Instant
+
     from .entry_state import EntryState
     from .feed_relay import FeedRecord
     from .store_port import Snapshot
 
+REPORT_INTERVAL = 60.0
+"""Seconds between two reports of unusable records under one key."""
+
+MAX_REPORTED_KEYS = 256
+"""Maximum keys that are reported within the interval; records of further keys are only counted."""
+
 
 class RecordGuard:
     """Keeps a record that cannot be used from ending the process, and reports it.
@@ -50,7 +58,8 @@
         self._position = 0
         """Offset up to which every record has been applied or skipped."""
         self._unusable_by_topic = state.unusable_by_topic
-        self._reported_keys: set[str] = set()
+        self._clock = state.clock
+        self._reported_at_by_key: dict[str, Instant] = {}
 
     def apply_snapshot(self, snapshot: Snapshot) -> None:
         """Apply the records of a snapshot."""
@@ -62,12 +71,15 @@
             self._on_gap()
 
     def apply(self, record: FeedRecord) -> None:
-        """Apply a record; the first of several unusable ones under a key is logged."""
+        """Apply a record; the first of several unusable ones under a key is logged.
+
+        The next one is logged after an interval, even if usable ones were applied in between.
+        """
         self._position = max(self._position, record.offset + 1)
         try:
             self._apply(record)
         except InvalidDataError as error:
-            if self._is_first(record):
+            if self._is_report_due(record.key):
                 warned(
                     f"{self._kind}_unreadable",
                     topic=self._topic,
@@ -77,14 +89,17 @@
                 )
             self._discard(record.key)
         except Exception:  # noqa: BLE001 - one record must not end the process and its requests
-            if self._is_first(record):
+            if self._is_report_due(record.key):
                 failed("record_handling_failed", topic=self._topic, key=record.key)
             self._discard(record.key)
-        else:
-            self._reported_keys.discard(record.key)
 
-    def _is_first(self, record: FeedRecord) -> bool:
+    def _is_report_due(self, key: str) -> bool:
         self._unusable_by_topic[self._topic] += 1
-        is_first = record.key not in self._reported_keys
-        self._reported_keys.add(record.key)
-        return is_first
+        now = self._clock.monotonic()
+        reported = self._reported_at_by_key
+        while reported and now - next(iter(reported.values())) >= REPORT_INTERVAL:
+            del reported[next(iter(reported))]
+        if key in reported or len(reported) >= MAX_REPORTED_KEYS:
+            return False
+        reported[key] = now
+        return True
