--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
@@ -183,7 +183,10 @@
 
     def _apply_records(self, found: FeedRecords) -> None:
         for record in found.records:
-            self._keys.add(record.key)
+            if record.value is None:
+                self._keys.discard(record.key)
+            else:
+                self._keys.add(record.key)
             self._on_record(record)
         self._offset = max(found.end, self._offset or 0)
 
