--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/store_answers.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/store_answers.py
@@ -27,7 +27,7 @@
 
 
 def decode_answer(call: str, data: bytes, kind: type[T]) -> T:
-    """Decode the JSON of an answer.
+    r"""Decode the JSON of an answer.
 
     Text that is invalid in Unicode, such as a key of another writer, contains U+FFFD instead.
 
@@ -35,8 +35,8 @@
         StoreError: The answer is invalid.
 
     Example:
-        >>> decode_answer("call", b'["\\\\ud800", "\\xff", "\\\\ud83c\\\\udf3f"]', list[str])
-        ['\ufffd', '\ufffd', '\U0001f33f']
+        >>> decode_answer("call", b'["\\ud800", "\\u0061", "\\ud83c\\udf3f"]', list[str])
+        ['�', 'a', '🌿']
     """
     decode = checked_decoder(msgspec.json.Decoder(kind).decode)
     try:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
@@ -145,8 +145,8 @@
         self._keys.update(record.key for record in snapshot.records)
         self._on_snapshot(snapshot)
         self._offset = max(snapshot.end, self._offset or 0)
-        # The end may lie beyond the log, and once it is reported, the other entries wait for records
-        # up to it. Without a record or an entry that has reached it, it counts only after a read.
+        # The end may lie beyond the log, and once it is reported, the other entries wait for
+        # records up to it. Unless a record or an entry has reached it, it counts after a read.
         newest = max((record.offset for record in snapshot.records), default=-1)
         known_end = max(newest + 1, self._watch.peer_position(self._topic))
         self._is_confirmed = snapshot.end <= known_end
@@ -164,7 +164,9 @@
         leave the entry further behind with each one.
         """
         behind = self._watch.records_behind(self._topic)
-        return self._is_confirmed and bool(self._keys) and behind > SNAPSHOT_OVERHEAD * len(self._keys)
+        return (
+            self._is_confirmed and bool(self._keys) and behind > SNAPSHOT_OVERHEAD * len(self._keys)
+        )
 
     def _on_read(self, found: FeedRecords) -> None:
         """Apply the records that the store has sent so far, and relay them."""
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -238,6 +238,7 @@
     {"address": "10.0.0.1:" + "9" * MANY_DIGITS},
     {"address": "10.0.0.1:\u0661\u0662"},
     {"slots": -1},
+    {"slots": 10**30},
     {"born": -1},
     {"born": 10**19},
     {"zone": "x" * 100_000},
