--- a/packages/ragwortwing-agent/tests/test_broken_heads.py
+++ b/packages/ragwortwing-agent/tests/test_broken_heads.py
@@ -11,9 +11,17 @@
 import pytest
 import trio
 from agent_harness import agent_bench, agent_settings
+from click.testing import CliRunner
 
+from ragwortwing_agent.__main__ import UNREACHABLE_EXIT_CODE, main
 from ragwortwing_agent.backend_client import BackendCallError, BackendClient, CallFailure
-from ragwortwing_lab.standins.http_server import RESET_ON_CLOSE
+from ragwortwing_lab.standins.faults import Faults
+from ragwortwing_lab.standins.http_server import (
+    RESET_ON_CLOSE,
+    ConnectionCutError,
+    Exchange,
+    serve_http,
+)
 from ragwortwing_lab.standins.response_cuts import HEAD_PLACES, cut_after, head_cut
 from ragwortwing_policy.outcomes import Failed, FailedReason, Unknown, UnknownReason
 
@@ -96,8 +104,8 @@
         nursery.cancel_scope.cancel()
 
 
-async def body_of_answer(client: BackendClient) -> bytes:
-    call = client.call("POST", "/orders", (), LARGE_BODY, timedelta(seconds=5), lambda: None)
+async def body_of_answer(client: BackendClient, body: bytes = LARGE_BODY) -> bytes:
+    call = client.call("POST", "/orders", (), body, timedelta(seconds=5), lambda: None)
     async with call as answer:
         return b"".join([data async for data in answer.iter_body()])
 
@@ -122,3 +130,55 @@
     answer = b"HTTP/1.1 413 Too Large\r\ncontent-length: 4\r\n\r\nlong"
     async with resetting_server(answer, ends=False) as client:
         assert await body_of_answer(client) == b"long"
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n"
+
+
+@pytest.mark.parametrize("resets", [False, True])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 100 Continue\r\n",
+        b"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 0\r\n",
+        b"HTTP/1.1 101 Switching\r\nupgrade: x\r\n\r\n",
+        b"HTTP/1.0 200 OK\r\nx-a: b\r\n",
+        CHUNKED,
+        CHUNKED + b"0\r\n",
+        CHUNKED + b"0\r\nx-trailer: a\r\n",
+    ],
+)
+async def test_interim_heads_and_trailers_that_stop_midway_are_no_answer(
+    answer: bytes, resets: bool
+) -> None:
+    """Guards against a part of an answer that the agent's client takes for all of it."""
+
+    async def handle(exchange: Exchange) -> None:
+        await exchange.write_raw(answer)
+        raise ConnectionCutError(resets=resets)
+
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(partial(serve_http, handle, Faults(), 0))
+        client = BackendClient(agent_settings(address, "service").backend)
+        with pytest.raises(BackendCallError) as caught:
+            await body_of_answer(client, b"{}")
+        assert caught.value.failure is CallFailure.LOST
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("resets", [False, True])
+@pytest.mark.parametrize("place", HEAD_PLACES)
+async def test_operator_command_prints_nothing_of_a_broken_head(place: str, resets: bool) -> None:
+    """Guards against an empty status that an operator takes for that of the agent."""
+
+    async def handle(exchange: Exchange) -> None:
+        exchange.cut = head_cut(place, resets=resets)
+        await exchange.respond_json(200, {"state": "ready"})
+
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(partial(serve_http, handle, Faults(), 0))
+        invoke = partial(CliRunner().invoke, main, ["status", "--address", address])
+        result = await trio.to_thread.run_sync(invoke)
+        assert result.exit_code == UNREACHABLE_EXIT_CODE
+        assert result.stdout == ""
+        nursery.cancel_scope.cancel()
--- a/packages/ragwortwing-agent/tests/test_engine_admin.py
+++ b/packages/ragwortwing-agent/tests/test_engine_admin.py
@@ -17,6 +17,7 @@
 from ragwortwing_lab.standins.engine import EngineStandIn, serve_engine
 from ragwortwing_lab.standins.faults import Fault, FaultKind
 from ragwortwing_lab.standins.in_process import running_store
+from ragwortwing_lab.standins.response_cuts import head_cut
 from ragwortwing_platform.product_services import StoreServices
 from ragwortwing_policy.configuration import Model
 from ragwortwing_runtime.system_clock import SystemClock
@@ -118,3 +119,18 @@
 
         await wait_until(was_sent_again)
     assert engine.orders[0] == engine.orders[1]
+
+
+@pytest.mark.parametrize("resets", [False, True])
+async def test_order_whose_answer_has_a_broken_head_is_sent_again(resets: bool) -> None:
+    """Guards against an order that counts as accepted by a part of the engine's answer."""
+    async with engine_and_log(True) as (engine, _, start_admin):
+        engine.cut = head_cut("after the framing", resets=resets)
+        clock, _ = start_admin("agent-1/0")
+
+        def was_sent_again() -> bool:
+            clock.offset_seconds += 1.0
+            return len(engine.orders) >= 2
+
+        await wait_until(was_sent_again)
+    assert engine.orders[0] == engine.orders[1]
