Judge contents without the ends that a blocked attempt explains

test_request_that_ends_servers_is_kept_from_them[/draft/-25-0.0] failed on and on, each time beside other runs; their logs are not kept. It also fails alone: sound requests are refused with 502 servers_ended.

Cause, by the logs of all three entries of such a failed run: the sound streams of the route all ask for the same. Those that a crash broke off resumed at the server that got the deadly request next, so the content was under all three ends, too, each time sent after the end before. The report of the third end held both; the ledger blocked the attempt and, in the same pass, the content, as it discounted the ends that the block explains only afterwards. The other check, for a single attempt under the same ends, no longer saw the attempt, whose evidence the block had replaced.

Change: attempts are judged first and the ends that they explain are discounted from other requests before contents are judged.

The new test of the ledger failed before.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/request_ledger.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/request_ledger.py
@@ -158,16 +158,9 @@
         for each in lost:
             for name in each.names:
                 self._suspect(name, each, process, at)
-        blocks: list[RequestBlock] = []
-        names = {name for each in lost for name in each.names}
-        # A blocked attempt explains the ends under it: what it shares with others is judged last.
-        for name in sorted(names, key=lambda each: (each.kind is NameKind.CONTENT, each.value)):
-            if self._is_conclusive(name) and not self._may_be_explained(name, process):
-                blocks.append(self._block(name, now))
-        blocked = {block.name for block in blocks}
-        kept = {name for each in lost if blocked.intersection(each.names) for name in each.names}
-        self._discount({process for block in blocks for process in block.processes}, kept)
-        return tuple(blocks)
+        # A blocked attempt explains the ends under it: contents are judged without these.
+        attempts = self._judge(NameKind.ATTEMPT, lost, process, now)
+        return attempts + self._judge(NameKind.CONTENT, lost, process, now)
 
     def record_answer(self, names: Iterable[RequestName], at: Instant) -> RequestNames:
         """Record a complete answer; return the names against which there was evidence."""
@@ -250,6 +243,21 @@
                 last_at = end.at
         return counted
 
+    def _judge(
+        self, kind: NameKind, lost: Iterable[LostRequest], process: str, now: Instant
+    ) -> tuple[RequestBlock, ...]:
+        """Block the names of a kind whose evidence suffices; discount what their blocks explain."""
+        names = sorted({name for each in lost for name in each.names if name.kind is kind})
+        blocks = tuple(
+            self._block(name, now)
+            for name in names
+            if self._is_conclusive(name) and not self._may_be_explained(name, process)
+        )
+        blocked = {block.name for block in blocks}
+        kept = {name for each in lost if blocked.intersection(each.names) for name in each.names}
+        self._discount({process for block in blocks for process in block.processes}, kept)
+        return blocks
+
     def _is_conclusive(self, name: RequestName) -> bool:
         counted = self._counted(name)
         if len(counted) < ENDS_TO_BLOCK:
--- a/packages/ragwortwing-policy/tests/direct/test_request_ledger.py
+++ b/packages/ragwortwing-policy/tests/direct/test_request_ledger.py
@@ -92,6 +92,15 @@
     assert not history.is_blocked(names("sound-10", "lookup"))
 
 
+def test_sound_requests_are_not_blamed_with_the_attempt_that_the_same_report_blocks() -> None:
+    """Guards against sound requests refused as their content was under every end of an attempt."""
+    history = History()
+    for tick in range(ENDS_TO_BLOCK):
+        history.end(tick / 20, names(f"sound-{tick}", "lookup"), names("a"))
+    assert history.is_blocked(names("a"))
+    assert not history.is_blocked(names("sound-9", "lookup"))
+
+
 def test_content_is_blocked_by_the_third_end_under_several_of_its_attempts() -> None:
     """Guards against an attempt of the same content that is taken for another explanation."""
     history = History()
