Give the backend servers of a platform site reserved addresses

A stand-in server that crashed gave back an ephemeral port of 127.0.0.1 and took it again up to 2 s later.

Change: each server of a site has an address of the site's reserved range and a fixed port there, as entries have; next_address hands them out. The store and the usage API keep ephemeral ports, which they hold until the test ends.

Measured: the new test fails before with that error in the restarted server.

--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/http_server.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/http_server.py
@@ -25,6 +25,7 @@
     from .faults import Faults
 
 from .faults import FaultKind
+from .loopback import LOOPBACK
 
 READ_SIZE = 65_536
 JSON_TYPE = (b"content-type", b"application/json")
@@ -146,6 +147,7 @@
     port: int,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
     send_buffer: int | None = None,
+    host: str = LOOPBACK,
 ) -> None:
     """Serve on loopback until cancelled; reports its `ip:port` through `task_status`.
 
@@ -156,6 +158,7 @@
         task_status: Told the address once it listens.
         send_buffer: Bytes that the kernel may hold for a client; by default its choice, some MB on
             loopback.
+        host: Loopback address to listen on.
     """
 
     async def serve_connection(stream: trio.SocketStream) -> None:
@@ -170,10 +173,10 @@
         except h11.RemoteProtocolError:
             await trio.aclose_forcefully(stream)
 
-    listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
+    listeners = await trio.open_tcp_listeners(port, host=host)
     if send_buffer is not None:
         listeners[0].socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer)
-    host, bound_port = listeners[0].socket.getsockname()[:2]
+    bound_port = listeners[0].socket.getsockname()[1]
     async with trio.open_nursery() as nursery:
         await nursery.start(trio.serve_listeners, serve_connection, listeners)
         task_status.started(f"{host}:{bound_port}")
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/loopback.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/loopback.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import socket
+from itertools import count
 from random import Random
 
+LOOPBACK = "127.0.0.1"
+
 RESERVATION_PORT = 20_080
 """Port on the first address of a range; whoever is bound to it owns the range."""
 
@@ -38,6 +41,7 @@
             except OSError:
                 self._reservation.close()
             else:
+                self._numbers = count()
                 return
         raise LoopbackRangeError(f"no free range in {MAX_ATTEMPTS} attempts")
 
@@ -47,6 +51,10 @@
             raise ValueError(f"a range has 253 addresses, not {number + 1}")
         return f"{self.prefix}.{number + 2}"
 
+    def next_address(self) -> str:
+        """Return the first address that this method has not returned before."""
+        return self.address(next(self._numbers))
+
     def close(self) -> None:
         """Release the range."""
         self._reservation.close()
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/platform_site.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/platform_site.py
@@ -51,6 +51,7 @@
 READINESS_PORT = 20_082
 METRICS_PORT = 20_083
 PEER_PORT = 20_084
+BACKEND_PORT = 20_085
 
 WAIT_LIMIT = 20.0
 """Seconds to wait for any condition; only prevents a hang."""
@@ -336,7 +337,7 @@
     store: PublishedStore
     store_address: str
     addresses: LoopbackRange
-    """Addresses of the entries."""
+    """Addresses of the entries and of the backend servers."""
     grace: float = 3.0
     """Seconds that an entry may take to shut down, as `grace_s` in its settings."""
     settings: dict[str, Any] = field(default_factory=dict)
@@ -356,20 +357,27 @@
         self, backend_id: str, service: str, *, announce: bool = True, **attributes: Any
     ) -> PublishedBackend:
         """Start a backend server and, unless told otherwise, announce it in the store."""
-        backend = PublishedBackend(backend_id, service, **attributes)
-        await self.nursery.start(backend.serve)
+        host = self.addresses.next_address()
+        backend = PublishedBackend(backend_id, service, host=host, **attributes)
+        await self.nursery.start(backend.serve, BACKEND_PORT)
         if announce:
             backend.announce(self.store)
         self.backends_by_id[backend_id] = backend
         return backend
 
+    def entry_ip(self, name: str) -> str:
+        """Return the IP address of an entry, which it keeps when it starts again."""
+        if name not in self._ip_by_name:
+            self._ip_by_name[name] = self.addresses.next_address()
+        return self._ip_by_name[name]
+
     async def add_entry(self, name: str = "entry-1", store: str | None = None) -> EntryProcess:
         """Start an entry and wait until it listens, which can be before it is ready.
 
         Raises:
             ProcessFailedError: If it ends or doesn't listen within `WAIT_LIMIT` seconds.
         """
-        ip = self._ip_by_name.setdefault(name, self.addresses.address(len(self._ip_by_name)))
+        ip = self.entry_ip(name)
         settings = _settings(name, ip, store or self.store_address, self.grace) | self.settings
         if self.cloud is not None:
             settings["cloud_api"] = {"address": self.cloud_address, "duties": ["usage_report"]}
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/published_backend.py
@@ -17,6 +17,7 @@
 
 from .faults import Faults
 from .http_server import ConnectionCutError, Exchange, ResponseCut, serve_http
+from .loopback import LOOPBACK
 from .published_store import PublishedStore
 
 if TYPE_CHECKING:
@@ -149,6 +150,9 @@
     misbehaviour: Misbehaviour = Misbehaviour.NONE
     slowdown: float = 1.0
     """Factor by which every step takes longer than `pace` says."""
+    host: str = LOOPBACK
+    """Loopback address that it listens on. Only a reserved one has the same port free after a
+    crash."""
     address: str = ""
     rate_limit: str | None = None
     """Value of the `server-limit` header, in requests per second; None sends no header."""
@@ -227,7 +231,7 @@
     async def _serve_until_crash(self, port: int, task_status: trio.TaskStatus[str]) -> None:
         self._has_crashed = trio.Event()
         async with trio.open_nursery() as nursery:
-            serve = partial(serve_http, send_buffer=self.send_buffer)
+            serve = partial(serve_http, send_buffer=self.send_buffer, host=self.host)
             self.address = await nursery.start(serve, self._handle, self.faults, port)
             task_status.started(self.address)
             await self._has_crashed.wait()
--- a/packages/ragwortwing-lab/src/ragwortwing_lab/standins/serving.py
+++ b/packages/ragwortwing-lab/src/ragwortwing_lab/standins/serving.py
@@ -12,10 +12,11 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
+from .loopback import LOOPBACK
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-LOOPBACK = "127.0.0.1"
 GRACE_SECONDS = 0.2
 """Seconds that open calls may take to finish after a stand-in is told to stop."""
 
--- a/packages/ragwortwing-lab/tests/test_platform_site.py
+++ b/packages/ragwortwing-lab/tests/test_platform_site.py
@@ -9,10 +9,11 @@
 
 import pytest
 import trio
+import trio.testing
 
 from ragwortwing_lab.processes import ProcessFailedError
-from ragwortwing_lab.standins.loopback import LoopbackRange
-from ragwortwing_lab.standins.platform_site import CALLER_PORT, platform_site
+from ragwortwing_lab.standins.loopback import LOOPBACK, LoopbackRange
+from ragwortwing_lab.standins.platform_site import CALLER_PORT, DESK, platform_site, until
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -41,6 +42,21 @@
         await stream.aclose()
 
 
+async def test_crashed_server_finds_its_port_free(tmp_path: Path) -> None:
+    """Guards against a server that can't restart because another test was given its port."""
+    async with platform_site(tmp_path) as site:
+        server = await site.add_backend("i-1", DESK, restart_after=0.1)
+        host, port = server.address.rsplit(":", 1)
+        server.crash()
+        await trio.testing.wait_all_tasks_blocked()
+        with socket.socket() as other:
+            other.bind((LOOPBACK, int(port)))
+            await until(lambda: server.id != "i-1")
+            await trio.testing.wait_all_tasks_blocked()
+            stream = await trio.open_tcp_stream(host, int(port))
+            await stream.aclose()
+
+
 async def test_entry_that_ends_before_it_listens_fails_its_test_at_once(tmp_path: Path) -> None:
     """Guards against a wait for a process that has ended, which then hides its log."""
     async with platform_site(tmp_path) as site:
