Refuse a stream whose route moved although a peer vouches for the former service

A configuration that moved the route was read while a stream without a record was decided on. The entry itself did not vouch then, but a peer in the same configuration did, for the former service that it was asked about. The streams of the new service went on at the former one. Whether the services are still those of the route is now checked after all readings, own and of peers.

test_peer_does_not_vouch_for_the_former_service_of_a_route failed before; 54 tests of the file pass.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/stream_resumption.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/stream_resumption.py
@@ -220,8 +220,7 @@
         if knows_one_version:
             inquiry.read = await self._state.catch_up.read()
             own = self._own_evidence(request_id, share.service, since)
-            is_current = inquiry.read and self._has_same_services(request, route)
-            evidence = evidence.merged(replace(own, is_current=is_current))
+            evidence = evidence.merged(replace(own, is_current=inquiry.read))
         if evidence.has_one_version and not evidence.is_current:
             query = self._query(request_id, share.service, lifetime, needs_current=True)
             evidence = await self._ask(
@@ -232,7 +231,9 @@
                 MAX_CURRENT_QUERIES,
                 CURRENT_QUERY_INTERVAL,
             )
-        return evidence
+        # A reading of the services of an earlier configuration does not cover the newer ones.
+        is_current = evidence.is_current and self._has_same_services(request, route)
+        return replace(evidence, is_current=is_current)
 
     @property
     def _configuration(self) -> int | None:
--- a/packages/ragwortwing-entry/tests/direct/test_stream_resumption.py
+++ b/packages/ragwortwing-entry/tests/direct/test_stream_resumption.py
@@ -394,6 +394,28 @@
     assert await fleet.resume("c", None) == Refused(NotRunReason.STREAM_UNKNOWN)
 
 
+async def test_peer_does_not_vouch_for_the_former_service_of_a_route(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
+    """Guards against a stream that its route's new service began and the former one continues."""
+    list_only(fleet, "v1")
+    moved = replace(ROUTE, shares=(ServiceShare("others", 1.0),))
+    table = RoutingTable(2, (moved,), {POOL: Service(POOL, TRAITS)}, {})
+    for entry in fleet.by_name.values():
+        entry.state.versions.list_read(trio.current_time(), has_all_records=True)
+    for name in ("a", "b"):
+        fleet.by_name[name].state.accept_table(table)
+    fleet.follow_list("a", "b", "c")
+    state = fleet.by_name["c"].state
+
+    async def read() -> bool:
+        state.accept_table(table)
+        return True
+
+    state.catch_up.follow("keyed.op", read)
+    assert await fleet.resume("c", None) == Refused(NotRunReason.STREAM_UNKNOWN)
+
+
 async def test_peer_with_another_configuration_does_not_vouch(
     fleet: Fleet, autojump_clock: MockClock
 ) -> None:
