Give up a kept connection to the process before the registered one

A connection that was kept since before a server's process started, for instance because its machine lost power and sent no reset, states the earlier start from memory. It was taken for a replacement: the server counted as the earlier process, its own record had been read already, and no stream went on there until the record changed. Such a connection is now closed and the next one asked.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/backend_connections.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/backend_connections.py
@@ -72,8 +72,11 @@
         if started_at is None or registered is None:
             if order.process_check is ProcessCheck.REQUIRED:
                 raise ProcessUnknownError
-        elif started_at != registered:
+        elif started_at > registered:
             raise ProcessReplacedError(started_at)
+        elif started_at < registered:
+            # A connection that was kept since before the registered process started.
+            return False
         return True
 
     async def _open(self, order: SendOrder, request_id: str) -> ClientConnection:
--- a/packages/ragwortwing-entry/tests/direct/test_backend_connections.py
+++ b/packages/ragwortwing-entry/tests/direct/test_backend_connections.py
@@ -36,6 +36,7 @@
 
 SAME = report(b'{"born": 1000}')
 LATER = report(b'{"born": 2000}')
+EARLIER = report(b'{"born": 500}')
 
 
 @dataclass
@@ -129,6 +130,26 @@
         assert raised.value.started_at == 2000
 
 
+@BOTH
+async def test_kept_connection_to_a_former_process_is_given_up(check: ProcessCheck) -> None:
+    """Guards against a server that counts as replaced by the process before the registered one."""
+    async with serving(EARLIER, SAME) as server:
+        connection = await connections().acquire(order(server, check), "a")
+        assert connection.peer_started_at == REGISTERED
+        assert server.asked == [0, 1]
+
+
+@BOTH
+async def test_process_that_only_states_an_earlier_start_gets_no_stream(
+    check: ProcessCheck,
+) -> None:
+    """Guards against an endless search for the process that is registered."""
+    async with serving(EARLIER) as server:
+        with pytest.raises(ProcessUnknownError):
+            await connections().acquire(order(server, check), "a")
+        assert server.asked == [0, 1]
+
+
 UNSTATED = [
     report(b"{}", status=b"404 Not Found"),
     report(b"{}"),
