Take the version in the record of a replaced process for its version all along

A process that was found before its record counts as a version to itself. That version was remembered as a former one for the lifetime of a stream after the record had told the real one, so that a service with one version counted as having had two, and streams without a record were refused for 20 s.

test_version_of_a_replaced_process_is_the_one_in_its_own_record failed before; 7 of the file pass.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -181,7 +181,9 @@
         self.on_listed(backend)
         now = self.clock.monotonic()
         self.versions.listed(backend, now)
-        if previous is not None:
+        # The record of a process that was found before tells which version it has been all along.
+        is_told = previous is not None and previous.recorded_version is not None
+        if previous is not None and not (is_told and previous.started_at == backend.started_at):
             self.versions.left(previous, now)
         decided(
             "backend_listed",
--- a/packages/ragwortwing-entry/tests/direct/test_entry_state.py
+++ b/packages/ragwortwing-entry/tests/direct/test_entry_state.py
@@ -104,3 +104,18 @@
     assert not state.backends.ready("desk")
     state.backend_listed(registered)
     assert state.backends.ready("desk") == (registered,)
+
+
+def test_version_of_a_replaced_process_is_the_one_in_its_own_record(state: EntryState) -> None:
+    """Guards against a service that counts as having had two versions after a restart."""
+    old = replace(SERVER, id="i-2", service="engines", version="v1")
+    state.backend_listed(replace(old, id="i-3"))
+    state.backend_listed(old)
+    state.process_replaced(old, 2000)
+    now = state.clock.monotonic()
+    assert state.versions.versions("engines", now) == {"v1", "i-2@2000"}
+    state.backend_listed(replace(old, started_at=2000))
+    assert state.versions.versions("engines", now) == {"v1"}
+    state.process_replaced(state.backends.by_id["i-2"], 3000)
+    state.backend_listed(replace(old, started_at=4000))
+    assert state.versions.versions("engines", now) == {"v1", "i-2@3000"}
