Read a feed on demand only to the end that it had when the read began

The read on which a resumption waits went on until an answer had no records. With a record for each read it never ended and was given up after 0.3 s, so that streams without a record of their own were refused. An answer full of records without a valid key counted as the end, although the log went on. The end that the first answer states is now the one to reach, which also saves a call after records.

test_feed_with_steady_changes_is_read_to_the_end_that_it_had failed before, both ways.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/store_port.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/store_port.py
@@ -94,6 +94,7 @@
             offset: Offset of the first record to read.
             wait: Seconds for which the store may hold the call until there is a record.
             transfer: Receives the records; called at least once, without records if there are none.
+                Also receives the end of the log.
 
         Raises:
             HistoryLostError: The records are no longer kept.
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/topic_follower.py
@@ -111,16 +111,24 @@
         Returns:
             Whether the store's answers reached the end of the topic.
         """
-        while self._offset is not None:
+        end: int | None = None
+        while (offset := self._offset) is not None:
             transfer = Transfer(self._clock, self._on_read)
             try:
-                await self._store.read(self._topic, self._offset, 0.0, transfer)
+                await self._store.read(self._topic, offset, 0.0, transfer)
             except StoreError as error:
                 decided("feed_not_read_to_end", topic=self._topic, cause=error.cause)
                 return False
-            # An answer has a maximum size, so only one without records shows the end.
-            if not transfer.records:
+            # Later records need not be read. They may arrive faster than they are read.
+            end = transfer.log_end if end is None else end
+            if end is None or self._offset is None:
+                return False
+            # An answer has a maximum size.
+            if self._offset >= end:
                 return True
+            if self._offset == offset:
+                decided("feed_not_read_to_end", topic=self._topic, cause="no progress")
+                return False
         return False
 
     async def _step(self) -> None:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/transfer.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/transfer.py
@@ -41,6 +41,9 @@
         self.received_bytes = 0
         self.records = 0
         """Number of records that have been delivered."""
+        self.log_end: int | None = None
+        """Offset at which the log ended when the answer began; None until the answer is complete,
+        or if the answer does not state it."""
 
     @property
     def has_begun(self) -> bool:
