Keep the names of the platform's calls out of the entry's package

Cause: the decoder of the owners' rows named its call, which only the platform's package may do.

Change: the caller passes the name.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/store_answers.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/store_answers.py
@@ -17,8 +17,6 @@
 
 T = TypeVar("T")
 
-OWNERS_CALL = "GET /log-owners"
-
 _ESCAPE = re.compile(
     r"(\\u[dD][89abAB][\da-fA-F]{2}\\u[dD][c-fC-F][\da-fA-F]{2}"  # a pair of surrogates
     r"|\\[^u]|\\u(?![dD][89a-fA-F]))"
@@ -54,7 +52,7 @@
 _decode_row = checked_decoder(msgspec.json.Decoder(tuple[str, int, str | None, int | None]).decode)
 
 
-def owner_names(data: bytes) -> Iterator[str]:
+def owner_names(call: str, data: bytes) -> Iterator[str]:
     """Yield the members from rows of topic, partition, member and offset.
 
     A row that cannot be decoded names no member.
@@ -63,7 +61,7 @@
         StoreError: The answer is invalid.
     """
     unreadable = 0
-    for value in decode_answer(OWNERS_CALL, data, dict[str, msgspec.Raw]).values():
+    for value in decode_answer(call, data, dict[str, msgspec.Raw]).values():
         try:
             rows = _decode_rows(bytes(value))
         except InvalidDataError:
@@ -77,4 +75,4 @@
             if member:
                 yield member
     if unreadable:
-        warned("owner_rows_unreadable", call=OWNERS_CALL, rows=unreadable)
+        warned("owner_rows_unreadable", call=call, rows=unreadable)
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -114,7 +114,7 @@
         (StoreError,),
     ),
     "owners": DecoderCase(
-        lambda data: list(owner_names(data)),
+        lambda data: list(owner_names("call", data)),
         b'{"parts": [["entries", 0, "entry-1@10.0.0.1", 0]]}',
         (StoreError,),
     ),
