Give peers of a large fleet the time to read the store for a resumption

An entry reads on demand at most every 0.68 s in a fleet of 340, but a new entry waited for the current readings of its peers for 0.4 s only. It now asks for as long as such a read may take, which leaves small fleets at 0.4 s.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/feed_catch_up.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/feed_catch_up.py
@@ -61,6 +61,15 @@
         """
         self._read_by_feed[feed] = read
 
+    @property
+    def longest_wait(self) -> float:
+        """Seconds within which a read ends, here or at a peer, if the one before it was quick."""
+        return self._interval + CATCH_UP_TIMEOUT
+
+    @property
+    def _interval(self) -> float:
+        return max(MIN_INTERVAL, self._entries() / FLEET_READS_PER_SECOND)
+
     async def read(self) -> bool:
         """Read everything that the store held when this was called.
 
@@ -86,8 +95,7 @@
             batch.succeeded = await self._read_all()
             batch.done.set()
             elapsed = self._clock.monotonic() - started_at
-            interval = max(MIN_INTERVAL, self._entries() / FLEET_READS_PER_SECOND)
-            await trio.sleep(max(0.0, interval - elapsed))
+            await trio.sleep(max(0.0, self._interval - elapsed))
 
     async def _read_all(self) -> bool:
         read_feeds: set[str] = set()
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/stream_resumption.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/stream_resumption.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field, replace
 from functools import partial
+from math import ceil
 from typing import TYPE_CHECKING
 
 import trio
@@ -50,9 +51,6 @@
 CURRENT_QUERY_INTERVAL = 0.2
 """Seconds for which a peer may read the store before a query that asks for it is sent again."""
 
-MAX_CURRENT_QUERIES = 2
-"""Times that a query which asks for a current reading is sent to a peer."""
-
 MAX_UNINFORMED_PEERS = 3
 """Members of the fleet that are asked while this entry knows no scheduler."""
 
@@ -228,7 +226,7 @@
                 set(inquiry.covering),
                 evidence,
                 inquiry,
-                MAX_CURRENT_QUERIES,
+                ceil(self._state.catch_up.longest_wait / CURRENT_QUERY_INTERVAL),
                 CURRENT_QUERY_INTERVAL,
             )
         # A reading of the services of an earlier configuration does not cover the newer ones.
--- a/packages/ragwortwing-entry/tests/direct/test_stream_resumption.py
+++ b/packages/ragwortwing-entry/tests/direct/test_stream_resumption.py
@@ -429,6 +429,19 @@
     assert await fleet.resume("c", None) == Refused(NotRunReason.STREAM_UNKNOWN)
 
 
+async def test_peers_of_a_large_fleet_are_given_time_to_read(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
+    """Guards against refusals at a new entry whose peers read the store less often."""
+    list_only(fleet, "v1")
+    for name, entry in fleet.by_name.items():
+        entry.state.catch_up._entries = lambda: 340
+        entry.state.versions.list_read(trio.current_time(), has_all_records=name != "c")
+    fleet.follow_list("a", "b", "c")
+    assert await fleet.resume("c", "first") == OLD
+    assert await fleet.resume("c", "second") == OLD
+
+
 async def test_resumptions_share_reads_of_the_store(
     fleet: Fleet, autojump_clock: MockClock
 ) -> None:
