Send no request on a connection whose report did not arrive

Before a resumed stream is sent, its server is asked on the same connection when it started. If a late answer without an id, to an earlier request of that connection, was taken for the answer to that call, the report itself was still due and would have been the answer to the stream.

Cause: an answer that states no start left the connection in use. Change: such a connection is given up; where the check permits it, the request gets another one. Cost: one more connection for each resumed stream at a server that does not answer the call.

--- a/packages/ragwortwing-entry/tests/direct/test_backend_connections.py
+++ b/packages/ragwortwing-entry/tests/direct/test_backend_connections.py
@@ -170,6 +170,15 @@
             await connections().acquire(order(server, ProcessCheck.REQUIRED), "a")
 
 
+@pytest.mark.parametrize("answer", UNSTATED)
+async def test_connection_on_which_no_report_arrived_carries_no_request(answer: bytes) -> None:
+    """Guards against a late answer without an id that leaves the report as the next answer."""
+    async with serving(answer) as server:
+        connection = await connections().acquire(order(server, ProcessCheck.IF_ANSWERED), "a")
+        assert not connection.peer_was_asked
+        assert server.asked == [0]
+
+
 async def test_record_without_a_start_proves_no_process() -> None:
     async with serving(SAME) as server:
         assert await connections().acquire(order(server, ProcessCheck.IF_ANSWERED, None), "a")
--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/process_report.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/process_report.py
@@ -56,7 +56,9 @@
                     found = await self._fetch(connection)
             except trio.TooSlowError as error:
                 raise ConnectionLostError("timeout", ConnectionLoss.FAILED) from error
-            connection.is_over = not connection.prepare_next_request(clock.monotonic())
+            is_ready = connection.prepare_next_request(clock.monotonic())
+            # Another answer may be a late one without an id, and the report be the next to arrive.
+            connection.is_over = found is None or not is_ready
             connection.peer_was_asked, connection.peer_started_at = True, found
         return connection.peer_started_at
 
