Read a caller's connection ahead only by what lies unparsed

What callers saw: a few dozen clients that sent requests ahead ended the entry; it ran out of memory, with all requests in flight.

Cause: while a request was served, up to 128 KB of further requests were read, counted anew for each request. A request of 100 bytes let in 128 KB, so a connection's buffer grew by as much as its client sent, whether the answers were read or not. Beside it the kernel received some MB more for each connection.

Change: CallerStream, in the entry's package, holds the receiving side of a connection. It reads ahead while less than 16 KB lie unparsed; after that only the kernel knows of the caller's end, and is asked five times a second (POLLRDHUP sees an end behind unread bytes). Accepted connections have buffers of 32 and 64 KB in the kernel, set at the listener, as a window that was announced can't be reduced. Why it works: what lies unparsed is bounded, not what one request lets in.

--- /dev/null
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/caller_stream.py
@@ -0,0 +1,157 @@
+"""Reads the requests of a caller's connection within bounds, and notices that the caller left."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import h11
+import trio
+
+from ragwortwing_runtime.tcp_sockets import has_hung_up, send_all
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ragwortwing_policy.clock import Clock, Instant
+    from ragwortwing_policy.direct.routing_table import CallerLimits
+
+    from .relay_buffer import HeldAccount
+
+RECEIVE_BYTES = 16_384
+"""Maximum number of bytes read from a caller's connection at once."""
+
+MAX_READ_AHEAD_BYTES = 16_384
+"""Bytes of further requests beyond which a connection is not read while a request is served. They
+stay in the kernel, whose receive buffer is bounded, until the request has been answered."""
+
+HANG_UP_POLL_SECONDS = 0.2
+"""Interval of the check whether a caller that is not read has disconnected."""
+
+
+class MalformedRequestError(Exception):
+    """A request violates HTTP or exceeds a limit."""
+
+    def __init__(self, cause: str, status: int = 400) -> None:
+        super().__init__(cause)
+        self.status = status
+
+
+class CallerStream:
+    """The receiving side of a caller's connection."""
+
+    def __init__(
+        self, sock: trio.socket.SocketType, clock: Clock, limits: Callable[[], CallerLimits]
+    ) -> None:
+        """Create the stream.
+
+        Args:
+            sock: The connection.
+            clock: The clock.
+            limits: Returns the limits of the configuration in force.
+        """
+        self._sock = sock
+        self._clock = clock
+        self._limits = limits
+        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=2 * limits().header_bytes)
+        """The protocol state, with which answers are written."""
+
+    @property
+    def unparsed_bytes(self) -> int:
+        """Number of bytes that have been received of requests that are not served yet."""
+        return len(self.h11.trailing_data[0])
+
+    async def read_head(self) -> h11.Request | None:
+        """Return the head of the next request, or None if the connection closes or stays idle.
+
+        Raises:
+            MalformedRequestError: The head violates HTTP.
+            OSError: The connection is broken.
+        """
+        idle_since = self._now()
+        # A new configuration may extend the time while the connection is idle.
+        while (left := idle_since + self._idle_timeout - self._now()) > 0.0:
+            with trio.move_on_after(left):
+                event = await self._next_event()
+                return event if isinstance(event, h11.Request) else None
+        return None
+
+    @property
+    def _idle_timeout(self) -> float:
+        return self._limits().idle_timeout.total_seconds()
+
+    async def read_body_in_time(self, seconds: float | None, held: HeldAccount | None) -> bytes:
+        """Return the body; if bodies count as held memory, it has to be received in time.
+
+        Args:
+            seconds: Time until the caller's deadline; None for the idle timeout.
+            held: Counts the bytes of the body; None if they are not counted.
+
+        Raises:
+            MalformedRequestError: The body violates HTTP or a limit, or is not received in time.
+            OSError: The connection is broken.
+        """
+        if held is None:
+            return await self._read_body(None)
+        with trio.move_on_after(self._idle_timeout if seconds is None else seconds):
+            return await self._read_body(held)
+        raise MalformedRequestError("request body not received in time", 408)
+
+    async def _read_body(self, held: HeldAccount | None) -> bytes:
+        if self.h11.they_are_waiting_for_100_continue:
+            continue_response = h11.InformationalResponse(status_code=100, headers=[])
+            await send_all(self._sock, self.h11.send(continue_response) or b"")
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            event = await self._next_event(held)
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(chunks)
+            if not isinstance(event, h11.Data):
+                raise MalformedRequestError("request body ended early")
+            chunks.append(bytes(event.data))
+            size += len(event.data)
+            if size > self._limits().body_bytes:
+                raise MalformedRequestError("request body exceeds the limit", 413)
+            if held is not None:
+                held.hold(len(event.data))
+
+    async def _next_event(self, held: HeldAccount | None = None) -> h11.Event | type[h11.PAUSED]:
+        while True:
+            try:
+                event = self.h11.next_event()
+            except h11.RemoteProtocolError as error:
+                raise MalformedRequestError(str(error), error.error_status_hint) from error
+            if event is not h11.NEED_DATA:
+                return event  # type: ignore[return-value]
+            if held is not None:
+                await held.wait_for_room()
+            self.h11.receive_data(await self._sock.recv(RECEIVE_BYTES))
+
+    async def wait_for_disconnect(self) -> bool:
+        """Read ahead while a request is served; return whether the caller has disconnected.
+
+        Returns False if this process has closed the connection.
+        """
+        ahead = self.unparsed_bytes
+        while True:
+            if ahead >= MAX_READ_AHEAD_BYTES:
+                # The caller's end is behind bytes that are not read, so only the kernel knows it.
+                if self._sock.fileno() < 0:
+                    return False
+                if has_hung_up(self._sock):
+                    return True
+                await trio.sleep(HANG_UP_POLL_SECONDS)
+                continue
+            try:
+                data = await self._sock.recv(RECEIVE_BYTES)
+            except OSError:
+                return True
+            except trio.ClosedResourceError:
+                return False
+            if not data:
+                return True
+            ahead += len(data)
+            self.h11.receive_data(data)
+
+    def _now(self) -> Instant:
+        return self._clock.monotonic()
--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/tcp_sockets.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/tcp_sockets.py
@@ -32,7 +32,12 @@
 
 
 SEND_BUFFER_BYTES = 65536
-"""Size of a limited send buffer. It suffices for 32 MB/s at a round trip of 2 ms."""
+"""Size of the send buffer of an accepted connection. It suffices for 32 MB/s at a round trip of
+2 ms. By default a send buffer grows to several MB for each peer that does not read."""
+
+RECEIVE_BUFFER_BYTES = 32768
+"""Size of the receive buffer of an accepted connection. By default the kernel receives several MB
+for each connection that is not read, and they count toward the memory of the process."""
 
 
 MAX_PORT = 65535
@@ -60,13 +65,12 @@
 
 
 def allow_slow_reading(sock: trio.socket.SocketType) -> None:
-    """Set the options for a peer that may stop reading, while its own deadline bounds the wait.
+    """Set the option for a peer that may stop reading, while its own deadline bounds the wait.
 
     The user timeout also ends the connection of a peer that acknowledges everything but has a full
-    receive buffer. By default a send buffer grows to several MB for each peer that does not read.
+    receive buffer.
     """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
 
 def set_socket_options(sock: trio.socket.SocketType) -> None:
@@ -96,9 +100,12 @@
 
 
 async def listen(host: str, port: int) -> trio.socket.SocketType:
-    """Open a listening socket."""
+    """Open a listening socket, for connections whose buffers in the kernel are limited."""
     sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted connections inherit them; a window that was announced can't be reduced later.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
     await sock.bind((host, port))
     sock.listen(1024)
     return sock
@@ -168,6 +175,13 @@
     return not poll.poll(0)
 
 
+def has_hung_up(sock: trio.socket.SocketType) -> bool:
+    """Return whether the peer has ended or reset a connection, also behind unread data."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP | select.POLLERR | select.POLLHUP)
+    return bool(poll.poll(0))
+
+
 def reset(sock: trio.socket.SocketType) -> None:
     """Close a connection with a TCP reset instead of an orderly end of stream."""
     try:
