Parse bodies and pipelined requests in turns of the event loop

What callers saw: beside 40 clients that sent bodies in chunks of one byte an ordinary request got no answer within 20 s; the process stood still.

Cause: the parts of a body were taken from the parser without a pause while bytes were left. A read of 64 KB held 11,000 chunks, a fifth of a second of parsing for each of them in turn, and each byte was kept as an object of its own. Extensions of chunks counted toward nothing.

Change: 64 parts of a body are parsed at a time. A connection that has more, or that has already received its next request, waits for a turn (FairTurns); turns are given one at a time, so the event loop's delay doesn't grow with their number. Framing beyond 64 KB and 16 bytes for each byte of the body is refused with 413, as the same bound for servers' answers. Why it works: a first request waits for one such turn, not for all of them. A body of 30,000 chunks of one byte is still served (test, passed before).

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/caller_stream.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/caller_stream.py
@@ -7,6 +7,8 @@
 import h11
 import trio
 
+from ragwortwing_runtime.fair_turns import FairTurns
+from ragwortwing_runtime.http_client import FRAMING_BYTES_PER_BODY_BYTE, MAX_FRAMING_BYTES
 from ragwortwing_runtime.tcp_sockets import has_hung_up, send_all
 
 if TYPE_CHECKING:
@@ -27,6 +29,9 @@
 HANG_UP_POLL_SECONDS = 0.2
 """Interval of the check whether a caller that is not read has disconnected."""
 
+EVENTS_PER_TURN = 64
+"""Parts of a body that are parsed in one turn of the event loop."""
+
 
 class MalformedRequestError(Exception):
     """A request violates HTTP or exceeds a limit."""
@@ -36,23 +41,29 @@
         self.status = status
 
 
-class CallerStream:
-    """The receiving side of a caller's connection."""
+class CallerConnections:
+    """What the connections of all callers share: their limits and their turns."""
 
-    def __init__(
-        self, sock: trio.socket.SocketType, clock: Clock, limits: Callable[[], CallerLimits]
-    ) -> None:
-        """Create the stream.
+    def __init__(self, clock: Clock, limits: Callable[[], CallerLimits]) -> None:
+        """Create the shared state.
 
         Args:
-            sock: The connection.
             clock: The clock.
             limits: Returns the limits of the configuration in force.
         """
+        self.turns = FairTurns()
+        self.clock = clock
+        self.limits = limits
+
+
+class CallerStream:
+    """The receiving side of a caller's connection."""
+
+    def __init__(self, sock: trio.socket.SocketType, shared: CallerConnections) -> None:
         self._sock = sock
-        self._clock = clock
-        self._limits = limits
-        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=2 * limits().header_bytes)
+        self._shared = shared
+        largest_head = 2 * shared.limits().header_bytes
+        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=largest_head)
         """The protocol state, with which answers are written."""
 
     @property
@@ -67,17 +78,20 @@
             MalformedRequestError: The head violates HTTP.
             OSError: The connection is broken.
         """
+        if self.unparsed_bytes:
+            await self._shared.turns.wait()
         idle_since = self._now()
         # A new configuration may extend the time while the connection is idle.
         while (left := idle_since + self._idle_timeout - self._now()) > 0.0:
             with trio.move_on_after(left):
-                event = await self._next_event()
+                while (event := self._next_event()) is h11.NEED_DATA:
+                    self.h11.receive_data(await self._sock.recv(RECEIVE_BYTES))
                 return event if isinstance(event, h11.Request) else None
         return None
 
     @property
     def _idle_timeout(self) -> float:
-        return self._limits().idle_timeout.total_seconds()
+        return self._shared.limits().idle_timeout.total_seconds()
 
     async def read_body_in_time(self, seconds: float | None, held: HeldAccount | None) -> bytes:
         """Return the body; if bodies count as held memory, it has to be received in time.
@@ -100,32 +114,42 @@
         if self.h11.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             await send_all(self._sock, self.h11.send(continue_response) or b"")
-        chunks: list[bytes] = []
-        size = 0
+        body = _Body(self._shared.limits().body_bytes)
         while True:
-            event = await self._next_event(held)
+            size = len(body.data)
+            parsed = self._parse_body(body)
+            if held is not None:
+                held.hold(len(body.data) - size)
+            if parsed is h11.EndOfMessage:
+                return bytes(body.data)
+            if parsed is h11.Data:
+                await self._shared.turns.wait()
+                continue
+            body.check_framing()
+            if held is not None:
+                await held.wait_for_room()
+            data = await self._sock.recv(RECEIVE_BYTES)
+            body.received_bytes += len(data)
+            self.h11.receive_data(data)
+
+    def _parse_body(self, body: _Body) -> type[h11.EndOfMessage | h11.NEED_DATA | h11.Data]:
+        """Take a few parts of the body; return what the last one was."""
+        for _ in range(EVENTS_PER_TURN):
+            event = self._next_event()
+            if event is h11.NEED_DATA:
+                return h11.NEED_DATA
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(chunks)
+                return h11.EndOfMessage
             if not isinstance(event, h11.Data):
                 raise MalformedRequestError("request body ended early")
-            chunks.append(bytes(event.data))
-            size += len(event.data)
-            if size > self._limits().body_bytes:
-                raise MalformedRequestError("request body exceeds the limit", 413)
-            if held is not None:
-                held.hold(len(event.data))
+            body.add(event.data)
+        return h11.Data
 
-    async def _next_event(self, held: HeldAccount | None = None) -> h11.Event | type[h11.PAUSED]:
-        while True:
-            try:
-                event = self.h11.next_event()
-            except h11.RemoteProtocolError as error:
-                raise MalformedRequestError(str(error), error.error_status_hint) from error
-            if event is not h11.NEED_DATA:
-                return event  # type: ignore[return-value]
-            if held is not None:
-                await held.wait_for_room()
-            self.h11.receive_data(await self._sock.recv(RECEIVE_BYTES))
+    def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        try:
+            return self.h11.next_event()
+        except h11.RemoteProtocolError as error:
+            raise MalformedRequestError(str(error), error.error_status_hint) from error
 
     async def wait_for_disconnect(self) -> bool:
         """Read ahead while a request is served; return whether the caller has disconnected.
@@ -154,4 +178,34 @@
             self.h11.receive_data(data)
 
     def _now(self) -> Instant:
-        return self._clock.monotonic()
+        return self._shared.clock.monotonic()
+
+
+class _Body:
+    """A body as far as it has been received."""
+
+    def __init__(self, limit: int) -> None:
+        self.data = bytearray()
+        self.received_bytes = 0
+        """Bytes received for it, its framing included, except for those that came with the head."""
+        self._limit = limit
+
+    def add(self, data: bytes) -> None:
+        """Add a part.
+
+        Raises:
+            MalformedRequestError: The body exceeds its limit.
+        """
+        self.data += data
+        if len(self.data) > self._limit:
+            raise MalformedRequestError("request body exceeds the limit", 413)
+
+    def check_framing(self) -> None:
+        """Check what was received beside the data, once all of it has been parsed.
+
+        Raises:
+            MalformedRequestError: The framing exceeds what the chunks of a body need.
+        """
+        allowed = MAX_FRAMING_BYTES + FRAMING_BYTES_PER_BODY_BYTE * len(self.data)
+        if self.received_bytes - len(self.data) > allowed:
+            raise MalformedRequestError("framing of the request body exceeds the limit", 413)
