Bound what all callers have sent together, and how long a request may take to arrive

A head that was begun kept its connection until the idle timeout, and a body without end kept it for good.

Cause: received bytes counted toward a total only under the platform's contract on memory, only for bodies, and only there a body had to arrive in time. limits.header_timeout_ms was read by nobody.

Change: each connection has an account in the entry's one total (a tenth of memory_mb, as before under that contract) for heads, bodies and requests sent ahead, until the request has ended. Beyond the total a connection isn't read further, except for its first 8 KB and for one connection at a time. After a suspension of the process what has arrived meanwhile is read before the time counts as over.

The doctest of MemoryBounds shows the new field.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/caller_stream.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/caller_stream.py
@@ -9,7 +9,7 @@
 
 from ragwortwing_runtime.fair_turns import FairTurns
 from ragwortwing_runtime.http_client import FRAMING_BYTES_PER_BODY_BYTE, MAX_FRAMING_BYTES
-from ragwortwing_runtime.tcp_sockets import has_hung_up, send_all
+from ragwortwing_runtime.tcp_sockets import has_hung_up, is_idle, send_all
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -17,7 +17,7 @@
     from ragwortwing_policy.clock import Clock, Instant
     from ragwortwing_policy.direct.routing_table import CallerLimits
 
-    from .relay_buffer import HeldAccount
+    from .relay_buffer import CallerMemory
 
 RECEIVE_BYTES = 16_384
 """Maximum number of bytes read from a caller's connection at once."""
@@ -42,26 +42,35 @@
 
 
 class CallerConnections:
-    """What the connections of all callers share: their limits and their turns."""
+    """What the connections of all callers share: their memory, their limits and their turns."""
 
-    def __init__(self, clock: Clock, limits: Callable[[], CallerLimits]) -> None:
+    def __init__(
+        self, memory: CallerMemory, clock: Clock, limits: Callable[[], CallerLimits]
+    ) -> None:
         """Create the shared state.
 
         Args:
+            memory: Counts the bytes received from callers.
             clock: The clock.
             limits: Returns the limits of the configuration in force.
         """
         self.turns = FairTurns()
+        self.memory = memory
         self.clock = clock
         self.limits = limits
 
 
 class CallerStream:
-    """The receiving side of a caller's connection."""
+    """The receiving side of a caller's connection.
+
+    All bytes that are received count toward the total of the process until the request that they
+    belong to has ended.
+    """
 
     def __init__(self, sock: trio.socket.SocketType, shared: CallerConnections) -> None:
         self._sock = sock
         self._shared = shared
+        self._account = shared.memory.account()
         largest_head = 2 * shared.limits().header_bytes
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=largest_head)
         """The protocol state, with which answers are written."""
@@ -71,66 +80,86 @@
         """Number of bytes that have been received of requests that are not served yet."""
         return len(self.h11.trailing_data[0])
 
+    def close(self) -> None:
+        """Release what the connection holds."""
+        self._account.release()
+
+    def request_ended(self) -> None:
+        """Release the request that was served."""
+        self._account.resize(self.unparsed_bytes)
+
     async def read_head(self) -> h11.Request | None:
         """Return the head of the next request, or None if the connection closes or stays idle.
 
         Raises:
-            MalformedRequestError: The head violates HTTP.
+            MalformedRequestError: The head violates HTTP, or is not received in time.
             OSError: The connection is broken.
         """
         if self.unparsed_bytes:
             await self._shared.turns.wait()
+        event = await self._wait_for_head()
+        return event if isinstance(event, h11.Request) else None
+
+    async def _wait_for_head(self) -> h11.Event | None:
         idle_since = self._now()
-        # A new configuration may extend the time while the connection is idle.
-        while (left := idle_since + self._idle_timeout - self._now()) > 0.0:
-            with trio.move_on_after(left):
-                while (event := self._next_event()) is h11.NEED_DATA:
-                    self.h11.receive_data(await self._sock.recv(RECEIVE_BYTES))
-                return event if isinstance(event, h11.Request) else None
-        return None
+        began_at = idle_since if self.unparsed_bytes else None
+        is_late = False
+        while (event := self._next_event()) is h11.NEED_DATA:
+            # Read again in each round: a new configuration may extend the time.
+            limits = self._shared.limits()
+            if began_at is None:
+                left = idle_since + limits.idle_timeout.total_seconds() - self._now()
+            else:
+                left = began_at + limits.header_timeout.total_seconds() - self._now()
+            # After a suspension of the process, bytes that have arrived in time are still unread.
+            if left <= 0.0 and (is_late or not self._can_receive_now):
+                if began_at is None:
+                    return None
+                raise MalformedRequestError("request head not received in time", 408)
+            is_late = left <= 0.0
+            with trio.move_on_after(max(left, 0.0)) as timeout:
+                await self._receive()
+            if not timeout.cancelled_caught and began_at is None:
+                began_at, is_late = self._now(), False
+        return event  # type: ignore[return-value]
 
     @property
-    def _idle_timeout(self) -> float:
-        return self._shared.limits().idle_timeout.total_seconds()
+    def _can_receive_now(self) -> bool:
+        return self._account.has_room and not is_idle(self._sock)
 
-    async def read_body_in_time(self, seconds: float | None, held: HeldAccount | None) -> bytes:
-        """Return the body; if bodies count as held memory, it has to be received in time.
+    async def read_body(self, deadline: Instant | None) -> bytes:
+        """Return the body of the request.
 
         Args:
-            seconds: Time until the caller's deadline; None for the idle timeout.
-            held: Counts the bytes of the body; None if they are not counted.
+            deadline: Time by which it has to be received; None for the idle timeout.
 
         Raises:
             MalformedRequestError: The body violates HTTP or a limit, or is not received in time.
             OSError: The connection is broken.
         """
-        if held is None:
-            return await self._read_body(None)
-        with trio.move_on_after(self._idle_timeout if seconds is None else seconds):
-            return await self._read_body(held)
+        body = _Body(self._shared.limits().body_bytes)
+        if self._parse_body(body) is h11.EndOfMessage:
+            return bytes(body.data)
+        if deadline is None:
+            deadline = self._now() + self._shared.limits().idle_timeout.total_seconds()
+        with trio.move_on_after(deadline - self._now()):
+            await self._receive_body(body)
+            return bytes(body.data)
         raise MalformedRequestError("request body not received in time", 408)
 
-    async def _read_body(self, held: HeldAccount | None) -> bytes:
+    async def _receive_body(self, body: _Body) -> None:
         if self.h11.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             await send_all(self._sock, self.h11.send(continue_response) or b"")
-        body = _Body(self._shared.limits().body_bytes)
         while True:
-            size = len(body.data)
             parsed = self._parse_body(body)
-            if held is not None:
-                held.hold(len(body.data) - size)
             if parsed is h11.EndOfMessage:
-                return bytes(body.data)
-            if parsed is h11.Data:
+                return
+            if parsed is h11.NEED_DATA:
+                body.check_framing()
+                body.received_bytes += await self._receive()
+            else:
                 await self._shared.turns.wait()
-                continue
-            body.check_framing()
-            if held is not None:
-                await held.wait_for_room()
-            data = await self._sock.recv(RECEIVE_BYTES)
-            body.received_bytes += len(data)
-            self.h11.receive_data(data)
 
     def _parse_body(self, body: _Body) -> type[h11.EndOfMessage | h11.NEED_DATA | h11.Data]:
         """Take a few parts of the body; return what the last one was."""
@@ -151,6 +180,15 @@
         except h11.RemoteProtocolError as error:
             raise MalformedRequestError(str(error), error.error_status_hint) from error
 
+    async def _receive(self) -> int:
+        await self._account.wait_for_room()
+        return self._take(await self._sock.recv(RECEIVE_BYTES))
+
+    def _take(self, data: bytes) -> int:
+        self._account.hold(len(data))
+        self.h11.receive_data(data)
+        return len(data)
+
     async def wait_for_disconnect(self) -> bool:
         """Read ahead while a request is served; return whether the caller has disconnected.
 
@@ -158,7 +196,7 @@
         """
         ahead = self.unparsed_bytes
         while True:
-            if ahead >= MAX_READ_AHEAD_BYTES:
+            if ahead and (ahead >= MAX_READ_AHEAD_BYTES or not self._shared.memory.has_room):
                 # The caller's end is behind bytes that are not read, so only the kernel knows it.
                 if self._sock.fileno() < 0:
                     return False
@@ -174,8 +212,7 @@
                 return False
             if not data:
                 return True
-            ahead += len(data)
-            self.h11.receive_data(data)
+            ahead += self._take(data)
 
     def _now(self) -> Instant:
         return self._shared.clock.monotonic()
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/entry_state.py
@@ -17,7 +17,7 @@
 from ragwortwing_policy.direct.placement import Placement
 from ragwortwing_policy.direct.rate_limits import LimitNotice, RateLimits
 from ragwortwing_policy.direct.repeat_budget import EntryCount, RepeatAllowance, RepeatBudget
-from ragwortwing_policy.direct.routing_table import Repetition
+from ragwortwing_policy.direct.routing_table import CallerLimits, Repetition
 from ragwortwing_policy.direct.run_ledger import RunLedger
 from ragwortwing_policy.direct.scheduler_choice import SchedulerChoice
 from ragwortwing_policy.direct.stream_origins import StreamOrigins
@@ -42,6 +42,8 @@
 
     from .peer_messages import StatusMessage
 
+DEFAULT_LIMITS = CallerLimits()
+
 MAX_REMOVAL_DELAY = 1.4
 """Default of `EntryState.max_removal_delay`."""
 
@@ -357,6 +359,11 @@
         self._share_by_pool[pool] = (now + SHARE_LIFETIME, schedules, share)
         return share
 
+    @property
+    def caller_limits(self) -> CallerLimits:
+        """Limits on callers' requests; the defaults until a configuration is in force."""
+        return self.table.limits if self.table is not None else DEFAULT_LIMITS
+
     @property
     def has_accounts(self) -> bool:
         """Whether the configuration in force has client accounts."""
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/relay_buffer.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/relay_buffer.py
@@ -61,6 +61,11 @@
         if self.held.has_room_for_answers:
             _set_all(self._waiting_answers)
 
+    @property
+    def has_room(self) -> bool:
+        """Whether more may be received from callers."""
+        return self.held.may_receive
+
     async def wait_for_answer_room(self, wake: trio.Event) -> None:
         """Wait until there is room in the total for answers, or until `wake` is set otherwise."""
         await _wait_in(self._waiting_answers, wake)
@@ -133,29 +138,30 @@
 
 
 class HeldAccount:
-    """The bytes held for a request: its body, and parts of an answer that is not begun yet."""
+    """The bytes held for a connection's requests, and parts of an answer that is not begun yet."""
 
     def __init__(self, memory: CallerMemory) -> None:
         self._memory = memory
         self.size = 0
 
     def hold(self, size: int) -> None:
-        """Count a part of a body that has been received."""
+        """Count bytes that have been received."""
         self._memory.hold(size)
         self.size += size
 
-    async def wait_for_room(self) -> None:
-        """Wait before more of a body is read if the total is beyond its bound.
+    @property
+    def has_room(self) -> bool:
+        """Whether more may be received."""
+        always = self._memory.held.bounds.always_received_bytes
+        return self.size <= always or self._memory.may_receive(self)
 
-        The first part is read in any case. A small body is complete with it, so requests with
-        small bodies are served also while large ones wait.
-        """
-        memory = self._memory
-        if not self.size or memory.may_receive(self):
+    async def wait_for_room(self) -> None:
+        """Wait before more of a request is received if the total is beyond its bound."""
+        if self.has_room:
             return
-        memory.bound_reached("body", self.size)
-        while not memory.may_receive(self):
-            await memory.wait_for_body_room()
+        self._memory.bound_reached("body", self.size)
+        while not self.has_room:
+            await self._memory.wait_for_body_room()
 
     def try_hold(self, size: int) -> bool:
         """Count a part of an answer and return True, unless a bound would be exceeded."""
@@ -165,12 +171,16 @@
         self.size += size
         return True
 
+    def resize(self, size: int) -> None:
+        """Release all but some bytes, which belong to the next request."""
+        released, self.size = self.size - size, size
+        if released:
+            self._memory.release(released)
+        self._memory.end_overdraft(self)
+
     def release(self) -> None:
         """Release everything."""
-        size, self.size = self.size, 0
-        if size:
-            self._memory.release(size)
-        self._memory.end_overdraft(self)
+        self.resize(0)
 
 
 class UnsharedAccount:
--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/memory_guard.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/memory_guard.py
@@ -26,6 +26,10 @@
 """Fraction of the total that answers may fill. The rest is for request bodies: callers that have
 stopped reading must not keep other callers' requests from being received."""
 
+ALWAYS_RECEIVED_BYTES = 8192
+"""Bytes of a connection's requests that are received whatever the total is. Most requests are
+complete with them, so they are served also while large ones wait."""
+
 ROOM_FRACTION = 0.9
 """Fraction of a bound below which reading continues. Without the gap, each released byte would wake
 every connection that waits for room."""
@@ -46,6 +50,8 @@
 
     total_bytes: int
     answer_bytes: int = ANSWER_BYTES
+    always_received_bytes: int = 0
+    """Bytes of a connection's requests that are received whatever the total is."""
 
     @classmethod
     def of_process(cls, memory_bytes: int) -> MemoryBounds:
@@ -53,10 +59,10 @@
 
         Example:
             >>> MemoryBounds.of_process(200 << 20)
-            MemoryBounds(total_bytes=20971520, answer_bytes=262144)
+            MemoryBounds(total_bytes=20971520, answer_bytes=262144, always_received_bytes=8192)
         """
         total = int(memory_bytes * HELD_FRACTION)
-        return cls(total, min(ANSWER_BYTES, total))
+        return cls(total, min(ANSWER_BYTES, total), ALWAYS_RECEIVED_BYTES)
 
 
 @dataclass(slots=True)
