Bound the open connections of callers and of the status servers

From the limit on nobody is accepted, the platform's own check isn't answered, and calls to servers fail with EMFILE, which counts as a failure of the server.

Cause: limits.max_fds was decoded and read by nobody; every connection was accepted and kept until the idle timeout, or two seconds at the status servers.

Change: ConnectionTable, a pure policy, knows what each connection does and which one yields: first one that has been answered and has sent the next request already, then one without a whole head, then an idle one, then one whose body arrives; never one whose request is being served. A server has a bounded number of places (ConnectionSlots); beyond it a new connection takes the place of one that yields, or is reset unread. Log line connection_limit_reached, at most one a second.

Why it works: a silent crowd pushes out itself; a connection closed this way has no request that was passed on, so nothing is promised and nothing lost, and its caller opens another one.

The test of the acceptor passes it the places.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/caller_stream.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/caller_stream.py
@@ -7,6 +7,8 @@
 import h11
 import trio
 
+from ragwortwing_policy.connection_table import Activity
+from ragwortwing_runtime.connection_slots import ConnectionSlots
 from ragwortwing_runtime.fair_turns import FairTurns
 from ragwortwing_runtime.http_client import FRAMING_BYTES_PER_BODY_BYTE, MAX_FRAMING_BYTES
 from ragwortwing_runtime.tcp_sockets import has_hung_up, is_idle, send_all
@@ -41,19 +43,25 @@
         self.status = status
 
 
+class ConnectionDisplacedError(Exception):
+    """The connection has to end, as a new one needs its place."""
+
+
 class CallerConnections:
-    """What the connections of all callers share: their memory, their limits and their turns."""
+    """What the connections of all callers share: their places, their memory and their turns."""
 
     def __init__(
-        self, memory: CallerMemory, clock: Clock, limits: Callable[[], CallerLimits]
+        self, bound: int, memory: CallerMemory, clock: Clock, limits: Callable[[], CallerLimits]
     ) -> None:
         """Create the shared state.
 
         Args:
+            bound: Most connections that are open at a time.
             memory: Counts the bytes received from callers.
             clock: The clock.
             limits: Returns the limits of the configuration in force.
         """
+        self.slots = ConnectionSlots(bound)
         self.turns = FairTurns()
         self.memory = memory
         self.clock = clock
@@ -71,6 +79,7 @@
         self._sock = sock
         self._shared = shared
         self._account = shared.memory.account()
+        self._has_served = False
         largest_head = 2 * shared.limits().header_bytes
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=largest_head)
         """The protocol state, with which answers are written."""
@@ -86,18 +95,41 @@
 
     def request_ended(self) -> None:
         """Release the request that was served."""
+        self._has_served = True
         self._account.resize(self.unparsed_bytes)
 
+    async def discard_rest(self) -> int:
+        """Read and discard what the caller still sends, to the end; return the number of bytes.
+
+        A new connection may take the place of this one meanwhile.
+
+        Raises:
+            OSError: The connection is broken.
+        """
+        size = 0
+        with self._shared.slots.waiting(self._sock, Activity.PIPELINING):
+            while data := await self._sock.recv(RECEIVE_BYTES):
+                size += len(data)
+        return size
+
     async def read_head(self) -> h11.Request | None:
         """Return the head of the next request, or None if the connection closes or stays idle.
 
         Raises:
+            ConnectionDisplacedError: A new connection needs the place of this one.
             MalformedRequestError: The head violates HTTP, or is not received in time.
             OSError: The connection is broken.
         """
-        if self.unparsed_bytes:
-            await self._shared.turns.wait()
-        event = await self._wait_for_head()
+        activity = Activity.IDLE if self._has_served else Activity.OPENED
+        pipelined = bool(self.unparsed_bytes)
+        if pipelined:
+            activity = Activity.PIPELINING
+        with self._shared.slots.waiting(self._sock, activity) as scope:
+            if pipelined:
+                await self._shared.turns.wait()
+            event = await self._wait_for_head()
+        if scope.cancel_called:
+            raise ConnectionDisplacedError
         return event if isinstance(event, h11.Request) else None
 
     async def _wait_for_head(self) -> h11.Event | None:
@@ -134,6 +166,7 @@
             deadline: Time by which it has to be received; None for the idle timeout.
 
         Raises:
+            ConnectionDisplacedError: A new connection needs the place of this one.
             MalformedRequestError: The body violates HTTP or a limit, or is not received in time.
             OSError: The connection is broken.
         """
@@ -142,10 +175,16 @@
             return bytes(body.data)
         if deadline is None:
             deadline = self._now() + self._shared.limits().idle_timeout.total_seconds()
-        with trio.move_on_after(deadline - self._now()):
+        with (
+            self._shared.slots.waiting(self._sock, Activity.BODY) as scope,
+            trio.move_on_after(deadline - self._now()) as timeout,
+        ):
             await self._receive_body(body)
-            return bytes(body.data)
-        raise MalformedRequestError("request body not received in time", 408)
+        if scope.cancel_called:
+            raise ConnectionDisplacedError
+        if timeout.cancelled_caught:
+            raise MalformedRequestError("request body not received in time", 408)
+        return bytes(body.data)
 
     async def _receive_body(self, body: _Body) -> None:
         if self.h11.they_are_waiting_for_100_continue:
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/connection_acceptor.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/connection_acceptor.py
@@ -10,12 +10,13 @@
 from ragwortwing_policy.direct.accept_gate import TARGET_DELAY, AcceptGate
 from ragwortwing_runtime.tcp_sockets import accept_now, reset
 
-from .decision_log import decided
+from .decision_log import decided, warned
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from ragwortwing_policy.clock import Clock
+    from ragwortwing_runtime.connection_slots import ConnectionSlots
 
 MAX_SERVED_PER_TURN = 8
 """Most connections of which a first request is read in one turn of the event loop. With more, the
@@ -40,16 +41,21 @@
     Args:
         clock: Measures how long the event loop delays requests.
         serve: Serves a connection until it ends.
+        slots: The places for connections.
     """
 
     def __init__(
-        self, clock: Clock, serve: Callable[[trio.socket.SocketType], Awaitable[None]]
+        self,
+        clock: Clock,
+        serve: Callable[[trio.socket.SocketType], Awaitable[None]],
+        slots: ConnectionSlots,
     ) -> None:
         self._clock = clock
         self._serve = serve
+        self._slots = slots
         self._gate = AcceptGate()
-        self._closed_logged = 0
-        self._closed_logged_at = -inf
+        self._closed_logged = self._displaced_logged = 0
+        self._logged_at = -inf
 
     async def run(self, listener: trio.socket.SocketType) -> None:
         """Accept connections until cancelled."""
@@ -61,7 +67,7 @@
                 except OSError as error:
                     decided("accept_failed", cause=str(error))
                     await trio.sleep(ACCEPT_RETRY_SECONDS)
-                self._log_closed_unread()
+                self._log_closed()
 
     def _accept_waiting(
         self, first: trio.socket.SocketType, listener: trio.socket.SocketType, nursery: trio.Nursery
@@ -71,8 +77,8 @@
         served = accepted = 0
         while sock is not None:
             accepted += 1
-            if self._gate.accepts(now := self._clock.monotonic()):
-                nursery.start_soon(self._serve, sock)
+            if self._gate.accepts(now := self._clock.monotonic()) and self._slots.admit(sock):
+                nursery.start_soon(self._serve_and_release, sock)
                 nursery.start_soon(self._measure_delay, now)
                 served += 1
             else:
@@ -81,6 +87,12 @@
                 return
             sock = accept_now(listener)
 
+    async def _serve_and_release(self, sock: trio.socket.SocketType) -> None:
+        try:
+            await self._serve(sock)
+        finally:
+            self._slots.release(sock)
+
     async def _measure_delay(self, accepted_at: float) -> None:
         """Measure how long the event loop delays a request of a connection."""
         now = accepted_at
@@ -92,10 +104,23 @@
                 break
         self._gate.delayed(now - accepted_at, now)
 
-    def _log_closed_unread(self) -> None:
-        now, closed = self._clock.monotonic(), self._gate.closed
-        if closed == self._closed_logged or now < self._closed_logged_at + CLOSED_LOG_INTERVAL:
+    def _log_closed(self) -> None:
+        """Log how many connections were closed for want of processor time or places."""
+        now, closed, displaced = self._clock.monotonic(), self._gate.closed, self._slots.turned_away
+        if now < self._logged_at + CLOSED_LOG_INTERVAL:
             return
-        rate = None if self._gate.rate == inf else round(self._gate.rate)
-        decided("connections_closed_unread", count=closed - self._closed_logged, rate_limit=rate)
-        self._closed_logged, self._closed_logged_at = closed, now
+        if closed != self._closed_logged:
+            rate = None if self._gate.rate == inf else round(self._gate.rate)
+            decided(
+                "connections_closed_unread", count=closed - self._closed_logged, rate_limit=rate
+            )
+            self._closed_logged, self._logged_at = closed, now
+        if displaced != self._displaced_logged:
+            warned(
+                "connection_limit_reached",
+                count=displaced - self._displaced_logged,
+                limit=self._slots.table.bound,
+                refused=self._slots.refused,
+                closed={each.name: n for each, n in self._slots.closed_by_activity.items()},
+            )
+            self._displaced_logged, self._logged_at = displaced, now
--- a/packages/ragwortwing-entry/tests/direct/test_connection_acceptor.py
+++ b/packages/ragwortwing-entry/tests/direct/test_connection_acceptor.py
@@ -10,6 +10,7 @@
 import trio
 
 from ragwortwing_entry.direct.connection_acceptor import ConnectionAcceptor
+from ragwortwing_runtime.connection_slots import ConnectionSlots
 from ragwortwing_runtime.system_clock import SystemClock
 
 
@@ -45,7 +46,8 @@
     listener = trio.socket.socket()
     await listener.bind(("127.0.0.1", 0))
     listener.listen(steps * connections_per_step)
-    acceptor = ConnectionAcceptor(SystemClock(), serve)
+    slots = ConnectionSlots(steps * connections_per_step)
+    acceptor = ConnectionAcceptor(SystemClock(), serve, slots)
     callers: list[socket.socket] = []
     with ExitStack() as stack:
         async with trio.open_nursery() as nursery:
--- /dev/null
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/connection_slots.py
@@ -0,0 +1,75 @@
+"""Limits the open connections of a server; those without a request yield to new ones."""
+
+from __future__ import annotations
+
+from collections import Counter
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+import trio
+
+from ragwortwing_policy.connection_table import Activity, ConnectionTable
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class ConnectionSlots:
+    """The places for the connections of one server.
+
+    A connection gets a place before its task starts. It gives the place up only while it waits for
+    its client, so no request that has been passed on is ever cut off.
+    """
+
+    def __init__(self, bound: int) -> None:
+        self.table: ConnectionTable[object] = ConnectionTable(bound)
+        self.refused = 0
+        """Connections that were refused, as all others had a request in progress."""
+        self.closed_by_activity: Counter[Activity] = Counter()
+        """Connections that were closed for a new one, by what they did."""
+        self._scope_by_connection: dict[object, trio.CancelScope] = {}
+
+    @property
+    def turned_away(self) -> int:
+        """Connections that were refused, or closed for a new one."""
+        return self.refused + self.closed_by_activity.total()
+
+    def admit(self, connection: object) -> bool:
+        """Return whether a new connection gets a place; another one may be closed for it."""
+        victim = self.table.victim
+        if self.table.is_full and victim is None:
+            self.refused += 1
+            return False
+        if self.table.is_full and victim is not None:
+            self.closed_by_activity[self.table.activity(victim)] += 1
+        closed = self.table.open(connection)
+        scope = self._scope_by_connection.get(closed)
+        if scope is not None:
+            scope.cancel()
+        return True
+
+    def release(self, connection: object) -> None:
+        """Free the place of a connection that has ended."""
+        self.table.close(connection)
+
+    @contextmanager
+    def waiting(self, connection: object, activity: Activity) -> Iterator[trio.CancelScope]:
+        """Let a connection be closed for a new one while it waits for its client.
+
+        Args:
+            connection: The connection.
+            activity: What it waits for.
+
+        Yields:
+            A scope. If it has been cancelled, the place is lost and the connection has to end.
+        """
+        with trio.CancelScope() as scope:
+            self.table.set_activity(connection, activity)
+            if connection not in self.table:
+                scope.cancel()
+            self._scope_by_connection[connection] = scope
+            try:
+                yield scope
+            finally:
+                del self._scope_by_connection[connection]
+                self.table.set_activity(connection, Activity.SERVED)
--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/status_server.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/status_server.py
@@ -6,7 +6,10 @@
 
 import trio
 
-from .tcp_sockets import RECEIVE_BYTES, send_all
+from ragwortwing_policy.connection_table import Activity
+
+from .connection_slots import ConnectionSlots
+from .tcp_sockets import RECEIVE_BYTES, reset, send_all
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,10 +34,21 @@
 
 
 class StatusServer:
-    """Answers each connection with the current status and closes it."""
-
-    def __init__(self, create_answer: Callable[[], bytes]) -> None:
+    """Answers each connection with the current status and closes it.
+
+    Args:
+        create_answer: Returns the answer.
+        max_connections: Most connections that are open at a time. Beyond them a new one replaces
+            the oldest, so that clients that send nothing do not turn the platform's check away.
+    """
+
+    def __init__(
+        self,
+        create_answer: Callable[[], bytes],
+        max_connections: int,
+    ) -> None:
         self._create_answer = create_answer
+        self._slots = ConnectionSlots(max_connections)
 
     async def run(self, listener: trio.socket.SocketType) -> None:
         """Accept connections until cancelled."""
@@ -45,14 +59,22 @@
                 except OSError:
                     await trio.sleep(0.05)
                     continue
-                nursery.start_soon(self._serve, sock)
+                if self._slots.admit(sock):
+                    nursery.start_soon(self._serve, sock)
+                else:
+                    reset(sock)
 
     async def _serve(self, sock: trio.socket.SocketType) -> None:
-        with sock, trio.move_on_after(EXCHANGE_TIMEOUT):
+        with (
+            sock,
+            trio.move_on_after(EXCHANGE_TIMEOUT),
+            self._slots.waiting(sock, Activity.OPENED),
+        ):
             try:
                 await sock.recv(RECEIVE_BYTES)
                 await send_all(sock, self._create_answer())
                 sock.shutdown(trio.socket.SHUT_WR)
                 await sock.recv(RECEIVE_BYTES)
             except OSError:
-                return
+                pass
+        self._slots.release(sock)
