Reset a connection whose answer of the entry's own is not read in time

What callers saw: where callers may read slowly (contract pressure), a client that sent requests for paths without a route and read no answer kept its connection, its task and its buffers for good.

Cause: the answer of a backend server has the request's deadline, the entry's own answers have none, and with that contract the user timeout of the kernel is off.

Change: an answer of the entry's own that isn't taken within the idle timeout of the configuration ends with a reset; nothing of such a request has run, or its outcome is unknown anyway, so a broken connection promises nothing more.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/request_task.py
@@ -758,7 +758,13 @@
             )
             return
         self._entry.counters.refusals.labels(_cause_label(conclusion)).inc()
-        await self._answer.conclude(conclusion)
+        # There is no deadline here: it may have passed, or the request has none.
+        limit = self._state.caller_limits.idle_timeout.total_seconds()
+        with trio.move_on_after(limit) as timeout:
+            await self._answer.conclude(conclusion)
+        if timeout.cancelled_caught:
+            self._answer.abort()
+            raise CallerLostError("answer not read in time")
         self._log_end("concluded", conclusion=str(conclusion), failure=failure)
 
     def _log_end(self, outcome: str, **inputs: object) -> None:
