Bound the open connections of callers at the product's own interface

Cause: every connection was accepted and kept for 75 s without a request; at the limit of descriptors accept fails for all alike.

Change: the same places as at the platform's entry (ConnectionSlots). Hypercorn tells when a connection begins a request and when it is idle; one without a request yields to a new one. New setting requests.open_connections, 10,000 by default, at most three quarters of the kernel's limit; no proper client meets it, as one without a request in progress is closed first and opens another.

--- a/packages/ragwortwing-entry/src/ragwortwing_entry/entry_app.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/entry_app.py
@@ -95,7 +95,9 @@
             AccountAdmission(members),
             self._new_run,
         )
-        self._server = HttpServer(self, settings.requests.header_bytes)
+        self._server = HttpServer(
+            self, settings.requests.header_bytes, settings.requests.open_connections
+        )
         self._operator_port = 0
         self._address = ""
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/http_server.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import resource
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
@@ -10,12 +11,14 @@
 import logbook
 import trio
 from hypercorn.config import Config
-from hypercorn.events import Closed, RawData
+from hypercorn.events import Closed, RawData, Updated
 from hypercorn.trio.tcp_server import TCPServer
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import ConnectionState
 from hypercorn.utils import wrap_app
 
+from ragwortwing_policy.connection_table import Activity
+from ragwortwing_runtime.connection_slots import ConnectionSlots
 from ragwortwing_runtime.settings_reader import Address
 from ragwortwing_runtime.tcp_sockets import reset
 
@@ -46,6 +49,22 @@
 """
 
 
+RESERVED_DESCRIPTORS_FRACTION = 0.25
+"""Fraction of the process's descriptors that callers leave to agents, to the log and to files."""
+
+
+def connection_bound(configured: int) -> int:
+    """Return the most connections of callers that the process can keep open.
+
+    Args:
+        configured: The bound of the settings. That of the kernel may be lower.
+    """
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return configured
+    return min(configured, max(1, int(descriptors * (1.0 - RESERVED_DESCRIPTORS_FRACTION))))
+
+
 class HypercornLogger:
     """Forwards Hypercorn's log messages to our log and drops its access log."""
 
@@ -83,6 +102,9 @@
 class CallerConnection(TCPServer):  # type: ignore[misc]
     """A caller's connection that writes directly to the socket if it has buffer space."""
 
+    slots: ConnectionSlots | None = None
+    """Where the connection has its place."""
+
     async def protocol_send(self, event: Event) -> None:
         """Write response bytes directly to the socket, or delegate the event to Hypercorn.
 
@@ -98,6 +120,8 @@
                 self.reset_if_incomplete()
                 await super().protocol_send(event)
             return
+        if isinstance(event, Updated) and self.slots is not None:
+            self.slots.set_activity(self, Activity.IDLE if event.idle else Activity.SERVED)
         if not isinstance(event, RawData) or self.send_lock.locked():
             await super().protocol_send(event)
             return
@@ -128,11 +152,21 @@
 class HttpServer:
     """Accepts callers' connections and closes them on shutdown."""
 
-    def __init__(self, application: Any, header_bytes: int) -> None:
+    def __init__(self, application: Any, header_bytes: int, max_connections: int) -> None:
+        """Create the server.
+
+        Args:
+            application: The ASGI application.
+            header_bytes: Largest total size of a request's header names and values.
+            max_connections: Most connections that are open at a time. Beyond it, one without a
+                request is closed for a new one.
+        """
         self._config = _hypercorn_config(header_bytes)
         self._application = wrap_app(application, 0, "asgi")
         self._context = WorkerContext(None)
         self._connections: set[CallerConnection] = set()
+        self._max_connections = max_connections
+        self._slots = ConnectionSlots(connection_bound(max_connections))
 
     async def run(
         self,
@@ -171,9 +205,17 @@
     async def _serve(self, stream: trio.SocketStream) -> None:
         state = ConnectionState({})
         connection = CallerConnection(self._application, self._config, self._context, state, stream)
+        # The limit of the kernel can be changed while the process runs.
+        self._slots.table.bound = connection_bound(self._max_connections)
+        if not self._slots.admit(connection):
+            log.warning("Connection refused: all others have a request in progress")
+            await trio.aclose_forcefully(stream)
+            return
+        connection.slots = self._slots
         self._connections.add(connection)
         try:
-            await connection
+            with self._slots.holding(connection):
+                await connection
         finally:
             self._connections.discard(connection)
 
--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/connection_slots.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/connection_slots.py
@@ -52,6 +52,26 @@
         """Free the place of a connection that has ended."""
         self.table.close(connection)
 
+    @contextmanager
+    def holding(self, connection: object) -> Iterator[None]:
+        """Keep the place of a connection whose server reports what it does by `set_activity`.
+
+        The block is cancelled when the connection is closed for a new one.
+        """
+        with trio.CancelScope() as scope:
+            self._scope_by_connection[connection] = scope
+            if connection not in self.table:
+                scope.cancel()
+            try:
+                yield
+            finally:
+                del self._scope_by_connection[connection]
+                self.release(connection)
+
+    def set_activity(self, connection: object, activity: Activity) -> None:
+        """Record what a connection does from now on."""
+        self.table.set_activity(connection, activity)
+
     @contextmanager
     def waiting(self, connection: object, activity: Activity) -> Iterator[trio.CancelScope]:
         """Let a connection be closed for a new one while it waits for its client.
--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/settings.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/settings.py
@@ -107,6 +107,9 @@
     """Maximum total size of the header names and values of one request."""
     open_requests: Annotated[int, Between(1, 100_000)] = 2_000
     """Maximum number of requests in flight in this process."""
+    open_connections: Annotated[int, Between(1, 1_000_000)] = 10_000
+    """Maximum number of callers' connections; at most three quarters of the process's descriptors.
+    Beyond it, a connection without a request in progress is closed for a new one."""
     keep_alive_interval: PositiveDuration = timedelta(seconds=5)
     """Time between two keep-alive comments in an event stream that waits for its first token."""
 
