--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/caller_stream.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/caller_stream.py
@@ -144,7 +144,7 @@
             else:
                 left = began_at + limits.header_timeout.total_seconds() - self._now()
             # After a suspension of the process, bytes that have arrived in time are still unread.
-            if left <= 0.0 and (is_late or not self._can_receive_now):
+            if left <= 0.0 and (is_late or is_idle(self._sock) or not self._account.may_receive()):
                 if began_at is None:
                     return None
                 raise MalformedRequestError("request head not received in time", 408)
@@ -155,10 +155,6 @@
                 began_at, is_late = self._now(), False
         return event  # type: ignore[return-value]
 
-    @property
-    def _can_receive_now(self) -> bool:
-        return self._account.has_room and not is_idle(self._sock)
-
     async def read_body(self, deadline: Instant | None) -> bytes:
         """Return the body of the request.
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/direct/relay_buffer.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/direct/relay_buffer.py
@@ -149,18 +149,17 @@
         self._memory.hold(size)
         self.size += size
 
-    @property
-    def has_room(self) -> bool:
-        """Whether more may be received."""
+    def may_receive(self) -> bool:
+        """Return whether more may be received now, be it beyond the total as the only one."""
         always = self._memory.held.bounds.always_received_bytes
         return self.size <= always or self._memory.may_receive(self)
 
     async def wait_for_room(self) -> None:
         """Wait before more of a request is received if the total is beyond its bound."""
-        if self.has_room:
+        if self.may_receive():
             return
         self._memory.bound_reached("body", self.size)
-        while not self.has_room:
+        while not self.may_receive():
             await self._memory.wait_for_body_room()
 
     def try_hold(self, size: int) -> bool:
--- a/tests/test_uncontrolled_clients_of_a_site.py
+++ b/tests/test_uncontrolled_clients_of_a_site.py
@@ -13,6 +13,7 @@
 import trio
 from site_callers import ACCOUNT
 from uncontrolled_clients import (
+    FLOOD_SECONDS,
     SILENT_CLIENTS,
     Crowd,
     Usage,
@@ -120,3 +121,32 @@
     async with small_site(tmp_path) as site:
         address = site.process_by_name["agent-engine-0"].listen[interface]
         await check_bears(site, "agent-engine-0", Crowd(address, stays_silent, SILENT_CLIENTS))
+
+
+@pytest.mark.parametrize("interface", ["http", "wire"])
+async def test_new_entry_reaches_an_agent_with_silent_connections(
+    tmp_path: Path, interface: str
+) -> None:
+    """Guards against silent connections that keep an agent from entries that start later."""
+    async with small_site(tmp_path) as site:
+        agent = site.process_by_name["agent-engine-0"]
+        resource.prlimit(
+            agent.handle.pid, resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, MAX_DESCRIPTORS)
+        )
+        usage = Usage(agent.handle.pid, frozenset(agent.listen.values()))
+        crowd = Crowd(agent.listen[interface], stays_silent, SILENT_CLIENTS)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(usage.watch)
+            nursery.start_soon(crowd.run)
+            await trio.sleep(FLOOD_SECONDS)
+            await site.start_entry(1)
+            answer = Answer(site.entry_url(1))
+            with trio.fail_after(ANSWER_TIMEOUT):
+                while answer.status != 200:
+                    answer = Answer(site.entry_url(1))
+                    await Call(answer).run(chat_request("new", ACCOUNT, "chat"))
+                    await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+        assert agent.handle.poll() is None
+        assert usage.memory <= MEMORY_BYTES, f"{usage.memory / (1 << 20):.0f} MB"
+        assert usage.sockets <= MAX_DESCRIPTORS
