--- a/packages/ragwortwing-policy/src/ragwortwing_policy/direct/prompt_parts.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/direct/prompt_parts.py
@@ -10,6 +10,10 @@
 prefill causes a noticeable pause in every other stream on the engine."""
 
 
+MIN_CACHED_TOKENS = 64
+"""Tokens that a smaller part counts with, so that the number of remembered parts is bounded too."""
+
+
 @dataclass(frozen=True, slots=True)
 class PromptPart:
     """A section of a prompt that several requests may share."""
@@ -64,20 +68,20 @@
     well.
 
     Example:
-        >>> cache = PartCache(capacity_tokens=100)
-        >>> a, b = PromptPart("a", 60), PromptPart("b", 30)
+        >>> cache = PartCache(capacity_tokens=1000)
+        >>> a, b = PromptPart("a", 600), PromptPart("b", 300)
         >>> cache.use((a, b))
-        >>> cache.kept_tokens((a, b, PromptPart("c", 10)))
-        90
-        >>> cache.use((PromptPart("d", 50),))
+        >>> cache.kept_tokens((a, b, PromptPart("c", 100)))
+        900
+        >>> cache.use((PromptPart("d", 500),))
         >>> cache.kept_tokens((a, b))
         0
-        >>> d = PromptPart("d", 50)
+        >>> d = PromptPart("d", 500)
         >>> cache.read_tokens((d,))
         0
         >>> cache.read((d,))
         >>> cache.read_tokens((d,))
-        50
+        500
     """
 
     def __init__(self, capacity_tokens: int) -> None:
@@ -86,6 +90,10 @@
         self._unread: set[str] = set()
         self._total = 0
 
+    def __len__(self) -> int:
+        """Return the number of parts that are remembered."""
+        return len(self._tokens_by_part)
+
     def kept_tokens(self, parts: tuple[PromptPart, ...]) -> int:
         """Return the cached tokens: a part counts only if all parts before it are cached."""
         kept = 0
@@ -114,22 +122,27 @@
         for part in parts:
             if part.id in self._unread:
                 self._unread.discard(part.id)
-                self._total -= self._tokens_by_part.pop(part.id)
+                self._total -= _size(self._tokens_by_part.pop(part.id))
 
     def use(self, parts: tuple[PromptPart, ...]) -> None:
         """Record that a prompt with these parts is sent to the engine."""
         for part in parts:
             if part.id not in self._tokens_by_part:
                 self._unread.add(part.id)
-            self._total += part.tokens - self._tokens_by_part.pop(part.id, 0)
+            before = self._tokens_by_part.pop(part.id, None)
+            self._total += _size(part.tokens) - (0 if before is None else _size(before))
             self._tokens_by_part[part.id] = part.tokens
         while self._total > self._capacity and self._tokens_by_part:
             part_id, tokens = self._tokens_by_part.popitem(last=False)
             self._unread.discard(part_id)
-            self._total -= tokens
+            self._total -= _size(tokens)
 
     def clear(self) -> None:
         """Remove all parts, because the engine has restarted."""
         self._tokens_by_part.clear()
         self._unread.clear()
         self._total = 0
+
+
+def _size(tokens: int) -> int:
+    return max(tokens, MIN_CACHED_TOKENS)
