Charge a connection of a caller with 128 KB

With 4,100 descriptors and 150 MB an entry kept 576 connections at 80 KB each. 2,700 heads without end (trial, 6 s, nothing beside it) took it to 151 MB: beside the connections it keeps, up to 1,024 that wait to be accepted hold a receive buffer of the kernel each.

Change: 128 KB for each connection, so 360 at 150 MB, 720 at 300 MB, 1,324 at 552 MB.

--- a/packages/ragwortwing-policy/src/ragwortwing_policy/connection_table.py
+++ b/packages/ragwortwing-policy/src/ragwortwing_policy/connection_table.py
@@ -31,9 +31,9 @@
 CONNECTIONS_FRACTION = 0.3
 """Fraction of the process's memory that all connections of callers may occupy."""
 
-CONNECTION_BYTES = 80 * 1024
-"""Memory of a connection whose request is served: its tasks, its parser, the request itself, and a
-full receive buffer of the kernel. What the parser has received beyond it is bounded in total."""
+CONNECTION_BYTES = 128 * 1024
+"""Memory of a connection whose request is served: its tasks, its parser, the request itself, and
+receive buffers of the kernel, also those of connections that wait to be accepted."""
 
 STATUS_FRACTION = 1 / 16
 """Fraction of the sockets that each status server may occupy."""
@@ -58,7 +58,7 @@
 
         Example:
             >>> ConnectionBounds.of_process(300 << 20, 4200)
-            ConnectionBounds(callers=1152, status=64)
+            ConnectionBounds(callers=720, status=64)
             >>> ConnectionBounds.of_process(96 << 20, 400)
             ConnectionBounds(callers=75, status=12)
         """
