--- a/packages/ragwortwing-entry/src/ragwortwing_entry/http_server.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/http_server.py
@@ -208,7 +208,7 @@
         # The limit of the kernel can be changed while the process runs.
         self._slots.table.bound = connection_bound(self._max_connections)
         if not self._slots.admit(connection):
-            log.warning("Connection refused: all others have a request in progress")
+            log.debug("Connection refused: all others have a request in progress")
             await trio.aclose_forcefully(stream)
             return
         connection.slots = self._slots
