End the tasks of a connection whose head is malformed, and serve agents with the entry's HTTP server

Callers of the product's own interface and clients of an agent's HTTP interface that send heads without end (150 and 40 clients) took 330 and 332 MB of the 128 MB that the tests allow, within about 4 s.

Cause: after a malformed or too long head Hypercorn closes the socket but leaves the timer for idle connections running, and the task of the connection waits for it: 75 s at an entry, 5 s at an agent. A client that comes again after 50 ms leaves two tasks and its buffers behind each time; after 4 s there were 5,440 living tasks beside 12 open descriptors. Ruled out: garbage that was not collected (a collection freed nothing), and buffers of the kernel alone (limited, with the timer left: 280 and 247 MB).

The connection stops the timer when it closes. The server of the own interface moves to the runtime and serves the agents too, so that they have bounded connections (64) whose victims are chosen in the same way; the kernel's buffers of both are limited, as are those of the platform's interface.

Chunks of one byte, unread streams and 1,000 HTTP/2 streams a connection passed before too; they guard.

--- a/packages/ragwortwing-agent/src/ragwortwing_agent/status_server.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/status_server.py
@@ -3,22 +3,26 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from functools import partial
+from datetime import timedelta
 from typing import TYPE_CHECKING, Any, Protocol
 
 import msgspec
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 
+from ragwortwing_runtime.http_server import HttpLimits, HttpServer
 from ragwortwing_runtime.telemetry import METRICS_CONTENT_TYPE
 
 if TYPE_CHECKING:
     from ragwortwing_runtime.settings_reader import Address
 
 JSON_TYPE = "application/json"
-SHUTDOWN_GRACE_SECONDS = 0.2
-"""Time for open responses to finish when the server closes."""
+
+LIMITS = HttpLimits(
+    header_bytes=8192,
+    connections=64,
+    idle_timeout=timedelta(seconds=5),
+)
+"""Limits on the connections of operators and monitoring."""
 
 
 class StatusSource(Protocol):
@@ -54,9 +58,7 @@
 
     async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         """Handle one ASGI scope."""
-        if scope["type"] == "lifespan":
-            await _acknowledge_lifespan(receive, send)
-        elif scope["type"] == "http":
+        if scope["type"] == "http":
             status, content_type, body = self._answer(scope["method"], scope["path"])
             headers = [(b"content-type", content_type.encode())]
             await send({"type": "http.response.start", "status": status, "headers": headers})
@@ -81,49 +83,18 @@
 
 
 class StatusServer:
-    """Runs the status application in an HTTP server until it is closed."""
+    """Serves the status application until it is closed."""
 
     def __init__(self, source: StatusSource, address: Address) -> None:
-        self._application = StatusApplication(source)
+        self._server = HttpServer(StatusApplication(source), LIMITS)
         self._address = address
-        self._closing = trio.Event()
-        self._closed = trio.Event()
-        self._closed.set()
 
     async def run(self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
-        """Serve until closed; reports the bound `ip:port` through `task_status`."""
-        self._closed = trio.Event()
-        config = Config()
-        config.bind = [str(self._address)]
-        config.include_server_header = False
-        config.graceful_timeout = SHUTDOWN_GRACE_SECONDS
-        config.errorlog = None
-        config.accesslog = None
-        try:
-            async with trio.open_nursery() as nursery:
-                binds: list[str] = await nursery.start(
-                    partial(
-                        serve,
-                        self._application,
-                        config,
-                        shutdown_trigger=self._closing.wait,
-                        mode="asgi",
-                    )
-                )
-                task_status.started(binds[0].removeprefix("http://"))
-        finally:
-            self._closed.set()
+        """Serve until cancelled; reports the bound `ip:port` through `task_status`."""
+        async with trio.open_nursery() as nursery:
+            (address,) = await nursery.start(self._server.run, (self._address,))
+            task_status.started(address)
 
     async def close(self) -> None:
-        """Stop the server after open responses, such as the one to `/drain`, have finished."""
-        self._closing.set()
-        await self._closed.wait()
-
-
-async def _acknowledge_lifespan(receive: Receive, send: Send) -> None:
-    """Acknowledge the ASGI lifespan events; the application needs no startup or shutdown steps."""
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
+        """Close the connections after open responses, such as the one to `/drain`."""
+        await self._server.close()
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/entry_app.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/entry_app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import secrets
+from datetime import timedelta
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -13,6 +14,7 @@
 from ragwortwing_policy.retries import RetryBudget
 from ragwortwing_policy.routing import Router
 from ragwortwing_runtime.app import App
+from ragwortwing_runtime.http_server import HttpLimits, HttpServer
 from ragwortwing_runtime.logs import LogContext, set_log_context
 from ragwortwing_runtime.members import Member, MemberRole, MemberState
 from ragwortwing_runtime.telemetry import Telemetry
@@ -24,7 +26,6 @@
 from .caller_faults import CallerFault, CallerFaultCode
 from .entry_metrics import EntryMetrics
 from .http_call import HttpCall
-from .http_server import HttpServer
 from .request_context import RequestContext, new_request_context, new_request_id
 from .request_journal import RequestJournal
 from .request_run import RequestRun
@@ -48,6 +49,9 @@
 TICK_SECONDS = 0.1
 """Interval at which the timers of streaming answers are checked."""
 
+IDLE_TIMEOUT = timedelta(seconds=75)
+"""Idle timeout of a connection; longer than that of load balancers, so that they close first."""
+
 LEAVE_TIMEOUT_SECONDS = 0.5
 """Timeout for leaving the membership list on exit; without it, the membership expires."""
 
@@ -95,9 +99,12 @@
             AccountAdmission(members),
             self._new_run,
         )
-        self._server = HttpServer(
-            self, settings.requests.header_bytes, settings.requests.open_connections
+        limits = HttpLimits(
+            settings.requests.header_bytes,
+            settings.requests.open_connections,
+            IDLE_TIMEOUT,
         )
+        self._server = HttpServer(self, limits)
         self._operator_port = 0
         self._address = ""
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/http_server.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/http_server.py
@@ -1,10 +1,12 @@
-"""Serves the entry over HTTP/1.1 and HTTP/2 with Hypercorn, in this process."""
+"""Serves an ASGI application over HTTP/1.1 and HTTP/2 with Hypercorn, in this process."""
 
 from __future__ import annotations
 
 import os
 import resource
 from contextlib import suppress
+from dataclasses import dataclass
+from datetime import timedelta  # noqa: TC003 - evaluated by the data class
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -18,18 +20,16 @@
 from hypercorn.utils import wrap_app
 
 from ragwortwing_policy.connection_table import Activity
-from ragwortwing_runtime.connection_slots import ConnectionSlots
-from ragwortwing_runtime.settings_reader import Address
-from ragwortwing_runtime.tcp_sockets import reset
+
+from .connection_slots import ConnectionSlots
+from .settings_reader import Address
+from .tcp_sockets import limit_buffers, reset
 
 if TYPE_CHECKING:
     from hypercorn.events import Event
 
 log = logbook.Logger("http")
 
-KEEP_ALIVE_SECONDS = 75.0
-"""Idle timeout of a connection; longer than that of load balancers, so that they close first."""
-
 CLOSE_POLL_SECONDS = 0.01
 """Interval of the check whether all connections have closed."""
 
@@ -50,11 +50,24 @@
 
 
 RESERVED_DESCRIPTORS_FRACTION = 0.25
-"""Fraction of the process's descriptors that callers leave to agents, to the log and to files."""
+"""Fraction of the process's descriptors that clients leave to other connections and to files."""
+
+
+@dataclass(frozen=True, slots=True)
+class HttpLimits:
+    """Limits on the clients of a server."""
+
+    header_bytes: int
+    """Largest total size of a request's header names and values."""
+    connections: int
+    """Most connections that are open at a time, or fewer if the kernel allows less. Beyond it, one
+    without a request is closed for a new one."""
+    idle_timeout: timedelta
+    """Time after which a connection without a request is closed."""
 
 
 def connection_bound(configured: int) -> int:
-    """Return the most connections of callers that the process can keep open.
+    """Return the most connections of clients that the process can keep open.
 
     Args:
         configured: The bound of the settings. That of the kernel may be lower.
@@ -99,8 +112,8 @@
         log.exception(message % args if args else message)
 
 
-class CallerConnection(TCPServer):  # type: ignore[misc]
-    """A caller's connection that writes directly to the socket if it has buffer space."""
+class HttpConnection(TCPServer):  # type: ignore[misc]
+    """A client's connection that writes directly to the socket if it has buffer space."""
 
     slots: ConnectionSlots | None = None
     """Where the connection has its place."""
@@ -117,6 +130,9 @@
         if isinstance(event, Closed):
             # The task that sent the response may be cancelled once the response is complete.
             with trio.CancelScope(shield=True):
+                # Hypercorn leaves it running after a malformed head, and the connection's task
+                # waits for it.
+                await self.idle_task.stop()
                 self.reset_if_incomplete()
                 await super().protocol_send(event)
             return
@@ -135,7 +151,7 @@
             await super().protocol_send(RawData(data=event.data[sent:]))
 
     def reset_if_incomplete(self) -> None:
-        """Close the connection of an HTTP/1.0 caller with a reset if a response is incomplete.
+        """Close the connection of an HTTP/1.0 client with a reset if a response is incomplete.
 
         Its body may have neither a length nor chunks, and otherwise looks complete where the
         connection ends.
@@ -150,23 +166,15 @@
 
 
 class HttpServer:
-    """Accepts callers' connections and closes them on shutdown."""
-
-    def __init__(self, application: Any, header_bytes: int, max_connections: int) -> None:
-        """Create the server.
+    """Accepts clients' connections and closes them on shutdown."""
 
-        Args:
-            application: The ASGI application.
-            header_bytes: Largest total size of a request's header names and values.
-            max_connections: Most connections that are open at a time. Beyond it, one without a
-                request is closed for a new one.
-        """
-        self._config = _hypercorn_config(header_bytes)
+    def __init__(self, application: Any, limits: HttpLimits) -> None:
+        self._config = _hypercorn_config(limits)
         self._application = wrap_app(application, 0, "asgi")
         self._context = WorkerContext(None)
-        self._connections: set[CallerConnection] = set()
-        self._max_connections = max_connections
-        self._slots = ConnectionSlots(connection_bound(max_connections))
+        self._connections: set[HttpConnection] = set()
+        self._limits = limits
+        self._slots = ConnectionSlots(connection_bound(limits.connections))
 
     async def run(
         self,
@@ -184,6 +192,8 @@
             listeners += await trio.open_tcp_listeners(
                 address.port, host=address.host, backlog=ACCEPT_BACKLOG
             )
+        for listener in listeners:
+            limit_buffers(listener.socket)
         names = tuple(_format_address(each) for each in listeners)
         async with trio.open_nursery() as nursery:
             await nursery.start(trio.serve_listeners, self._serve, listeners)
@@ -195,7 +205,7 @@
         with trio.move_on_after(CLOSE_TIMEOUT_SECONDS):
             while self._connections:
                 await trio.sleep(CLOSE_POLL_SECONDS)
-        # Hypercorn shields its writes from cancellation. A write to a caller that does not read
+        # Hypercorn shields its writes from cancellation. A write to a client that does not read
         # never ends, and the process would survive a forced stop until it is killed. Closing the
         # socket ends the write.
         for connection in list(self._connections):
@@ -204,9 +214,9 @@
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         state = ConnectionState({})
-        connection = CallerConnection(self._application, self._config, self._context, state, stream)
+        connection = HttpConnection(self._application, self._config, self._context, state, stream)
         # The limit of the kernel can be changed while the process runs.
-        self._slots.table.bound = connection_bound(self._max_connections)
+        self._slots.table.bound = connection_bound(self._limits.connections)
         if not self._slots.admit(connection):
             log.debug("Connection refused: all others have a request in progress")
             await trio.aclose_forcefully(stream)
@@ -225,13 +235,13 @@
     return str(Address(host, port))
 
 
-def _hypercorn_config(header_bytes: int) -> Config:
+def _hypercorn_config(limits: HttpLimits) -> Config:
     config = Config()
     config.logger_class = HypercornLogger
     config.include_server_header = False
-    config.keep_alive_timeout = KEEP_ALIVE_SECONDS
+    config.keep_alive_timeout = limits.idle_timeout.total_seconds()
     config.keep_alive_max_requests = 1_000_000
     config.h2_max_concurrent_streams = MAX_STREAMS_PER_CONNECTION
-    config.h11_max_incomplete_size = header_bytes * HEADER_LIMIT_FACTOR
-    config.h2_max_header_list_size = header_bytes * HEADER_LIMIT_FACTOR
+    config.h11_max_incomplete_size = limits.header_bytes * HEADER_LIMIT_FACTOR
+    config.h2_max_header_list_size = limits.header_bytes * HEADER_LIMIT_FACTOR
     return config
--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/tcp_sockets.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/tcp_sockets.py
@@ -99,13 +99,18 @@
     return sock
 
 
+def limit_buffers(listener: trio.socket.SocketType) -> None:
+    """Limit the kernel's buffers of the connections that a socket will accept."""
+    # Accepted connections inherit them; a window that was announced can't be reduced later.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+
+
 async def listen(host: str, port: int) -> trio.socket.SocketType:
     """Open a listening socket, for connections whose buffers in the kernel are limited."""
     sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    # Accepted connections inherit them; a window that was announced can't be reduced later.
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    limit_buffers(sock)
     await sock.bind((host, port))
     sock.listen(1024)
     return sock
--- a/tests/test_uncontrolled_clients_of_a_site.py
+++ b/tests/test_uncontrolled_clients_of_a_site.py
@@ -9,11 +9,14 @@
 from contextlib import asynccontextmanager, suppress
 from typing import TYPE_CHECKING
 
+import h2.config
+import h2.connection
 import pytest
 import trio
 from site_callers import ACCOUNT
 from uncontrolled_clients import (
     FLOOD_SECONDS,
+    FLOODING_CLIENTS,
     SILENT_CLIENTS,
     Crowd,
     Usage,
@@ -22,13 +25,14 @@
     stays_silent,
 )
 
-from ragwortwing_lab.faults.call import Call, chat_request
+from ragwortwing_lab.faults.call import KEY_BY_ACCOUNT, Call, chat_request
 from ragwortwing_lab.faults.observations import Answer
 from ragwortwing_lab.site import SiteShape, running_site
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Mapping
     from pathlib import Path
+    from typing import Any
 
     from uncontrolled_clients import Behaviour
 
@@ -43,10 +47,45 @@
 METRICS = b"GET /metrics HTTP/1.1\r\nhost: a\r\n\r\n"
 CHAT = b"POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\n{}"
 
+SMALL_BODIES = {"requests": {"body_bytes": 1_000_000}}
+HEAD_CLIENTS = 150
+STREAMS_OPENED = 1_000
+"""HTTP/2 streams that a client opens on its connection."""
+
+
+def keyed_chat(headers: str, body: bytes = b"") -> bytes:
+    """Return a chat request whose body is, or begins with, some bytes."""
+    head = (
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\n"
+        f"authorization: Bearer {KEY_BY_ACCOUNT[ACCOUNT]}\r\nx-request-class: chat\r\n"
+    )
+    return f"{head}{headers}\r\n\r\n".encode() + body
+
+
+STREAM_BODY = chat_request("unread [tokens=40]", ACCOUNT, "chat").body
+STREAMED_CHAT = keyed_chat(f"content-length: {len(STREAM_BODY)}", STREAM_BODY)
+ONE_BYTE_CHUNKS = sends_ahead(b"1\r\nx\r\n", first=keyed_chat("transfer-encoding: chunked"))
+ENDLESS_HEAD = sends_ahead(b"a: b\r\n", first=b"GET / HTTP/1.1\r\n")
+
+
+async def opens_many_http2_streams(stream: trio.SocketStream) -> None:
+    """Open as many streams as HTTP/2 has room for, and read no answer."""
+    connection = h2.connection.H2Connection(h2.config.H2Configuration(client_side=True))
+    connection.initiate_connection()
+    await stream.send_all(connection.data_to_send())
+    fields = [(":method", "GET"), (":path", "/nowhere"), (":authority", "a"), (":scheme", "http")]
+    for number in range(STREAMS_OPENED):
+        connection.send_headers(2 * number + 1, fields, end_stream=True)
+        await stream.send_all(connection.data_to_send())
+    await trio.sleep_forever()
+
 
 @asynccontextmanager
-async def small_site(tmp_path: Path) -> AsyncIterator[Site]:
-    async with running_site(SiteShape(entries=1, engines=1, desks=0), tmp_path) as site:
+async def small_site(
+    tmp_path: Path, entry_settings: Mapping[str, Any] | None = None
+) -> AsyncIterator[Site]:
+    shape = SiteShape(entries=1, engines=1, desks=0, entry_settings=entry_settings or {})
+    async with running_site(shape, tmp_path) as site:
         yield site
 
 
@@ -89,6 +128,24 @@
         await check_bears(site, "entry-0", Crowd(address, behaviour))
 
 
+@pytest.mark.parametrize(
+    ("behaviour", "size"),
+    [
+        pytest.param(sends_ahead(STREAMED_CHAT), FLOODING_CLIENTS, id="streams_unread"),
+        pytest.param(ONE_BYTE_CHUNKS, FLOODING_CLIENTS, id="one_byte_chunks"),
+        pytest.param(ENDLESS_HEAD, HEAD_CLIENTS, id="heads_without_end"),
+        pytest.param(opens_many_http2_streams, FLOODING_CLIENTS, id="many_http2_streams"),
+    ],
+)
+async def test_own_interface_bears_unfinished_requests(
+    tmp_path: Path, behaviour: Behaviour, size: int
+) -> None:
+    """Guards against heads, bodies and streams that fill the entry's memory together."""
+    async with small_site(tmp_path, SMALL_BODIES) as site:
+        address = site.process_by_name["entry-0"].listen["http"]
+        await check_bears(site, "entry-0", Crowd(address, behaviour, size))
+
+
 async def test_own_interface_bears_silent_connections(tmp_path: Path) -> None:
     """Guards against silent connections that use up the descriptors of the product's own entry."""
     async with small_site(tmp_path) as site:
@@ -102,6 +159,9 @@
         pytest.param("http", sends_ahead(READY), id="readiness_path"),
         pytest.param("http", sends_ahead(METRICS), id="metrics"),
         pytest.param("http", sends_ahead(NO_ROUTE), id="no_route"),
+        pytest.param("http", ONE_BYTE_CHUNKS, id="one_byte_chunks"),
+        pytest.param("http", ENDLESS_HEAD, id="heads_without_end"),
+        pytest.param("http", opens_many_http2_streams, id="many_http2_streams"),
         pytest.param("wire", sends_ahead(READY), id="bytes_of_another_protocol"),
         pytest.param("wire", sends_ahead(b"\0\0\0\1"), id="frames_without_end"),
     ],
@@ -109,10 +169,13 @@
 async def test_agent_bears_clients_that_send_ahead(
     tmp_path: Path, interface: str, behaviour: Behaviour
 ) -> None:
-    """Guards against requests that fill the memory of an agent."""
+    """Guards against requests that fill the memory of an agent, or use up its descriptors."""
     async with small_site(tmp_path) as site:
-        address = site.process_by_name["agent-engine-0"].listen[interface]
-        await check_bears(site, "agent-engine-0", Crowd(address, behaviour))
+        listen = site.process_by_name["agent-engine-0"].listen
+        await check_bears(site, "agent-engine-0", Crowd(listen[interface], behaviour))
+        with trio.fail_after(ANSWER_TIMEOUT):
+            reply = await site.call("GET", f"http://{listen['http']}/readyz")
+        assert reply.status == 200
 
 
 @pytest.mark.parametrize("interface", ["http", "wire"])
