Bound the request bodies that callers of the own interface have not finished

Cause: a body had a bound (4 MB), all bodies together had none, and none had to arrive in time; Hypercorn queued ten parts of up to 64 KB of each before the entry took them.

Bodies now count toward a total (requests.total_body_bytes, 256 MB) until their requests end, by the account that the platform's entry has (CallerMemory): beyond it 8 KB of each and one body at a time are read. A body has to arrive within requests.body_timeout (1 minute), or is answered 408 and has not run. One part is queued instead of ten. With so short a queue an application that answers without reading would wait for itself (seen: the tests of the entry hung), so what is unread is discarded once an answer begins.

Without the timeout test_body_that_is_not_finished_is_answered_408 has nothing to set; that answer did not exist.

--- a/packages/ragwortwing-agent/src/ragwortwing_agent/status_server.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/status_server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -14,6 +13,7 @@
 
 if TYPE_CHECKING:
     from ragwortwing_runtime.settings_reader import Address
+    from ragwortwing_runtime.unread_bodies import Receive, Send
 
 JSON_TYPE = "application/json"
 
@@ -46,10 +46,6 @@
         ...
 
 
-Receive = Callable[[], Awaitable[dict[str, Any]]]
-Send = Callable[[dict[str, Any]], Awaitable[None]]
-
-
 class StatusApplication:
     """ASGI application that serves the operator endpoints."""
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/caller_faults.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/caller_faults.py
@@ -24,6 +24,7 @@
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_PATH = "unknown_path"
     METHOD_NOT_ALLOWED = "method_not_allowed"
+    BODY_TIMEOUT = "body_timeout"
     BODY_TOO_LARGE = "body_too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
     UNSUPPORTED_CONTENT_TYPE = "unsupported_content_type"
@@ -39,6 +40,7 @@
     CallerFaultCode.UNKNOWN_MODEL: 404,
     CallerFaultCode.UNKNOWN_PATH: 404,
     CallerFaultCode.METHOD_NOT_ALLOWED: 405,
+    CallerFaultCode.BODY_TIMEOUT: 408,
     CallerFaultCode.BODY_TOO_LARGE: 413,
     CallerFaultCode.UNSUPPORTED_CONTENT_TYPE: 415,
     CallerFaultCode.HEADERS_TOO_LARGE: 431,
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/entry_app.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/entry_app.py
@@ -10,6 +10,7 @@
 import logbook
 import trio
 
+from ragwortwing_policy.direct.memory_guard import ALWAYS_RECEIVED_BYTES, MemoryBounds
 from ragwortwing_policy.outcomes import NotRun, NotRunReason
 from ragwortwing_policy.retries import RetryBudget
 from ragwortwing_policy.routing import Router
@@ -24,6 +25,7 @@
 from .agent_pool import AgentPool
 from .answers import fault_answer, outcome_answer
 from .caller_faults import CallerFault, CallerFaultCode
+from .direct.relay_buffer import CallerMemory
 from .entry_metrics import EntryMetrics
 from .http_call import HttpCall
 from .request_context import RequestContext, new_request_context, new_request_id
@@ -105,6 +107,10 @@
             IDLE_TIMEOUT,
         )
         self._server = HttpServer(self, limits)
+        bounds = MemoryBounds(
+            settings.requests.total_body_bytes, always_received_bytes=ALWAYS_RECEIVED_BYTES
+        )
+        self._memory = CallerMemory(bounds, self.clock)
         self._operator_port = 0
         self._address = ""
 
@@ -157,7 +163,11 @@
     ) -> None:
         """Handle one ASGI request."""
         if scope["type"] == "http":
-            await self._handle(HttpCall(scope, receive, send))
+            call = HttpCall(scope, receive, send, self._memory)
+            try:
+                await self._handle(call)
+            finally:
+                call.close()
 
     async def require_configuration(self, call: HttpCall) -> Configuration | None:
         """Return the active configuration, or answer the call if there is none."""
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/http_call.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/http_call.py
@@ -5,12 +5,17 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
+import trio
+
 from .caller_faults import CallerFault, CallerFaultCode
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from ragwortwing_runtime.settings import RequestLimitSettings
+
     from .answers import Answer, HeaderList
+    from .direct.relay_buffer import CallerMemory
 
 Receive = "Callable[[], Awaitable[dict[str, Any]]]"
 Send = "Callable[[dict[str, Any]], Awaitable[None]]"
@@ -25,13 +30,14 @@
 
 
 class HttpCall:
-    """An HTTP request that is read up to a size limit, and the response to it."""
+    """An HTTP request that is read within limits, and the response to it."""
 
     def __init__(
         self,
         scope: dict[str, Any],
         receive: Callable[[], Awaitable[dict[str, Any]]],
         send: Callable[[dict[str, Any]], Awaitable[None]],
+        memory: CallerMemory,
     ) -> None:
         self.method: str = scope["method"]
         self.path: str = scope["path"]
@@ -42,6 +48,11 @@
         self._values_by_name = dict(self.headers)
         self._receive = receive
         self._send = send
+        self._account = memory.account()
+
+    def close(self) -> None:
+        """Release the body once the request has ended."""
+        self._account.release()
 
     def header(self, name: bytes) -> bytes:
         """Return the value of a header, empty if it was not sent."""
@@ -55,29 +66,34 @@
             CallerFaultCode.HEADERS_TOO_LARGE, f"headers may have {limit:,} bytes together"
         )
 
-    async def read_body(self, limit: int) -> bytes | CallerFault | CallerLeft:
-        """Read the complete body, or stop as soon as it exceeds the limit.
+    async def read_body(self, limits: RequestLimitSettings) -> bytes | CallerFault | CallerLeft:
+        """Read the complete body, or stop as soon as it exceeds a limit."""
+        seconds = limits.body_timeout.total_seconds()
+        with trio.move_on_after(seconds):
+            return await self._receive_body(limits.body_bytes)
+        return CallerFault(
+            CallerFaultCode.BODY_TIMEOUT, f"a body has to be received within {seconds:g} s"
+        )
 
-        Args:
-            limit: Maximum size of the body in bytes.
-        """
+    async def _receive_body(self, limit: int) -> bytes | CallerFault | CallerLeft:
         fault = CallerFault(CallerFaultCode.BODY_TOO_LARGE, f"a body may have {limit:,} bytes")
         declared_length = self.header(CONTENT_LENGTH)
         # The length may have more digits than `int` accepts.
         if declared_length.isdigit() and float(declared_length) > limit:
             return fault
-        chunks: list[bytes] = []
-        size = 0
+        body = bytearray()
         while True:
+            await self._account.wait_for_room()
             message = await self._receive()
             if message["type"] == "http.disconnect":
                 return CallerLeft.CALLER_LEFT
-            chunks.append(message.get("body", b""))
-            size += len(chunks[-1])
-            if size > limit:
+            data = message.get("body", b"")
+            self._account.hold(len(data))
+            body += data
+            if len(body) > limit:
                 return fault
             if not message.get("more_body", False):
-                return b"".join(chunks)
+                return bytes(body)
 
     async def wait_disconnected(self) -> None:
         """Wait until the caller closes the connection."""
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/model_routes.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/model_routes.py
@@ -68,7 +68,7 @@
     wrong_type = check_content_type(call)
     if wrong_type is not None:
         return wrong_type
-    body = await call.read_body(app.settings.requests.body_bytes)
+    body = await call.read_body(app.settings.requests)
     if not isinstance(body, bytes):
         return body
     chat = read_chat_request(body)
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/service_routes.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/service_routes.py
@@ -95,7 +95,7 @@
     key = _read_idempotency_key(call)
     if isinstance(key, CallerFault):
         return key
-    body = await call.read_body(app.settings.requests.body_bytes)
+    body = await call.read_body(app.settings.requests)
     if not isinstance(body, bytes):
         return body
     context = app.new_context(configuration, account.name, service_route.request_class)
--- a/packages/ragwortwing-entry/tests/test_http_server.py
+++ b/packages/ragwortwing-entry/tests/test_http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 import httpcore
@@ -14,6 +15,7 @@
 from ragwortwing_policy.outcomes import Completed, Outcome, Unknown, UnknownReason
 from ragwortwing_policy.routing import BackendKind
 from ragwortwing_runtime.app import ABORTED_REQUESTS_EXIT_CODE
+from ragwortwing_runtime.settings import RequestLimitSettings
 from ragwortwing_wire.messages import End, ResponseHead
 
 if TYPE_CHECKING:
@@ -21,13 +23,18 @@
 
 EVENT = b'data: {"choices":[{"delta":{"content":" x"}}]}\n\n'
 LARGE_EVENT = b'data: {"choices":[],"x":"' + b"x" * 500_000 + b'"}\n\n'
+SHORT = timedelta(milliseconds=200)
 EVENTS_BEYOND_SOCKET_BUFFERS = 40
 """Number of large events; loopback socket buffers hold a few megabytes on each side."""
 
 
-async def open_stalled_call(bench: Bench) -> trio.SocketStream:
+async def connect(bench: Bench) -> trio.SocketStream:
     host, _, port = bench.listen["http"].partition(":")
-    stream = await trio.open_tcp_stream(host, int(port))
+    return await trio.open_tcp_stream(host, int(port))
+
+
+async def open_stalled_call(bench: Bench) -> trio.SocketStream:
+    stream = await connect(bench)
     body = msgspec.json.encode(CHAT)
     head = f"POST {CHAT_PATH} HTTP/1.1\r\nhost: x\r\ncontent-length: {len(body)}\r\n"
     lines = "".join(f"{name}: {value}\r\n" for name, value in AUTHORIZED.items())
@@ -106,6 +113,21 @@
     await stalled.aclose()
 
 
+async def test_body_that_is_not_finished_is_answered_408() -> None:
+    """Guards against an unfinished body that keeps its memory and its connection for good."""
+    async with running_entry(requests=RequestLimitSettings(body_timeout=SHORT)) as bench:
+        stream = await connect(bench)
+        lines = "".join(f"{name}: {value}\r\n" for name, value in AUTHORIZED.items())
+        head = f"POST {CHAT_PATH} HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n{lines}\r\n"
+        await stream.send_all(f"{head}half of it".encode())
+        answer = b""
+        with trio.fail_after(5):
+            while part := await stream.receive_some():
+                answer += part
+        assert answer.startswith(b"HTTP/1.1 408 ")
+        assert b"body_timeout" in answer
+
+
 async def test_forced_stop_ends_write_to_stalled_caller() -> None:
     """Guards against a forced shutdown that hangs on a caller that does not read.
 
--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/http_server.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/http_server.py
@@ -24,10 +24,13 @@
 from .connection_slots import ConnectionSlots
 from .settings_reader import Address
 from .tcp_sockets import limit_buffers, reset
+from .unread_bodies import discards_unread_bodies
 
 if TYPE_CHECKING:
     from hypercorn.events import Event
 
+    from .unread_bodies import Application
+
 log = logbook.Logger("http")
 
 CLOSE_POLL_SECONDS = 0.01
@@ -42,6 +45,9 @@
 MAX_STREAMS_PER_CONNECTION = 1_000
 """Maximum number of concurrent HTTP/2 streams on a connection."""
 
+MAX_QUEUED_BODY_PARTS = 1
+"""Parts of a request's body that Hypercorn reads before the application has taken them."""
+
 HEADER_LIMIT_FACTOR = 2
 """Ratio of Hypercorn's header limit to ours.
 
@@ -168,9 +174,9 @@
 class HttpServer:
     """Accepts clients' connections and closes them on shutdown."""
 
-    def __init__(self, application: Any, limits: HttpLimits) -> None:
+    def __init__(self, application: Application, limits: HttpLimits) -> None:
         self._config = _hypercorn_config(limits)
-        self._application = wrap_app(application, 0, "asgi")
+        self._application = wrap_app(discards_unread_bodies(application), 0, "asgi")
         self._context = WorkerContext(None)
         self._connections: set[HttpConnection] = set()
         self._limits = limits
@@ -241,6 +247,7 @@
     config.include_server_header = False
     config.keep_alive_timeout = limits.idle_timeout.total_seconds()
     config.keep_alive_max_requests = 1_000_000
+    config.max_app_queue_size = MAX_QUEUED_BODY_PARTS
     config.h2_max_concurrent_streams = MAX_STREAMS_PER_CONNECTION
     config.h11_max_incomplete_size = limits.header_bytes * HEADER_LIMIT_FACTOR
     config.h2_max_header_list_size = limits.header_bytes * HEADER_LIMIT_FACTOR
--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/settings.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/settings.py
@@ -103,6 +103,10 @@
 
     body_bytes: Annotated[int, Between(1, 1_073_741_824)] = 4_194_304
     """Maximum size of a request body."""
+    total_body_bytes: Annotated[int, Between(1_048_576, 1_099_511_627_776)] = 268_435_456
+    """Size of all request bodies together beyond which further large ones wait to be read."""
+    body_timeout: PositiveDuration = timedelta(seconds=60)
+    """Time within which a request body has to be received."""
     header_bytes: Annotated[int, Between(1_024, 1_048_576)] = 32_768
     """Maximum total size of the header names and values of one request."""
     open_requests: Annotated[int, Between(1, 100_000)] = 2_000
--- a/tests/test_uncontrolled_clients_of_a_site.py
+++ b/tests/test_uncontrolled_clients_of_a_site.py
@@ -47,7 +47,8 @@
 METRICS = b"GET /metrics HTTP/1.1\r\nhost: a\r\n\r\n"
 CHAT = b"POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\n{}"
 
-SMALL_BODIES = {"requests": {"body_bytes": 1_000_000}}
+SMALL_BODIES = {"requests": {"body_bytes": 1_000_000, "total_body_bytes": 16_000_000}}
+BODY_CLIENTS = 100
 HEAD_CLIENTS = 150
 STREAMS_OPENED = 1_000
 """HTTP/2 streams that a client opens on its connection."""
@@ -68,6 +69,27 @@
 ENDLESS_HEAD = sends_ahead(b"a: b\r\n", first=b"GET / HTTP/1.1\r\n")
 
 
+async def never_finishes_a_body(stream: trio.SocketStream) -> None:
+    size = 900_000
+    await stream.send_all(keyed_chat(f"content-length: {size}"))
+    for _ in range(size // 10_000 - 1):
+        await stream.send_all(b"x" * 10_000)
+        await trio.sleep(0.01)
+    await stream.receive_some()
+
+
+def sends_a_body_that_is_not_read(path: str) -> Behaviour:
+    """Send a body that its request is answered without, and leave once the answer is there."""
+    size = 900_000
+    request = f"POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: {size}\r\n\r\n".encode()
+
+    async def behaviour(stream: trio.SocketStream) -> None:
+        await stream.send_all(request + b"x" * (size - 1))
+        await stream.receive_some()
+
+    return behaviour
+
+
 async def opens_many_http2_streams(stream: trio.SocketStream) -> None:
     """Open as many streams as HTTP/2 has room for, and read no answer."""
     connection = h2.connection.H2Connection(h2.config.H2Configuration(client_side=True))
@@ -134,7 +156,11 @@
         pytest.param(sends_ahead(STREAMED_CHAT), FLOODING_CLIENTS, id="streams_unread"),
         pytest.param(ONE_BYTE_CHUNKS, FLOODING_CLIENTS, id="one_byte_chunks"),
         pytest.param(ENDLESS_HEAD, HEAD_CLIENTS, id="heads_without_end"),
+        pytest.param(never_finishes_a_body, BODY_CLIENTS, id="bodies_never_finished"),
         pytest.param(opens_many_http2_streams, FLOODING_CLIENTS, id="many_http2_streams"),
+        pytest.param(
+            sends_a_body_that_is_not_read("/v1/chat/completions"), BODY_CLIENTS, id="bodies_unread"
+        ),
     ],
 )
 async def test_own_interface_bears_unfinished_requests(
@@ -162,6 +188,7 @@
         pytest.param("http", ONE_BYTE_CHUNKS, id="one_byte_chunks"),
         pytest.param("http", ENDLESS_HEAD, id="heads_without_end"),
         pytest.param("http", opens_many_http2_streams, id="many_http2_streams"),
+        pytest.param("http", sends_a_body_that_is_not_read("/status"), id="bodies_unread"),
         pytest.param("wire", sends_ahead(READY), id="bytes_of_another_protocol"),
         pytest.param("wire", sends_ahead(b"\0\0\0\1"), id="frames_without_end"),
     ],
