Disconnect callers of the own interface that do not read their answers

A caller that reads nothing kept its request, its place among the connections and its engine's slot for good: Hypercorn shields its writes from cancellation, and nothing bounded the wait. With enough such callers every other one is refused.

The listeners of the own interface and of the agents set the kernel's user timeout, which accepted connections inherit: requests.send_timeout (1 minute) at an entry, 5 s at an agent. It counts from the last byte that the peer took, also while the peer acknowledges probes with a full buffer, so a slow reader that goes on reading keeps its connection. An HTTP/2 caller that grants no window but acknowledges the bytes of its connection is not covered.

test_caller_that_does_not_read_is_disconnected fails without the option (1 of 1) and passes with it.

--- a/packages/ragwortwing-agent/src/ragwortwing_agent/status_server.py
+++ b/packages/ragwortwing-agent/src/ragwortwing_agent/status_server.py
@@ -21,6 +21,7 @@
     header_bytes=8192,
     connections=64,
     idle_timeout=timedelta(seconds=5),
+    send_timeout=timedelta(seconds=5),
 )
 """Limits on the connections of operators and monitoring."""
 
--- a/packages/ragwortwing-entry/src/ragwortwing_entry/entry_app.py
+++ b/packages/ragwortwing-entry/src/ragwortwing_entry/entry_app.py
@@ -105,6 +105,7 @@
             settings.requests.header_bytes,
             settings.requests.open_connections,
             IDLE_TIMEOUT,
+            settings.requests.send_timeout,
         )
         self._server = HttpServer(self, limits)
         bounds = MemoryBounds(
--- a/packages/ragwortwing-entry/tests/test_http_server.py
+++ b/packages/ragwortwing-entry/tests/test_http_server.py
@@ -113,6 +113,16 @@
     await stalled.aclose()
 
 
+async def test_caller_that_does_not_read_is_disconnected() -> None:
+    """Guards against an unread answer that keeps its request and its connection for good."""
+    async with running_entry(requests=RequestLimitSettings(send_timeout=SHORT)) as bench:
+        agent = await bench.add_agent("agent-1")
+        stalled = await open_stalled_call(bench)
+        await fill_socket_buffers(agent)
+        await bench.wait_until(lambda: not bench.app.unfinished())
+        await stalled.aclose()
+
+
 async def test_body_that_is_not_finished_is_answered_408() -> None:
     """Guards against an unfinished body that keeps its memory and its connection for good."""
     async with running_entry(requests=RequestLimitSettings(body_timeout=SHORT)) as bench:
--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/http_server.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/http_server.py
@@ -23,7 +23,7 @@
 
 from .connection_slots import ConnectionSlots
 from .settings_reader import Address
-from .tcp_sockets import limit_buffers, reset
+from .tcp_sockets import limit_buffers, limit_unread_time, reset
 from .unread_bodies import discards_unread_bodies
 
 if TYPE_CHECKING:
@@ -70,6 +70,8 @@
     without a request is closed for a new one."""
     idle_timeout: timedelta
     """Time after which a connection without a request is closed."""
+    send_timeout: timedelta
+    """Time without progress after which a client that does not read is disconnected."""
 
 
 def connection_bound(configured: int) -> int:
@@ -200,6 +202,7 @@
             )
         for listener in listeners:
             limit_buffers(listener.socket)
+            limit_unread_time(listener.socket, self._limits.send_timeout.total_seconds())
         names = tuple(_format_address(each) for each in listeners)
         async with trio.open_nursery() as nursery:
             await nursery.start(trio.serve_listeners, self._serve, listeners)
--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/settings.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/settings.py
@@ -107,6 +107,8 @@
     """Size of all request bodies together beyond which further large ones wait to be read."""
     body_timeout: PositiveDuration = timedelta(seconds=60)
     """Time within which a request body has to be received."""
+    send_timeout: PositiveDuration = timedelta(seconds=60)
+    """Time without progress after which a caller that does not read its answer is disconnected."""
     header_bytes: Annotated[int, Between(1_024, 1_048_576)] = 32_768
     """Maximum total size of the header names and values of one request."""
     open_requests: Annotated[int, Between(1, 100_000)] = 2_000
--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/tcp_sockets.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/tcp_sockets.py
@@ -106,6 +106,11 @@
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
 
+def limit_unread_time(listener: trio.socket.SocketType, seconds: float) -> None:
+    """Let the kernel reset accepted connections whose peers take nothing for some time."""
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, max(1, round(seconds * 1000)))
+
+
 async def listen(host: str, port: int) -> trio.socket.SocketType:
     """Open a listening socket, for connections whose buffers in the kernel are limited."""
     sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
