Let no connection of the own interfaces end its process

One request of anybody, without a key, ended an entry or an agent at their own interfaces, the operator's one included: an upgrade to HTTP/2 whose settings can't be decoded (binascii.Error), or HTTP/2 priorities of more than 1,000 streams (TooManyStreamsError).

Cause: Hypercorn does not catch these errors of its libraries. They ended the connection's task, and with it the nursery of the server and of the process. Found by sending some 30 odd requests to each interface.

An error of a connection now ends that connection only. It is logged as "Connection failed" with its types and messages, 200 characters each, as they may contain what the client sent.

test_process_outlives_connections_that_fail: 6 of 6 cases failed on (the process had exited with code 1), 6 of 6 pass now, alone.

--- a/packages/ragwortwing-runtime/src/ragwortwing_runtime/http_server.py
+++ b/packages/ragwortwing-runtime/src/ragwortwing_runtime/http_server.py
@@ -27,6 +27,8 @@
 from .unread_bodies import discards_unread_bodies
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from hypercorn.events import Event
 
     from .unread_bodies import Application
@@ -48,6 +50,9 @@
 MAX_QUEUED_BODY_PARTS = 1
 """Parts of a request's body that Hypercorn reads before the application has taken them."""
 
+MAX_CAUSE_LENGTH = 200
+"""Characters of an error's message that are logged; it may contain what the client sent."""
+
 HEADER_LIMIT_FACTOR = 2
 """Ratio of Hypercorn's header limit to ours.
 
@@ -235,10 +240,22 @@
         try:
             with self._slots.holding(connection):
                 await connection
+        except Exception as error:  # noqa: BLE001 - one client must not end the process
+            causes = ", ".join(each[:MAX_CAUSE_LENGTH] for each in _causes(error))
+            log.warning("Connection failed", causes=causes)
         finally:
             self._connections.discard(connection)
 
 
+def _causes(error: BaseException) -> Iterator[str]:
+    """Yield the type and message of each error in a group."""
+    if isinstance(error, BaseExceptionGroup):
+        for each in error.exceptions:
+            yield from _causes(each)
+    else:
+        yield f"{type(error).__name__}: {error}"
+
+
 def _format_address(listener: trio.SocketListener) -> str:
     host, port = listener.socket.getsockname()[:2]
     return str(Address(host, port))
--- a/tests/test_uncontrolled_clients_of_a_site.py
+++ b/tests/test_uncontrolled_clients_of_a_site.py
@@ -78,6 +78,28 @@
     await stream.receive_some()
 
 
+def sends_once(data: bytes) -> Behaviour:
+    async def behaviour(stream: trio.SocketStream) -> None:
+        await stream.send_all(data)
+        await stream.receive_some()
+
+    return behaviour
+
+
+INVALID_HTTP2_SETTINGS = sends_once(
+    b"GET /readyz HTTP/1.1\r\nhost: a\r\nupgrade: h2c\r\n"
+    b"connection: upgrade, http2-settings\r\nhttp2-settings: AAAAA\r\n\r\n"
+)
+HTTP2_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\0\0\0\4\0\0\0\0\0"
+HTTP2_PRIORITIES = sends_once(
+    HTTP2_PREFACE
+    + b"".join(
+        b"\0\0\5\2\0" + (2 * each + 1).to_bytes(4, "big") + b"\0\0\0\0\x10"
+        for each in range(3 * STREAMS_OPENED)
+    )
+)
+
+
 def sends_a_body_that_is_not_read(path: str) -> Behaviour:
     """Send a body that its request is answered without, and leave once the answer is there."""
     size = 900_000
@@ -172,6 +194,26 @@
         await check_bears(site, "entry-0", Crowd(address, behaviour, size))
 
 
+@pytest.mark.parametrize(
+    ("process", "interface"),
+    [("entry-0", "http"), ("entry-0", "operator"), ("agent-engine-0", "http")],
+)
+@pytest.mark.parametrize(
+    "behaviour",
+    [
+        pytest.param(INVALID_HTTP2_SETTINGS, id="invalid_http2_settings"),
+        pytest.param(HTTP2_PRIORITIES, id="http2_priorities"),
+    ],
+)
+async def test_process_outlives_connections_that_fail(
+    tmp_path: Path, process: str, interface: str, behaviour: Behaviour
+) -> None:
+    """Guards against an error in the library that serves one connection and ends the process."""
+    async with small_site(tmp_path) as site:
+        address = site.process_by_name[process].listen[interface]
+        await check_bears(site, process, Crowd(address, behaviour))
+
+
 async def test_own_interface_bears_silent_connections(tmp_path: Path) -> None:
     """Guards against silent connections that use up the descriptors of the product's own entry."""
     async with small_site(tmp_path) as site:
