--- a/review/10/case.py
+++ b/review/10/case.py
@@ -49,7 +49,7 @@
         acknowledged = site.record.now()
         await trio.sleep(QUIET)
         nursery.start_soon(orders)
-        # It goes on serving for `drain_ms` and a little longer, and exits in the middle of an order.
+        # It goes on serving for `drain_ms` and a little longer, and exits within an order.
         with trio.move_on_after(SERVES_FOR - QUIET):
             while not (site.record.now() > acknowledged + DRAIN and leaver.running):
                 await trio.sleep(0.005)
